--- /dev/null
+++ b/core/rockinvariant/invariant.go
@@ -0,0 +1,129 @@
+package rockinvariant
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// All lists every invariant in the order in which a tick checks them.
+var All = []rocktable.Invariant{
+	{
+		Name:  "layers",
+		Doc:   "The path of each start covers every layer of the model once, in order.",
+		Check: checkLayers,
+	},
+	{
+		Name:  "notRun",
+		Doc:   "A request that is refused as not run was handed to no backend server, or only to ones that said that they did not start.",
+		Check: checkNotRun,
+	},
+	{
+		Name:  "atMostOnce",
+		Doc:   "A non-idempotent call is handed to a backend server only under its claim, and only once.",
+		Check: checkAtMostOnce,
+	},
+	{
+		Name:  "leaving",
+		Doc:   "No start uses a backend server that has been leaving for longer than the limit.",
+		Check: checkLeaving,
+	},
+	{
+		Name:  "configuration",
+		Doc:   "The version of the configuration in force never falls.",
+		Check: checkConfiguration,
+	},
+	{
+		Name:  "inFlight",
+		Doc:   "The attempts counted on each backend server are the attempts whose paths use it.",
+		Check: checkInFlight,
+	},
+}
+
+func checkLayers(_ time.Time, w *rocktable.World) error {
+	for _, s := range w.Outbox.Starts {
+		next := 0
+		for _, stage := range s.Path {
+			if stage.FirstLayer != next || stage.LastLayer < stage.FirstLayer {
+				return fmt.Errorf("attempt %d: a stage begins at layer %d, want %d", s.Attempt, stage.FirstLayer, next)
+			}
+			next = stage.LastLayer + 1
+		}
+		if next != s.Pipeline.Layers {
+			return fmt.Errorf("attempt %d: the path covers %d layers, want %d", s.Attempt, next, s.Pipeline.Layers)
+		}
+	}
+	return nil
+}
+
+func checkNotRun(_ time.Time, w *rocktable.World) error {
+	for _, a := range w.Outbox.Answers {
+		reason, _ := rockreason.Find(a.Reason)
+		if a.MayHaveRun && reason.Ran == rockreason.NotRun {
+			return fmt.Errorf("request %d: refused as not run (%s) but may have run", a.Request, a.Reason)
+		}
+	}
+	return nil
+}
+
+func checkAtMostOnce(_ time.Time, w *rocktable.World) error {
+	for _, s := range w.Outbox.CallStarts {
+		r := w.Requests.Get(s.Request)
+		if r == nil || r.Call == nil {
+			return fmt.Errorf("call %d: started without a row", s.Request)
+		}
+		if r.Call.Idempotent {
+			continue
+		}
+		if r.Call.Claim != rocktable.ClaimHeld || r.Call.Runs != 1 {
+			return fmt.Errorf("call %d: started with claim state %d and %d runs", s.Request, r.Call.Claim, r.Call.Runs)
+		}
+	}
+	return nil
+}
+
+func checkLeaving(now time.Time, w *rocktable.World) error {
+	late := func(id rocktable.BackendServerID) bool {
+		s := w.Servers.Get(id)
+		return s != nil && s.State == rocktable.StateLeaving && now.Sub(s.LeavingSince) > w.Limits.LeaveLimit
+	}
+	for _, start := range w.Outbox.Starts {
+		for _, stage := range start.Path {
+			if late(stage.Server) {
+				return fmt.Errorf("attempt %d: starts on backend server %d, which is leaving", start.Attempt, stage.Server)
+			}
+		}
+	}
+	for _, start := range w.Outbox.CallStarts {
+		if late(start.Server) {
+			return fmt.Errorf("call %d: starts on backend server %d, which is leaving", start.Request, start.Server)
+		}
+	}
+	return nil
+}
+
+func checkConfiguration(_ time.Time, w *rocktable.World) error {
+	last := w.CheckedVersion
+	w.CheckedVersion = w.ConfigVersion
+	if w.ConfigVersion < last {
+		return fmt.Errorf("version %d is in force after version %d", w.ConfigVersion, last)
+	}
+	return nil
+}
+
+func checkInFlight(_ time.Time, w *rocktable.World) error {
+	used := make(map[rocktable.BackendServerID]int)
+	for _, a := range w.Attempts.All() {
+		for _, stage := range a.Path {
+			used[stage.Server]++
+		}
+	}
+	for id, s := range w.Servers.All() {
+		if s.Role == rocktable.RoleModel && s.InFlight != used[id] {
+			return fmt.Errorf("backend server %s: %d attempts counted, %d found", s.Name, s.InFlight, used[id])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/rockoutcome/outcome.go
@@ -0,0 +1,84 @@
+package rockoutcome
+
+import (
+	"time"
+
+	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// System completes answers and keeps totals.
+var System = rocktable.System{
+	Name: "rockoutcome",
+	Doc:  "Completes the answers of the tick with their outcomes, adds them to the totals and forgets the requests.",
+	Run:  run,
+}
+
+func run(_ time.Time, w *rocktable.World) {
+	answers := w.Outbox.Answers[:0]
+	for _, a := range w.Outbox.Answers {
+		r := w.Requests.Get(a.Request)
+		if r == nil || r.State == rocktable.RequestDone {
+			w.Count(rockreason.LateEvent)
+			continue
+		}
+		a.Outcome, a.MayHaveRun = outcomeOf(w, r, a.Reason), r.MayHaveRun
+		tally(w, r, a)
+		if a.Reason != "" {
+			w.Count(a.Reason)
+		}
+		r.State = rocktable.RequestDone
+		answers = append(answers, a)
+	}
+	w.Outbox.Answers = answers
+	for _, a := range answers {
+		forget(w, w.Requests.Get(a.Request))
+	}
+}
+
+func outcomeOf(w *rocktable.World, r *rocktable.Request, code rockreason.Code) rocktable.Outcome {
+	o := rocktable.Outcome{Attempts: r.Attempts, Reason: code}
+	if !r.FirstToken.IsZero() {
+		o.FirstToken = r.FirstToken.Sub(r.Arrived).Milliseconds()
+		o.LargestGap = r.LargestGap.Milliseconds()
+	}
+	rank := w.Ranks.Get(r.Rank)
+	if rank == nil {
+		return o
+	}
+	o.Rank = rank.Config.Name
+	o.TargetFirstToken, o.TargetGap = int64(rank.Config.FirstTokenMs), int64(rank.Config.GapMs)
+	o.Kept = code == "" && o.FirstToken <= o.TargetFirstToken && o.LargestGap <= o.TargetGap
+	return o
+}
+
+func tally(w *rocktable.World, r *rocktable.Request, a rocktable.Answer) {
+	t := w.Tallies.GetOrPut(rocktable.ShareKey{Rank: r.Rank, Caller: r.Caller})
+	t.Tokens += r.Tokens
+	reason, _ := rockreason.Find(a.Reason)
+	switch {
+	case a.Reason == "":
+		t.Answered++
+	case reason.Ran == rockreason.NotRun:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+	if a.Outcome.Kept {
+		t.Kept++
+	}
+}
+
+func forget(w *rocktable.World, r *rocktable.Request) {
+	rockadmit.Remove(w, r)
+	if a := w.Attempts.Get(r.Attempt); a != nil {
+		for _, stage := range a.Path {
+			if s := w.Servers.Get(stage.Server); s != nil {
+				s.InFlight--
+			}
+		}
+		w.Attempts.Delete(a.ID)
+	}
+	w.Requests.Delete(r.ID)
+}
--- /dev/null
+++ b/core/rockreason/all.go
@@ -0,0 +1,366 @@
+package rockreason
+
+// The codes of all reasons.
+const (
+	Unauthorized      Code = "unauthorized"
+	RankNotAllowed    Code = "rankNotAllowed"
+	BodyTooLong       Code = "bodyTooLong"
+	BadJSON           Code = "badJSON"
+	BadField          Code = "badField"
+	UnknownModel      Code = "unknownModel"
+	UnknownRank       Code = "unknownRank"
+	UnknownService    Code = "unknownService"
+	UnknownPath       Code = "unknownPath"
+	NotReady          Code = "notReady"
+	ShuttingDown      Code = "shuttingDown"
+	HostFull          Code = "hostFull"
+	QueueFull         Code = "queueFull"
+	WouldMissTarget   Code = "wouldMissTarget"
+	Shed              Code = "shed"
+	CallerLimit       Code = "callerLimit"
+	NoPath            Code = "noPath"
+	NoServer          Code = "noServer"
+	Quarantined       Code = "quarantined"
+	PlatformOut       Code = "platformOut"
+	MissingKey        Code = "missingKey"
+	KeyReused         Code = "keyReused"
+	InProgress        Code = "inProgress"
+	OutcomeUnknown    Code = "outcomeUnknown"
+	BackendFailed     Code = "backendFailed"
+	Stalled           Code = "stalled"
+	RetryBudget       Code = "retryBudget"
+	CallerLeft        Code = "callerLeft"
+	StoppedNow        Code = "stoppedNow"
+	StageDied         Code = "stageDied"
+	StageStalled      Code = "stageStalled"
+	StageRefused      Code = "stageRefused"
+	StageUnreachable  Code = "stageUnreachable"
+	StageMisstep      Code = "stageMisstep"
+	ServerUnreachable Code = "serverUnreachable"
+	LookupRepeated    Code = "lookupRepeated"
+	ClaimReadBack     Code = "claimReadBack"
+	ConfigReadBack    Code = "configReadBack"
+	StaleEpoch        Code = "staleEpoch"
+	RepeatedIndex     Code = "repeatedIndex"
+	LateEvent         Code = "lateEvent"
+	StaleNews         Code = "staleNews"
+	FrameTooLarge     Code = "frameTooLarge"
+	FrameVersion      Code = "frameVersion"
+	FrameBroken       Code = "frameBroken"
+	ConfigConflict    Code = "configConflict"
+	ConfigInvalid     Code = "configInvalid"
+	ConfigUnsettled   Code = "configUnsettled"
+	OrderFenced       Code = "orderFenced"
+	LeaseLost         Code = "leaseLost"
+	InvariantViolated Code = "invariantViolated"
+)
+
+// All lists every reason, in the order in which the operators' page shows them.
+var All = []Reason{
+	{
+		Code: Unauthorized, Kind: Refusal, Status: 401, Ran: NotRun, TryAgain: false,
+		Title:    "Unknown token",
+		Text:     "The bearer token is missing or belongs to no caller.",
+		Operator: "Check the caller's tokenSha256 in the configuration.",
+	},
+	{
+		Code: RankNotAllowed, Kind: Refusal, Status: 403, Ran: NotRun, TryAgain: false,
+		Title:    "Rank not allowed",
+		Text:     "The caller may not use this rank.",
+		Operator: "Add the rank to the caller's ranks if it should have it.",
+	},
+	{
+		Code: BodyTooLong, Kind: BadInput, Status: 413, Ran: NotRun, TryAgain: false,
+		Title:    "Body too long",
+		Text:     "The request body is longer than the limit.",
+		Operator: "None, unless the limit in the settings is too low for your callers.",
+	},
+	{
+		Code: BadJSON, Kind: BadInput, Status: 400, Ran: NotRun, TryAgain: false,
+		Title:    "Broken JSON",
+		Text:     "The request body is not valid JSON.",
+		Operator: "None.",
+	},
+	{
+		Code: BadField, Kind: BadInput, Status: 400, Ran: NotRun, TryAgain: false,
+		Title:    "Bad field",
+		Text:     "A field of the request has a value that is not allowed.",
+		Operator: "None.",
+	},
+	{
+		Code: UnknownModel, Kind: BadInput, Status: 404, Ran: NotRun, TryAgain: false,
+		Title:    "Unknown model",
+		Text:     "No pipeline carries this model.",
+		Operator: "Check that a pipeline with this model is in force.",
+	},
+	{
+		Code: UnknownRank, Kind: BadInput, Status: 400, Ran: NotRun, TryAgain: false,
+		Title:    "Unknown rank",
+		Text:     "No rank has this name.",
+		Operator: "Check the ranks in force.",
+	},
+	{
+		Code: UnknownService, Kind: BadInput, Status: 404, Ran: NotRun, TryAgain: false,
+		Title:    "Unknown service",
+		Text:     "No service has this name.",
+		Operator: "Check the services in force.",
+	},
+	{
+		Code: UnknownPath, Kind: BadInput, Status: 404, Ran: NotRun, TryAgain: false,
+		Title:    "Unknown path",
+		Text:     "The server has nothing under this path.",
+		Operator: "None.",
+	},
+	{
+		Code: NotReady, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Host not ready",
+		Text:     "The host does not have the configuration yet.",
+		Operator: "Check that the host reaches the platform or a peer.",
+	},
+	{
+		Code: ShuttingDown, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Host shutting down",
+		Text:     "The host is finishing its work and takes no new requests.",
+		Operator: "None, it is a planned stop.",
+	},
+	{
+		Code: HostFull, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Host full",
+		Text:     "The host holds as many requests as its settings allow.",
+		Operator: "Add entry hosts, or raise maxRequests.",
+	},
+	{
+		Code: QueueFull, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Queue full",
+		Text:     "The queue of the rank is full.",
+		Operator: "Add backend servers, or raise the rank's maxQueue.",
+	},
+	{
+		Code: WouldMissTarget, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Target out of reach",
+		Text:     "The expected wait is longer than the rank's target for the first token.",
+		Operator: "Add backend servers, or relax the rank's target.",
+	},
+	{
+		Code: Shed, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Shed under overload",
+		Text:     "The request waited, and work of more worth needed its place.",
+		Operator: "Add backend servers.",
+	},
+	{
+		Code: CallerLimit, Kind: Refusal, Status: 429, Ran: NotRun, TryAgain: true,
+		Title:    "Caller over its limit",
+		Text:     "The caller asked for more tokens per second than its limit.",
+		Operator: "Raise the caller's tokensPerSecond if it should have more.",
+	},
+	{
+		Code: NoPath, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "No path",
+		Text:     "No set of live backend servers covers every layer of the model.",
+		Operator: "Check which layers are held: sassafrasrock status.",
+	},
+	{
+		Code: NoServer, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "No backend server",
+		Text:     "No backend server of the service is live.",
+		Operator: "Check the service's backend servers: sassafrasrock status.",
+	},
+	{
+		Code: Quarantined, Kind: Refusal, Status: 422, Ran: NotRun, TryAgain: false,
+		Title:    "Request quarantined",
+		Text:     "This request crashed backend servers while it ran alone.",
+		Operator: "Find out why it crashes them; then sassafrasrock reset FINGERPRINT.",
+	},
+	{
+		Code: PlatformOut, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
+		Title:    "Platform out",
+		Text:     "The call may not run twice, and the table service that guards this does not answer.",
+		Operator: "Check the platform's table service.",
+	},
+	{
+		Code: MissingKey, Kind: Refusal, Status: 400, Ran: NotRun, TryAgain: false,
+		Title:    "Idempotency key missing",
+		Text:     "The call may not run twice and needs an Idempotency-Key header.",
+		Operator: "None.",
+	},
+	{
+		Code: KeyReused, Kind: Refusal, Status: 409, Ran: NotRun, TryAgain: false,
+		Title:    "Idempotency key reused",
+		Text:     "The key was used before for a call with other content.",
+		Operator: "None.",
+	},
+	{
+		Code: InProgress, Kind: Refusal, Status: 409, Ran: NotRun, TryAgain: true,
+		Title:    "Call in progress",
+		Text:     "An earlier call with this key has not ended yet; this one was not run.",
+		Operator: "None.",
+	},
+	{
+		Code: OutcomeUnknown, Kind: Failure, Status: 502, Ran: MayHaveRun, TryAgain: false,
+		Title:    "Outcome unknown",
+		Text:     "The call was handed to a backend server and its outcome is not known; it is never sent again.",
+		Operator: "Find out at the application whether the call took effect.",
+	},
+	{
+		Code: BackendFailed, Kind: Failure, Status: 502, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Backend server failed",
+		Text:     "The backend servers failed while the request ran, and no retry was left.",
+		Operator: "Check the backend servers: sassafrasrock status.",
+	},
+	{
+		Code: Stalled, Kind: Failure, Status: 504, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Stream stalled",
+		Text:     "No token came within the stall limit, and no retry was left.",
+		Operator: "Check the links and the load of the backend servers.",
+	},
+	{
+		Code: RetryBudget, Kind: Failure, Status: 502, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Retry budget spent",
+		Text:     "The request failed, and the retry budget of the caller or backend server is spent.",
+		Operator: "Check why backend servers fail: sassafrasrock status.",
+	},
+	{
+		Code: CallerLeft, Kind: Failure, Status: 499, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Caller left",
+		Text:     "The caller closed its connection before the answer was whole.",
+		Operator: "None.",
+	},
+	{
+		Code: StoppedNow, Kind: Failure, Status: 503, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Host stopped",
+		Text:     "The host was told twice to stop and ended before the answer was whole.",
+		Operator: "Give hosts time to finish: send the signal once.",
+	},
+	{
+		Code: StageDied, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Stage died",
+		Text:     "The connection to a backend server was lost in the middle of a request; the request is replayed on a new path.",
+		Operator: "Check the backend server.",
+	},
+	{
+		Code: StageStalled, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Stage stalled",
+		Text:     "A backend server did not answer a step within the stall limit; the request is replayed on a new path.",
+		Operator: "Check the backend server's load and link.",
+	},
+	{
+		Code: StageRefused, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Stage refused",
+		Text:     "A backend server said that it did not start; the request goes elsewhere.",
+		Operator: "Check the backend server's slots and layers.",
+	},
+	{
+		Code: StageUnreachable, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Stage unreachable",
+		Text:     "No connection to a backend server could be opened; the request goes elsewhere.",
+		Operator: "Check the backend server and the network.",
+	},
+	{
+		Code: StageMisstep, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Stage out of step",
+		Text:     "A backend server answered with the wrong index or position; the request is replayed on a new path.",
+		Operator: "Report it with the engine's version.",
+	},
+	{
+		Code: ServerUnreachable, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Application server unreachable",
+		Text:     "No connection to an application's backend server could be opened; the call was not handed over and goes elsewhere.",
+		Operator: "Check the backend server and the network.",
+	},
+	{
+		Code: LookupRepeated, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Look-up repeated",
+		Text:     "An idempotent call failed and is sent to another backend server.",
+		Operator: "Check the backend server.",
+	},
+	{
+		Code: ClaimReadBack, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Claim read back",
+		Text:     "The table service's answer to a claim was lost; the row is read back.",
+		Operator: "Check the platform's table service.",
+	},
+	{
+		Code: ConfigReadBack, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Configuration read back",
+		Text:     "The table service's answer to a configuration change was lost; the row is read back.",
+		Operator: "Check the platform's table service.",
+	},
+	{
+		Code: StaleEpoch, Kind: Dropped, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Token of an old epoch",
+		Text:     "A token of an earlier attempt arrived late and was dropped.",
+		Operator: "None.",
+	},
+	{
+		Code: RepeatedIndex, Kind: Dropped, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Token repeated",
+		Text:     "A token with an index that was already taken was dropped.",
+		Operator: "None.",
+	},
+	{
+		Code: LateEvent, Kind: Dropped, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Late event",
+		Text:     "An event about a request or attempt that has already ended was dropped.",
+		Operator: "None.",
+	},
+	{
+		Code: StaleNews, Kind: Dropped, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Stale news",
+		Text:     "A peer's news was older than what the host knows.",
+		Operator: "None.",
+	},
+	{
+		Code: FrameTooLarge, Kind: BadInput, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Peer frame too large",
+		Text:     "A peer sent a frame over the size limit.",
+		Operator: "Check that all hosts run compatible versions.",
+	},
+	{
+		Code: FrameVersion, Kind: BadInput, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Peer protocol version",
+		Text:     "A peer sent a frame of an unknown protocol version.",
+		Operator: "Check that all hosts run compatible versions.",
+	},
+	{
+		Code: FrameBroken, Kind: BadInput, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Peer frame broken",
+		Text:     "A peer sent a frame that does not decode.",
+		Operator: "Check that all hosts run compatible versions.",
+	},
+	{
+		Code: ConfigConflict, Kind: Refusal, Status: 409, Ran: NotRun, TryAgain: true,
+		Title:    "Configuration changed meanwhile",
+		Text:     "Another change was accepted first; nothing was written.",
+		Operator: "Look at the difference and apply again.",
+	},
+	{
+		Code: ConfigInvalid, Kind: BadInput, Status: 400, Ran: NotRun, TryAgain: false,
+		Title:    "Configuration not valid",
+		Text:     "The configuration has fields with values that are not allowed; nothing was written.",
+		Operator: "Correct the fields that the answer lists.",
+	},
+	{
+		Code: ConfigUnsettled, Kind: Failure, Status: 503, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Configuration change unsettled",
+		Text:     "The platform went out while the change was written; it may or may not be in force later.",
+		Operator: "When the platform is back: sassafrasrock get, then apply again if need be.",
+	},
+	{
+		Code: OrderFenced, Kind: Dropped, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Order refused by fencing",
+		Text:     "An engine refused an order that carried an old fencing number.",
+		Operator: "None, another host holds the lease.",
+	},
+	{
+		Code: LeaseLost, Kind: Dropped, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Lease lost",
+		Text:     "The lease for orders was lost or ran out, and no order was sent.",
+		Operator: "None, unless it recurs: check the platform's table service.",
+	},
+	{
+		Code: InvariantViolated, Kind: Failure, Status: 0, Ran: Internal, TryAgain: false,
+		Title:    "Invariant violated",
+		Text:     "A property that must always hold did not hold at the end of a tick.",
+		Operator: "Report it with the log line.",
+	},
+}
--- /dev/null
+++ b/core/rocktable/actions.go
@@ -0,0 +1,121 @@
+package rocktable
+
+import (
+	"time"
+
+	"sassafrasrock/core/rockreason"
+)
+
+// Outbox holds the actions that a tick decided on, one slice for each type.
+type Outbox struct {
+	Starts       []Start
+	Cancels      []Cancel
+	Answers      []Answer
+	CallStarts   []CallStart
+	Probes       []Probe
+	ListReads    int // reads of the platform's host list
+	PeerSends    []PeerSend
+	ConfigOps    []TableOp[ConfigRow]
+	LeaseOps     []TableOp[LeaseRow]
+	ClaimOps     []TableOp[ClaimRow]
+	ConfigEnds   []ConfigEnd
+	Orders       []OrderSend
+	Changes      []StateChange
+	Counts       []rockreason.Code // counted in this tick
+	ShutdownDone bool
+}
+
+// Start runs an attempt on a path.
+type Start struct {
+	Request   RequestID
+	Attempt   AttemptID
+	Epoch     uint32
+	Pipeline  PipelineConfig
+	Path      []Stage
+	Priority  RankID
+	Alone     bool
+	StepLimit time.Duration // longest wait for one step of one stage
+	OpenLimit time.Duration // longest wait for the first token
+}
+
+// Cancel ends an attempt early.
+type Cancel struct {
+	Attempt AttemptID
+}
+
+// Answer ends a request: a whole answer, a recorded one, or a refusal or failure with its reason.
+type Answer struct {
+	Request    RequestID
+	Reason     rockreason.Code // empty when the answer is whole
+	Outcome    Outcome
+	Recorded   *ClaimRow // outcome of an application call
+	MayHaveRun bool      // of the request, kept for the invariant notRun
+	RetryAfter time.Duration
+}
+
+// Outcome tells a caller whether the promise of its rank was kept.
+type Outcome struct {
+	Rank             string          `json:"rank"`
+	TargetFirstToken int64           `json:"targetFirstTokenMs"`
+	FirstToken       int64           `json:"firstTokenMs"`
+	TargetGap        int64           `json:"targetGapMs"`
+	LargestGap       int64           `json:"largestGapMs"`
+	Kept             bool            `json:"kept"`
+	Attempts         int             `json:"attempts"`
+	Reason           rockreason.Code `json:"reason,omitempty"`
+}
+
+// CallStart runs an application call once on a backend server.
+type CallStart struct {
+	Request RequestID
+	Server  BackendServerID
+	Address string
+	Timeout time.Duration
+}
+
+// Probe asks a backend server for its status.
+type Probe struct {
+	Server  BackendServerID
+	Role    BackendRole
+	Address string
+}
+
+// PeerSend sends a message to a host.
+type PeerSend struct {
+	Host    HostID
+	Address string
+	Message PeerMessage
+}
+
+// TableOp reads or writes one row of the table service.
+type TableOp[T any] struct {
+	Op       uint64
+	Key      string
+	Write    bool
+	Expected uint64 // version that the row must have; 0 means that it must not exist
+	Row      T
+}
+
+// ConfigEnd answers a ConfigChange.
+type ConfigEnd struct {
+	Change  string
+	Reason  rockreason.Code // empty when accepted
+	Version uint64          // accepted, or the one that is in the way
+}
+
+// OrderSend sends an order to an engine.
+type OrderSend struct {
+	Server  BackendServerID
+	Address string
+	Order   Placement
+	Fencing uint64
+	Until   time.Time // not sent later than this, by the local monotonic clock
+}
+
+// StateChange is a change of state worth a log line.
+type StateChange struct {
+	What string // host, backendServer, configuration, lease, suspect or shutdown
+	Name string
+	From string
+	To   string
+}
--- /dev/null
+++ b/core/rocktable/entities.go
@@ -0,0 +1,314 @@
+package rocktable
+
+import "time"
+
+// HostID identifies an entry host within one World.
+type HostID int32
+
+// DataCentreID identifies a data centre within one World.
+type DataCentreID int32
+
+// BackendServerID identifies a backend server within one World.
+type BackendServerID int32
+
+// CallerID identifies a caller within one World.
+type CallerID int32
+
+// RankID is the position of a rank in the configuration; rank 0 is the most urgent.
+type RankID int32
+
+// PipelineID identifies a pipeline within one World.
+type PipelineID int32
+
+// ServiceID identifies an application or plain service within one World.
+type ServiceID int32
+
+// RequestID identifies a request or call within one World and is never reused.
+type RequestID uint64
+
+// AttemptID identifies one run of a request on a path and is never reused.
+type AttemptID uint64
+
+// State is the lifecycle state of a host or backend server.
+type State uint8
+
+// The states of hosts and backend servers.
+const (
+	StateUnknown State = iota // listed, never heard
+	StateLive
+	StateLeaving // gets no new work
+	StateDown    // failed its probes or heartbeats
+)
+
+// String returns the state's name as used in logs and messages.
+func (s State) String() string {
+	return [...]string{"unknown", "live", "leaving", "down"}[s]
+}
+
+// Host is an entry host: this one or a peer.
+type Host struct {
+	ID            HostID
+	Name          string
+	Address       string // IP and UDP port of the peer protocol
+	DataCentre    DataCentreID
+	Self          bool
+	State         State
+	Listed        bool   // in the platform's list
+	Incarnation   uint64 // rises with each start of the daemon
+	Heartbeat     uint64 // highest heartbeat number heard, directly or through peers
+	HeardAt       time.Time
+	ConfigVersion uint64
+	Changed       uint64 // World.ChangeSeq of the last change that peers should learn
+	NextSend      time.Time
+	InFlight      int
+}
+
+// DataCentre is a data centre and its region.
+type DataCentre struct {
+	ID     DataCentreID
+	Name   string
+	Region string
+}
+
+// BackendRole tells what a backend server runs.
+type BackendRole uint8
+
+// The roles of backend servers.
+const (
+	RoleModel BackendRole = iota
+	RoleApplication
+)
+
+// BackendServer is a model runner, an application runner or a plain service's server.
+type BackendServer struct {
+	ID           BackendServerID
+	Name         string
+	Address      string // IP and TCP port
+	DataCentre   DataCentreID
+	Role         BackendRole
+	Kind         string // kind of accelerator
+	Listed       bool
+	State        State
+	LeavingSince time.Time // first word of leaving at this host
+	Drained      bool      // leaving by an operator's order
+	Incarnation  uint64    // changes with each start of the backend server
+
+	Status     EngineStatus // last report, which lags
+	StatusAt   time.Time    // when this host took the report over
+	StatusSeq  uint64       // order of reports, set by the prober
+	SentSince  int          // starts by this host since the report
+	PeerSent   int          // starts by peers since the report, as they told
+	InFlight   int          // attempts of this host that use it now
+	PeerFlight int          // attempts of peers that use it now, as they told
+	Limit      float64      // concurrency limit of this host, in attempts
+	RoundTrip  time.Duration
+	Exclusive  RequestID // suspect that must run alone here, or 0
+
+	RetryBudget  float64 // retries that may still be sent here
+	Probing      bool    // this host is one of its probers
+	ProbeSent    bool    // a probe is out
+	NextProbe    time.Time
+	FailedProbes int
+	Changed      uint64 // World.ChangeSeq of the last change that peers should learn
+}
+
+// EngineStatus is the load and content that an engine reports.
+type EngineStatus struct {
+	Name            string  `json:"name"`
+	Kind            string  `json:"kind"`
+	Model           string  `json:"model"`
+	Version         string  `json:"version"`
+	FirstLayer      int     `json:"firstLayer"`
+	LastLayer       int     `json:"lastLayer"` // inclusive
+	Slots           int     `json:"slots"`
+	Active          int     `json:"active"`
+	Queued          int     `json:"queued"`
+	TokensPerSecond float64 `json:"tokensPerSecond"` // over its layer range, all slots busy
+	Incarnation     uint64  `json:"incarnation"`
+	State           string  `json:"state"` // live or leaving
+	Fencing         uint64  `json:"fencing"`
+	ChecksFencing   bool    `json:"checksFencing"`
+}
+
+// Caller is an organisation that sends requests.
+type Caller struct {
+	ID          CallerID
+	Config      CallerConfig
+	Bucket      float64 // tokens that may be admitted now
+	BucketAt    time.Time
+	Demand      float64 // tokens per second asked of this host, smoothed
+	PeerDemand  float64 // tokens per second asked of peers, as they told
+	RetryBudget float64 // retries that may still be sent for it
+	DemandAt    time.Time
+}
+
+// Share holds the service that one caller got in one rank.
+type Share struct {
+	Served float64 // tokens divided by the caller's weight
+	Queue  []RequestID
+}
+
+// ShareKey identifies the share of a caller in a rank.
+type ShareKey struct {
+	Rank   RankID
+	Caller CallerID
+}
+
+// Rank is a class of work with a target and a worth.
+type Rank struct {
+	ID       RankID
+	Config   RankConfig
+	Waiting  int     // queued requests
+	Started  float64 // tokens started, decaying over the floor window
+	Rate     float64 // tokens per second that were started, smoothed
+	RateAt   time.Time
+	Queued   float64 // tokens of queued requests
+	MinServe float64 // lowest Served among active callers
+}
+
+// RequestState is the progress of a request.
+type RequestState uint8
+
+// The states of requests.
+const (
+	RequestQueued RequestState = iota
+	RequestRunning
+	RequestClaiming // application call whose claim row is being written
+	RequestSettling // application call whose outcome row is being written
+	RequestDone
+)
+
+// Request is a model request or an application call that this host took.
+type Request struct {
+	ID          RequestID
+	Caller      CallerID
+	Rank        RankID
+	Pipeline    PipelineID
+	Arrived     time.Time
+	State       RequestState
+	Prompt      int // tokens
+	MaxTokens   int
+	Fingerprint uint64   // of the content
+	Prefix      []uint64 // hashes of the prompt's prefixes, one for each block
+	Epoch       uint32   // of the current attempt
+	Attempt     AttemptID
+	Attempts    int
+	Tokens      int // tokens delivered to the caller
+	FirstToken  time.Time
+	LargestGap  time.Duration
+	Charged     float64 // tokens charged to the caller's share
+	Avoid       []BackendServerID
+	MayHaveRun  bool // was handed to a backend server that did not say that it did not start
+	Requeued    bool // goes before new requests of its rank
+	Alone       bool // suspect: runs alone on its backend servers
+
+	Call *Call // set for application calls
+}
+
+// Call is the part of a Request that only application calls have.
+type Call struct {
+	Service     ServiceID
+	Runs        int // times it was handed to a backend server
+	Method      string
+	Path        string
+	Idempotent  bool
+	Key         string // caller's idempotency key
+	Digest      uint64 // of method, path and body, to refuse a key used for something else
+	ClaimKey    string // key of the claim row
+	AttemptName string // written in the claim row
+	Claim       ClaimState
+	Version     uint64 // of the claim row
+	Deadline    time.Time
+	Retry       time.Time // next read of the claim row
+	Outcome     ClaimRow  // what is to be recorded
+}
+
+// ClaimState is the progress of the claim of an application call.
+type ClaimState uint8
+
+// The states of a claim.
+const (
+	ClaimNone ClaimState = iota
+	ClaimWriting
+	ClaimReading   // the write's answer was lost; reading the row back
+	ClaimHeld      // the one attempt may run
+	ClaimRecording // writing the outcome
+	ClaimReleasing // refused as not run; giving the claim back
+)
+
+// Stage is one part of a path: a backend server and the layers it runs.
+type Stage struct {
+	Server     BackendServerID
+	Address    string
+	FirstLayer int
+	LastLayer  int // inclusive
+}
+
+// Attempt is one run of a request on a path.
+type Attempt struct {
+	ID       AttemptID
+	Request  RequestID
+	Epoch    uint32
+	Path     []Stage
+	Started  time.Time
+	Progress time.Time // last sign of progress
+	Tokens   int
+	Canceled bool
+}
+
+// Suspect is a request content that was in flight when a backend server crashed.
+type Suspect struct {
+	Fingerprint uint64
+	Crashes     int
+	AloneCrash  int // crashes while it ran alone
+	Quarantined bool
+	Running     bool // an attempt that runs alone is under way at this host
+	Expires     time.Time
+	Changed     uint64
+}
+
+// Pipeline is a model carried over layer ranges.
+type Pipeline struct {
+	ID     PipelineID
+	Config PipelineConfig
+}
+
+// Service is an application or a plain service.
+type Service struct {
+	ID     ServiceID
+	Config ServiceConfig
+	Next   int // position of the last choice among equals
+}
+
+// Lease is the right to send orders to the engines of this host's data centre.
+type Lease struct {
+	Held     bool
+	Fencing  uint64
+	Version  uint64 // of the row
+	Until    time.Time
+	UsableAt time.Time // no order is sent earlier, so that the last holder's orders have ended
+	Seen     LeaseRow
+	SeenAt   time.Time
+	Next     time.Time
+	Pending  uint64 // operation in flight, or 0
+}
+
+// Order is an instruction to an engine that is wanted or under way.
+type Order struct {
+	Server  BackendServerID
+	Wanted  Placement
+	Fencing uint64
+	SentAt  time.Time
+	Pending bool
+	Failed  int
+	Next    time.Time
+}
+
+// Tally counts outcomes of one caller in one rank.
+type Tally struct {
+	Answered int // whole answers
+	Kept     int // whole answers within the target
+	Refused  int // not run
+	Failed   int // neither whole nor refused
+	Tokens   int
+}
--- /dev/null
+++ b/core/rocktable/events.go
@@ -0,0 +1,219 @@
+package rocktable
+
+import (
+	"time"
+
+	"sassafrasrock/core/rockreason"
+)
+
+// Inbox holds the events of one tick, one slice for each type.
+type Inbox struct {
+	Arrivals      []Arrival
+	CallerGone    []CallerGone
+	Progress      []Progress
+	Ended         []Ended
+	Probes        []ProbeResult
+	HostLists     []HostList
+	Peers         []PeerMessage
+	PeerFailures  []PeerFailure
+	ConfigChanges []ConfigChange
+	ConfigResults []TableResult[ConfigRow]
+	LeaseResults  []TableResult[LeaseRow]
+	ClaimResults  []TableResult[ClaimRow]
+	CallsEnded    []CallEnded
+	OrdersEnded   []OrderEnded
+	Drains        []Drain
+	Resets        []Reset
+	Shutdowns     []Shutdown
+}
+
+// Arrival is a new request or application call; Request holds what is known from its content.
+type Arrival struct {
+	Request Request
+}
+
+// CallerGone says that the caller closed its connection before the answer was whole.
+type CallerGone struct {
+	Request RequestID
+}
+
+// Progress reports tokens that an attempt delivered to the caller since the last report.
+type Progress struct {
+	Attempt    AttemptID
+	Tokens     int       // delivered by this attempt so far
+	FirstToken time.Time // of the request; zero before it
+	LargestGap time.Duration
+}
+
+// Ended reports the end of an attempt.
+type Ended struct {
+	Attempt    AttemptID
+	Reason     rockreason.Code // empty when the answer is whole
+	Server     BackendServerID // stage at fault, or 0
+	Crashed    bool            // the stage's connection was lost or refused while work ran there
+	Tokens     int             // delivered by this attempt
+	FirstToken time.Time
+	LargestGap time.Duration
+	RoundTrips []RoundTrip
+}
+
+// RoundTrip is a measured network round trip to a backend server.
+type RoundTrip struct {
+	Server BackendServerID
+	Time   time.Duration
+}
+
+// ProbeResult is the answer to a probe of a backend server.
+type ProbeResult struct {
+	Server    BackendServerID
+	OK        bool
+	Status    EngineStatus
+	RoundTrip time.Duration
+}
+
+// HostList is an answer of the platform's host list.
+type HostList struct {
+	OK      bool
+	Entries []ListedHost
+}
+
+// ListedHost is one entry of the platform's host list.
+type ListedHost struct {
+	Name       string `json:"name"`
+	Role       string `json:"role"` // entry, model or application
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Region     string `json:"region"`
+	State      string `json:"state"` // live or leaving
+}
+
+// PeerMessage is what one host tells another.
+type PeerMessage struct {
+	Sender            string
+	Address           string
+	DataCentre        string
+	Region            string
+	Incarnation       uint64
+	Heartbeat         uint64
+	State             State
+	InFlight          int
+	ConfigVersion     uint64
+	Configuration     *ConfigRow // sent when the receiver asked for it or is known to lack it
+	WantConfiguration bool
+	Reply             bool // an answer is not expected
+	Hosts             []HostNews
+	Servers           []ServerNews
+	Sent              []SentNews
+	Demand            []DemandNews
+	Suspects          []SuspectNews
+}
+
+// HostNews is a change of a host row.
+type HostNews struct {
+	Name          string
+	Address       string
+	DataCentre    string
+	Region        string
+	Incarnation   uint64
+	Heartbeat     uint64
+	State         State
+	ConfigVersion uint64
+}
+
+// ServerNews is a change of a backend server row.
+type ServerNews struct {
+	Name      string
+	State     State
+	Drained   bool
+	StatusSeq uint64
+	Status    EngineStatus
+}
+
+// SentNews tells how many attempts of the sender use a backend server now.
+type SentNews struct {
+	Server   string
+	InFlight int
+}
+
+// DemandNews tells how many tokens per second a caller asks of the sender.
+type DemandNews struct {
+	Caller string
+	Rate   float64
+}
+
+// SuspectNews is a suspect or quarantined request content.
+type SuspectNews struct {
+	Fingerprint uint64
+	Crashes     int
+	AloneCrash  int
+	Quarantined bool
+	Remaining   time.Duration // until it expires; durations travel, clocks do not
+}
+
+// PeerFailure says that a message could not be handed to a peer.
+type PeerFailure struct {
+	Host HostID
+}
+
+// ConfigChange is an operator's request to put a configuration in force.
+type ConfigChange struct {
+	Change          string // change id, chosen by the operator's client
+	ExpectedVersion uint64
+	Configuration   Configuration
+}
+
+// TableStatus is how an operation on the table service ended.
+type TableStatus uint8
+
+// The ends of an operation on the table service.
+const (
+	TableOK          TableStatus = iota
+	TableConflict                // the row has another version; nothing was written
+	TableUnclear                 // a write may or may not have taken effect
+	TableUnavailable             // the operation did not reach the service
+)
+
+// TableResult is the end of a TableOp with the row as stored, where it is known.
+type TableResult[T any] struct {
+	Op      uint64
+	Key     string
+	Write   bool
+	Status  TableStatus
+	Found   bool
+	Version uint64
+	Row     T
+}
+
+// CallEnded reports the end of the one run of an application call.
+type CallEnded struct {
+	Request RequestID
+	Server  BackendServerID
+	Reason  rockreason.Code // empty when the backend server answered
+	Sent    bool            // the call may have reached the backend server
+	Status  int
+	Type    string
+	Body    []byte
+	Crashed bool
+}
+
+// OrderEnded reports the answer to an order.
+type OrderEnded struct {
+	Server  BackendServerID
+	Fencing uint64
+	OK      bool
+	Refused bool // the engine refused the fencing number
+}
+
+// Drain asks that a backend server gets no new work, or lifts that.
+type Drain struct {
+	Server string
+	Lift   bool
+}
+
+// Reset lifts the quarantine of a request content.
+type Reset struct {
+	Fingerprint uint64
+}
+
+// Shutdown starts the graceful shutdown of this host.
+type Shutdown struct{}
--- /dev/null
+++ b/core/rocktable/snapshot.go
@@ -0,0 +1,114 @@
+package rocktable
+
+import (
+	"maps"
+
+	"sassafrasrock/core/rockreason"
+)
+
+// Snapshot is what traffic goroutines need of the control state on each request; it is published when it changes and never written afterwards.
+type Snapshot struct {
+	Host          string
+	Ready         bool
+	Draining      bool
+	ConfigVersion uint64
+	Config        Configuration
+	Callers       map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
+	Models        map[string]PipelineID
+	Ranks         map[string]RankID
+	Services      map[string]ServiceID
+}
+
+// IsCurrent reports whether the World still agrees with the snapshot.
+func (s *Snapshot) IsCurrent(w *World) bool {
+	return s != nil && s.ConfigVersion == w.ConfigVersion && s.Ready == w.Ready && s.Draining == w.Draining
+}
+
+// TakeSnapshot copies what traffic goroutines need.
+func (w *World) TakeSnapshot() *Snapshot {
+	s := &Snapshot{
+		Host:          w.SelfHost().Name,
+		Ready:         w.Ready,
+		Draining:      w.Draining,
+		ConfigVersion: w.ConfigVersion,
+		Config:        w.Config.Configuration,
+		Callers:       make(map[string]CallerID, w.Callers.Len()),
+		Models:        make(map[string]PipelineID, w.Pipelines.Len()),
+		Ranks:         make(map[string]RankID, w.Ranks.Len()),
+		Services:      make(map[string]ServiceID, w.Services.Len()),
+	}
+	for id, row := range w.Callers.All() {
+		s.Callers[row.Config.TokenSHA256] = id
+	}
+	for id, row := range w.Pipelines.All() {
+		s.Models[row.Config.Model] = id
+	}
+	for id, row := range w.Ranks.All() {
+		s.Ranks[row.Config.Name] = id
+	}
+	for id, row := range w.Services.All() {
+		s.Services[row.Config.Name] = id
+	}
+	return s
+}
+
+// Status is a copy of the control state for status pages and callers' totals, made on request.
+type Status struct {
+	Host          string
+	Ready         bool
+	Draining      bool
+	Incarnation   uint64
+	ConfigVersion uint64
+	Config        Configuration
+	Hosts         []Host
+	Servers       []BackendServer
+	DataCentres   map[DataCentreID]DataCentre
+	Callers       map[CallerID]string
+	Suspects      []Suspect
+	Tallies       map[ShareKey]Tally
+	Counters      map[rockreason.Code]uint64
+	Lease         Lease
+	Requests      int // held, waiting or running
+	Waiting       map[RankID]int
+}
+
+// TakeStatus copies the control state.
+func (w *World) TakeStatus() *Status {
+	s := &Status{
+		Host:          w.SelfHost().Name,
+		Ready:         w.Ready,
+		Draining:      w.Draining,
+		Incarnation:   w.Incarnation,
+		ConfigVersion: w.ConfigVersion,
+		Config:        w.Config.Configuration,
+		DataCentres:   make(map[DataCentreID]DataCentre, w.DataCentres.Len()),
+		Callers:       make(map[CallerID]string, w.Callers.Len()),
+		Tallies:       make(map[ShareKey]Tally, w.Tallies.Len()),
+		Counters:      maps.Clone(w.Counters),
+		Lease:         w.Lease,
+		Requests:      w.Requests.Len(),
+		Waiting:       make(map[RankID]int, w.Ranks.Len()),
+	}
+	for _, row := range w.Hosts.All() {
+		s.Hosts = append(s.Hosts, *row)
+	}
+	for _, row := range w.Servers.All() {
+		s.Servers = append(s.Servers, *row)
+	}
+	for _, row := range w.Suspects.All() {
+		s.Suspects = append(s.Suspects, *row)
+	}
+	for id, row := range w.DataCentres.All() {
+		s.DataCentres[id] = *row
+	}
+	for id, row := range w.Callers.All() {
+		s.Callers[id] = row.Config.Name
+	}
+	for id, row := range w.Ranks.All() {
+		s.Waiting[id] = row.Waiting
+	}
+	for key, row := range w.Tallies.All() {
+		s.Tallies[key] = *row
+	}
+	return s
+}
--- /dev/null
+++ b/core/rocktable/world.go
@@ -0,0 +1,215 @@
+package rocktable
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+)
+
+// System is one step of a tick: a data value with its documentation and run function.
+type System struct {
+	Name string
+	Doc  string
+	Run  func(now time.Time, w *World)
+}
+
+// Invariant is a property of the World that must hold at the end of every tick.
+type Invariant struct {
+	Name  string
+	Doc   string
+	Check func(now time.Time, w *World) error
+}
+
+// Limits are the settings of one host that decisions depend on.
+type Limits struct {
+	MaxRequests   int           // requests and calls held at once
+	HostListEvery time.Duration // between reads of the platform's list
+	ConfigEvery   time.Duration // between reads of the configuration row
+	ProbeEvery    time.Duration // between probes of one backend server
+	GossipEvery   time.Duration // between messages to peers
+	HostTimeout   time.Duration // silence after which a host is down
+	LeaveLimit    time.Duration // from the first word of leaving to the last new work
+	LeaseTTL      time.Duration
+	OrderTimeout  time.Duration // longest that an order may be under way
+}
+
+// DefaultLimits returns the limits of a host whose settings name none.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxRequests:   20000,
+		HostListEvery: 2 * time.Second,
+		ConfigEvery:   5 * time.Second,
+		ProbeEvery:    500 * time.Millisecond,
+		GossipEvery:   time.Second,
+		HostTimeout:   8 * time.Second,
+		LeaveLimit:    3 * time.Second,
+		LeaseTTL:      15 * time.Second,
+		OrderTimeout:  5 * time.Second,
+	}
+}
+
+// World owns the control state of one host; only the control thread writes it.
+type World struct {
+	Inbox  Inbox
+	Outbox Outbox
+	Limits Limits
+	Rand   *rand.Rand
+
+	Self        HostID
+	Incarnation uint64
+	Started     time.Time
+
+	Hosts       Table[HostID, Host]
+	DataCentres Table[DataCentreID, DataCentre]
+	Servers     Table[BackendServerID, BackendServer]
+	Callers     Table[CallerID, Caller]
+	Ranks       Table[RankID, Rank]
+	Pipelines   Table[PipelineID, Pipeline]
+	Services    Table[ServiceID, Service]
+	Requests    Table[RequestID, Request]
+	Attempts    Table[AttemptID, Attempt]
+	Shares      Table[ShareKey, Share]
+	Suspects    Table[uint64, Suspect]
+	Orders      Table[BackendServerID, Order]
+	Tallies     Table[ShareKey, Tally]
+	Changes     Table[string, PendingChange] // configuration changes under way, by change id
+	Lease       Lease
+
+	Config        ConfigRow
+	ConfigVersion uint64 // in force at this host; 0 before the first
+	ConfigState   ConfigState
+	ListState     ListState
+	Draining      bool // graceful shutdown has begun
+	DrainedAt     time.Time
+	Ready         bool
+
+	ChangeSeq uint64                     // rises with each change that peers should learn
+	Counters  map[rockreason.Code]uint64 // since the start
+
+	// CheckedVersion is ConfigVersion at the end of the last tick.
+	CheckedVersion uint64
+
+	names   names
+	lastOp  uint64
+	lastAtt AttemptID
+	wakeAt  time.Time
+}
+
+// PendingChange is a configuration change whose end is not known yet.
+type PendingChange struct {
+	Change   ConfigChange
+	Op       uint64
+	Reading  bool // the write's answer was lost; reading the row back
+	Deadline time.Time
+	Next     time.Time
+}
+
+// ConfigState is the progress of reads of the configuration row.
+type ConfigState struct {
+	Op       uint64 // read in flight, or 0
+	Next     time.Time
+	Read     bool // the platform answered at least once
+	PeerRead bool // a peer told its version at least once
+	Highest  uint64
+}
+
+// ListState is the progress of reads of the platform's host list.
+type ListState struct {
+	Pending bool
+	Next    time.Time
+	ReadAt  time.Time // last answer; zero before the first
+}
+
+type names struct {
+	hosts       map[string]HostID
+	dataCentres map[string]DataCentreID
+	servers     map[string]BackendServerID
+	callers     map[string]CallerID
+	pipelines   map[string]PipelineID
+	services    map[string]ServiceID
+}
+
+// Option changes a World while it is made.
+type Option func(*World)
+
+// WithSeed makes the World's random choices repeatable.
+func WithSeed(seed uint64) Option {
+	return func(w *World) { w.Rand = rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)) }
+}
+
+// WithLimits replaces the default limits.
+func WithLimits(limits Limits) Option {
+	return func(w *World) { w.Limits = limits }
+}
+
+// NewWorld returns the state of a host that has just started.
+func NewWorld(now time.Time, self Host, dataCentre DataCentre, incarnation uint64, options ...Option) *World {
+	w := &World{
+		Limits:      DefaultLimits(),
+		Incarnation: incarnation,
+		Started:     now,
+		Counters:    make(map[rockreason.Code]uint64),
+	}
+	WithSeed(incarnation)(w)
+	for _, option := range options {
+		option(w)
+	}
+	dc := w.InternDataCentre(dataCentre.Name, dataCentre.Region)
+	h := w.InternHost(self.Name)
+	w.Self = h.ID
+	h.Self, h.Address, h.DataCentre = true, self.Address, dc.ID
+	h.State, h.Incarnation, h.HeardAt = StateLive, incarnation, now
+	return w
+}
+
+// Count adds one to the counter of a reason.
+func (w *World) Count(code rockreason.Code) {
+	w.Counters[code]++
+	w.Outbox.Counts = append(w.Outbox.Counts, code)
+}
+
+// Answer ends a request with a reason, or with a whole answer if the code is empty.
+func (w *World) Answer(id RequestID, code rockreason.Code) {
+	w.Outbox.Answers = append(w.Outbox.Answers, Answer{Request: id, Reason: code})
+}
+
+// Changed returns the next number for a change that peers should learn.
+func (w *World) Changed() uint64 {
+	w.ChangeSeq++
+	return w.ChangeSeq
+}
+
+// NextOp returns a number for an operation on the table service.
+func (w *World) NextOp() uint64 {
+	w.lastOp++
+	return w.lastOp
+}
+
+// NextAttempt returns the id of a new attempt.
+func (w *World) NextAttempt() AttemptID {
+	w.lastAtt++
+	return w.lastAtt
+}
+
+// WakeAt asks for a tick at t, if none comes earlier.
+func (w *World) WakeAt(t time.Time) {
+	if w.wakeAt.IsZero() || t.Before(w.wakeAt) {
+		w.wakeAt = t
+	}
+}
+
+// TakeWake returns the earliest time asked for by WakeAt, or zero, and forgets it.
+func (w *World) TakeWake() time.Time {
+	t := w.wakeAt
+	w.wakeAt = time.Time{}
+	return t
+}
+
+// LogChange records a change of state for the log.
+func (w *World) LogChange(what, name, from, to string) {
+	w.Outbox.Changes = append(w.Outbox.Changes, StateChange{What: what, Name: name, From: from, To: to})
+}
+
+// SelfHost returns this host's row.
+func (w *World) SelfHost() *Host { return w.Hosts.Get(w.Self) }
--- /dev/null
+++ b/core/rocktick/tick.go
@@ -0,0 +1,71 @@
+package rocktick
+
+import (
+	"time"
+
+	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockclaim"
+	"sassafrasrock/core/rockconfig"
+	"sassafrasrock/core/rockcrash"
+	"sassafrasrock/core/rockdrain"
+	"sassafrasrock/core/rockinvariant"
+	"sassafrasrock/core/rocklease"
+	"sassafrasrock/core/rockmember"
+	"sassafrasrock/core/rockoutcome"
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockretry"
+	"sassafrasrock/core/rockroute"
+	"sassafrasrock/core/rocktable"
+)
+
+// Systems lists every system in the order in which a tick runs them.
+var Systems = []rocktable.System{
+	rockconfig.System,
+	rockmember.System,
+	rockdrain.System,
+	rocklease.System,
+	rockcrash.System,
+	rockclaim.System,
+	rockretry.System,
+	rockadmit.System,
+	rockroute.System,
+	rockoutcome.System,
+}
+
+// Result is what a tick leaves for its caller.
+type Result struct {
+	Outbox     rocktable.Outbox
+	Wake       time.Time // next deadline; zero if there is none
+	Violations []Violation
+}
+
+// Violation is an invariant that did not hold at the end of a tick.
+type Violation struct {
+	Invariant string
+	Err       error
+}
+
+// Run takes the World's inbox, runs every system over it, checks the invariants and returns the actions.
+func Run(now time.Time, w *rocktable.World) Result {
+	w.Outbox = rocktable.Outbox{}
+	for _, s := range Systems {
+		s.Run(now, w)
+	}
+	result := Result{Violations: check(now, w)}
+	result.Outbox = w.Outbox
+	result.Wake = w.TakeWake()
+	w.Inbox = rocktable.Inbox{}
+	w.Outbox = rocktable.Outbox{}
+	return result
+}
+
+func check(now time.Time, w *rocktable.World) []Violation {
+	var found []Violation
+	for _, inv := range rockinvariant.All {
+		if err := inv.Check(now, w); err != nil {
+			w.Count(rockreason.InvariantViolated)
+			found = append(found, Violation{Invariant: inv.Name, Err: err})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/io/rockengine/engine.go
@@ -0,0 +1,45 @@
+package rockengine
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasrock/core/rocktable"
+)
+
+var (
+	// ErrUnreachable says that no connection could be opened; nothing was handed over.
+	ErrUnreachable = eris.New("the backend server cannot be reached")
+	// ErrNotStarted says that the engine refused the session and started nothing.
+	ErrNotStarted = eris.New("the backend server did not start")
+	// ErrLost says that the connection or session broke after it was opened.
+	ErrLost = eris.New("the connection to the backend server was lost")
+	// ErrMisstep says that the engine answered with another epoch, index or position than asked for.
+	ErrMisstep = eris.New("the backend server answered out of step")
+)
+
+// Engine sends requests to model engines; tests fill in the fields.
+type Engine struct {
+	// Open opens a session; its errors are ErrUnreachable, ErrNotStarted and ErrLost, and the context's.
+	Open func(ctx context.Context, address string, req OpenRequest) (*Session, error)
+	// Status returns an engine's report and the round trip of the request.
+	Status func(ctx context.Context, address string) (rocktable.EngineStatus, time.Duration, error)
+	// Order sends an order.
+	Order func(ctx context.Context, address string, req OrderRequest) (OrderReply, error)
+	// CacheEvents returns the cache events after a sequence number.
+	CacheEvents func(ctx context.Context, address string, after uint64) (CacheEvents, error)
+	// Export returns the KV cache of a session.
+	Export func(ctx context.Context, address string, m Move) (Move, error)
+	// Import stores the KV cache of a session.
+	Import func(ctx context.Context, address string, m Move) error
+}
+
+// Session is an open session on one stage; one goroutine uses it at a time.
+type Session struct {
+	// Step runs one step; its errors are ErrLost and ErrMisstep, and the context's.
+	Step func(ctx context.Context, step Step) (StepReply, error)
+	// Close cancels the session at the engine.
+	Close func()
+}
--- /dev/null
+++ b/io/rockservice/doc.go
@@ -0,0 +1,2 @@
+// Package rockservice is the client of application and plain services over HTTP.
+package rockservice
