--- a/io/rockcontrol/control.go
+++ b/io/rockcontrol/control.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// Done is closed when the control thread has ended.
+func (c *Control) Done() <-chan struct{} { return c.done }
+
 // Snapshot returns the snapshot of the last tick that changed it.
 func (c *Control) Snapshot() *rocktable.Snapshot { return c.snapshot.Load() }
 
--- /dev/null
+++ b/io/rocktraffic/call.go
@@ -0,0 +1,81 @@
+package rocktraffic
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockservice"
+)
+
+// call is an application call between its arrival and its answer.
+type call struct {
+	id     rocktable.RequestID
+	req    CallRequest
+	name   string // of the attempt
+	answer chan rocktable.Answer
+}
+
+// Call runs an application call and returns its answer, or the context's error; a call that runs when its caller leaves goes on, so that its outcome is recorded.
+func (t *Traffic) Call(ctx context.Context, req CallRequest) (rocktable.Answer, error) {
+	c := &call{id: t.NextRequest(), req: req, answer: make(chan rocktable.Answer, 1)}
+	c.name = fmt.Sprintf("%s/%d", t.Host, c.id)
+	t.addCall(c)
+	row := c.row(t)
+	t.Post(func(in *rocktable.Inbox) { in.Arrivals = append(in.Arrivals, rocktable.Arrival{Request: row}) })
+	select {
+	case answer := <-c.answer:
+		return answer, nil
+	case <-ctx.Done():
+		return rocktable.Answer{}, ctx.Err()
+	case <-t.Stopped:
+		return stopped(c.id), nil
+	}
+}
+
+func (t *Traffic) addCall(c *call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.calls == nil {
+		t.calls = make(map[rocktable.RequestID]*call)
+	}
+	t.calls[c.id] = c
+}
+
+func (c *call) row(t *Traffic) rocktable.Request {
+	d := xxhash.New()
+	d.WriteString(c.req.Method + " " + c.req.Path + "\n")
+	d.Write(c.req.Body)
+	return rocktable.Request{
+		ID: c.id, Caller: c.req.Caller, Arrived: t.Now(), Fingerprint: d.Sum64(),
+		Call: &rocktable.Call{
+			Service: c.req.Service, Method: c.req.Method, Path: c.req.Path, Idempotent: c.req.Idempotent,
+			Key: c.req.Key, Digest: d.Sum64(), AttemptName: c.name,
+		},
+	}
+}
+
+// runCall hands a call to a backend server once and reports its end.
+func (t *Traffic) runCall(c *call, start rocktable.CallStart) {
+	ctx, cancel := context.WithTimeout(context.Background(), start.Timeout)
+	defer cancel()
+	reply, err := t.Service.Do(ctx, start.Address, rockservice.Call{
+		Method: c.req.Method, Path: c.req.Path, Type: c.req.Type, Key: c.req.Key, Attempt: c.name, Body: c.req.Body,
+	})
+	e := rocktable.CallEnded{Request: c.id, Server: start.Server, Sent: true}
+	switch {
+	case err == nil:
+		e.Status, e.Type, e.Body = reply.Status, reply.Type, reply.Body
+	case errors.Is(err, rockservice.ErrUnreachable):
+		e.Reason, e.Sent = rockreason.ServerUnreachable, false
+	case errors.Is(err, context.DeadlineExceeded):
+		e.Reason = rockreason.OutcomeUnknown
+	default:
+		e.Reason, e.Crashed = rockreason.OutcomeUnknown, true
+	}
+	t.Post(func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) })
+}
--- /dev/null
+++ b/io/rocktraffic/traffic.go
@@ -0,0 +1,63 @@
+package rocktraffic
+
+import (
+	"sync"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockservice"
+)
+
+// Traffic runs requests for callers; its function fields join it to the control thread and the clients.
+type Traffic struct {
+	Host        string // name and incarnation, which make names of attempts unique
+	Engine      *rockengine.Engine
+	Service     *rockservice.Client
+	Post        func(fill func(in *rocktable.Inbox))
+	NextRequest func() rocktable.RequestID
+	Count       func(code rockreason.Code)
+	Now         func() time.Time
+	Stopped     <-chan struct{} // closed when the control thread has ended
+
+	mu    sync.Mutex
+	chats map[rocktable.RequestID]*chat
+	calls map[rocktable.RequestID]*call
+}
+
+// Carry hands the actions for requests and calls to their goroutines, and does not block.
+func (t *Traffic) Carry(out rocktable.Outbox) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, start := range out.Starts {
+		if c := t.chats[start.Request]; c != nil {
+			go c.run(start)
+		}
+	}
+	for _, cancel := range out.Cancels {
+		for _, c := range t.chats {
+			c.cancelAttempt(cancel.Attempt)
+		}
+	}
+	for _, start := range out.CallStarts {
+		if c := t.calls[start.Request]; c != nil {
+			go t.runCall(c, start)
+		}
+	}
+	for _, answer := range out.Answers {
+		if c := t.chats[answer.Request]; c != nil {
+			delete(t.chats, answer.Request)
+			c.answer <- answer
+		}
+		if c := t.calls[answer.Request]; c != nil {
+			delete(t.calls, answer.Request)
+			c.answer <- answer
+		}
+	}
+}
+
+// stopped returns the answer of a request that the end of the daemon cut off.
+func stopped(id rocktable.RequestID) rocktable.Answer {
+	return rocktable.Answer{Request: id, Reason: rockreason.StoppedNow}
+}
--- /dev/null
+++ b/io/rocktraffic/traffic_test.go
@@ -0,0 +1,248 @@
+package rocktraffic
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockservice"
+)
+
+// fakeEngines holds KV cache by session and computes a token from every earlier position.
+type fakeEngines struct {
+	mu    sync.Mutex
+	steps map[string]int // by address
+	fail  func(address string, epoch uint32, step int) error
+}
+
+func (f *fakeEngines) open(_ context.Context, address string, req rockengine.OpenRequest) (*rockengine.Session, error) {
+	if address == "refuses" {
+		return nil, rockengine.ErrNotStarted
+	}
+	cache := uint64(0)
+	positions := 0
+	step := func(ctx context.Context, s rockengine.Step) (rockengine.StepReply, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.steps[address]++
+		if err := f.fail(address, req.Epoch, s.Index); err != nil {
+			return rockengine.StepReply{}, err
+		}
+		in := s.Activations
+		if req.FirstLayer == 0 {
+			for range strings.Fields(s.Prompt) {
+				in = append(in, 7)
+			}
+			for _, token := range s.Tokens {
+				in = append(in, uint64(token))
+			}
+		}
+		reply := rockengine.StepReply{Epoch: req.Epoch, Index: s.Index}
+		for _, x := range in {
+			cache = cache*31 + x
+			reply.Activations = append(reply.Activations, cache+uint64(req.FirstLayer))
+		}
+		positions += len(in)
+		reply.Position = positions
+		reply.Token = uint32(reply.Activations[len(in)-1] % 1009)
+		reply.Text = string(rune('a' + reply.Token%26))
+		return reply, nil
+	}
+	return &rockengine.Session{Step: step, Close: func() {}}, nil
+}
+
+// harness joins a Traffic to a channel of the events that it posts.
+type harness struct {
+	traffic *Traffic
+	engines *fakeEngines
+	events  chan rocktable.Inbox
+}
+
+func newHarness(fail func(address string, epoch uint32, step int) error) *harness {
+	h := &harness{
+		engines: &fakeEngines{steps: map[string]int{}, fail: fail},
+		events:  make(chan rocktable.Inbox, 1000),
+	}
+	last := rocktable.RequestID(0)
+	h.traffic = &Traffic{
+		Host:   "entry-1/1",
+		Engine: &rockengine.Engine{Open: h.engines.open},
+		Post: func(fill func(*rocktable.Inbox)) {
+			var in rocktable.Inbox
+			fill(&in)
+			h.events <- in
+		},
+		NextRequest: func() rocktable.RequestID { last++; return last },
+		Count:       func(rockreason.Code) {},
+		Now:         time.Now,
+	}
+	return h
+}
+
+func (h *harness) start(epoch uint32, first string) {
+	h.traffic.Carry(rocktable.Outbox{Starts: []rocktable.Start{{
+		Request: 1, Attempt: rocktable.AttemptID(epoch), Epoch: epoch, Pipeline: rocktable.PipelineConfig{Model: "m", Layers: 9},
+		Path: []rocktable.Stage{
+			{Server: 1, Address: first, LastLayer: 2},
+			{Server: 2, Address: "b", FirstLayer: 3, LastLayer: 5},
+			{Server: 3, Address: "c", FirstLayer: 6, LastLayer: 8},
+		},
+		StepLimit: time.Second, OpenLimit: time.Second,
+	}}})
+}
+
+func (h *harness) ended() rocktable.Ended {
+	for in := range h.events {
+		if len(in.Ended) > 0 {
+			return in.Ended[0]
+		}
+	}
+	return rocktable.Ended{}
+}
+
+// answer runs one request; between gives the addresses of the first stage for each attempt.
+func (h *harness) answer(t *testing.T, firsts ...string) (string, []rocktable.Ended) {
+	t.Helper()
+	var text strings.Builder
+	done := make(chan error)
+	go func() {
+		_, err := h.traffic.Chat(t.Context(), ChatRequest{Prompt: "a few words", MaxTokens: 8}, func(token Token) error {
+			text.WriteString(token.Text)
+			return nil
+		})
+		done <- err
+	}()
+	synctest.Wait()
+	var ends []rocktable.Ended
+	for i, first := range firsts {
+		h.start(uint32(i+1), first)
+		ends = append(ends, h.ended())
+	}
+	h.traffic.Carry(rocktable.Outbox{Answers: []rocktable.Answer{{Request: 1}}})
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	return text.String(), ends
+}
+
+func never(string, uint32, int) error { return nil }
+
+// Guards against an answer that differs, or repeats or skips a token, after a stage died in the middle of it.
+func TestReplayGivesTheSameAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		want, _ := newHarness(never).answer(t, "a")
+		for step := range 8 {
+			for _, dies := range []string{"a", "b", "c"} {
+				h := newHarness(func(address string, epoch uint32, index int) error {
+					if epoch == 1 && address == dies && index == step {
+						return rockengine.ErrLost
+					}
+					return nil
+				})
+				got, ends := h.answer(t, "a", "d")
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%s died in step %d: answer differs (-want +got):\n%s", dies, step, diff)
+				}
+				if ends[0].Reason != rockreason.StageDied || ends[0].Tokens != step || !ends[0].Crashed {
+					t.Errorf("%s died in step %d: first end = %+v", dies, step, ends[0])
+				}
+			}
+		}
+	})
+}
+
+// Guards against a stage that never answers holding its request for good.
+func TestStageThatDoesNotAnswerStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(never)
+		open := h.traffic.Engine.Open
+		h.traffic.Engine.Open = func(ctx context.Context, address string, req rockengine.OpenRequest) (*rockengine.Session, error) {
+			s, err := open(ctx, address, req)
+			if address == "b" && req.Epoch == 1 {
+				s.Step = func(ctx context.Context, _ rockengine.Step) (rockengine.StepReply, error) {
+					<-ctx.Done()
+					return rockengine.StepReply{}, ctx.Err()
+				}
+			}
+			return s, err
+		}
+		_, ends := h.answer(t, "a", "a")
+		if ends[0].Reason != rockreason.StageStalled || ends[0].Server != 2 {
+			t.Errorf("first end = %+v, want a stall of stage 2", ends[0])
+		}
+	})
+}
+
+// Guards against a refused session being told as one that may have run.
+func TestRefusedStageRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(never)
+		_, ends := h.answer(t, "refuses", "a")
+		if ends[0].Reason != rockreason.StageRefused || ends[0].Server != 1 {
+			t.Errorf("first end = %+v, want a refusal by stage 1", ends[0])
+		}
+		if got := h.engines.steps["b"]; got != 8 {
+			t.Errorf("stage b ran %d steps, want the 8 of the second attempt", got)
+		}
+	})
+}
+
+// Guards against a request left behind when its caller closes the connection.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(never)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() {
+			_, err := h.traffic.Chat(ctx, ChatRequest{Prompt: "p", MaxTokens: 4}, func(Token) error { return nil })
+			done <- err
+		}()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		<-h.events // the arrival
+		if in := <-h.events; len(in.CallerGone) != 1 {
+			t.Errorf("event = %+v, want that the caller left", in)
+		}
+		h.traffic.Carry(rocktable.Outbox{Answers: []rocktable.Answer{{Request: 1, Reason: rockreason.CallerLeft}}})
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("Chat = %v, want %v", err, context.Canceled)
+		}
+	})
+}
+
+// Guards against a call whose answer was lost being told as not handed over, and the reverse.
+func TestCallEnds(t *testing.T) {
+	tests := []struct {
+		err  error
+		sent bool
+		code rockreason.Code
+	}{
+		{nil, true, ""},
+		{rockservice.ErrUnreachable, false, rockreason.ServerUnreachable},
+		{rockservice.ErrLost, true, rockreason.OutcomeUnknown},
+		{context.DeadlineExceeded, true, rockreason.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		h := newHarness(never)
+		h.traffic.Service = &rockservice.Client{Do: func(context.Context, string, rockservice.Call) (rockservice.Reply, error) {
+			return rockservice.Reply{Status: 201}, test.err
+		}}
+		go h.traffic.Call(t.Context(), CallRequest{Method: "POST", Path: "/squares", Key: "k"})
+		<-h.events
+		h.traffic.Carry(rocktable.Outbox{CallStarts: []rocktable.CallStart{{Request: 1, Timeout: time.Minute}}})
+		e := (<-h.events).CallsEnded[0]
+		if e.Sent != test.sent || e.Reason != test.code {
+			t.Errorf("%v: end = %+v, want sent %t and reason %q", test.err, e, test.sent, test.code)
+		}
+	}
+}
