--- /dev/null
+++ b/io/rockdaemon/carry.go
@@ -0,0 +1,121 @@
+package rockdaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockplatform"
+)
+
+const (
+	probeTimeout = time.Second
+	tableTimeout = 2 * time.Second
+	peerTimeout  = 2 * time.Second
+)
+
+// The tables of the platform's table service.
+const (
+	configTable = "configuration"
+	leaseTable  = "leases"
+	claimTable  = "claims"
+)
+
+func newID() string { return rand.Text() }
+
+// carry hands the actions of a tick to goroutines; it runs on the control thread and does not block.
+func (d *Daemon) carry(_ time.Time, out rocktable.Outbox) {
+	d.metrics.CountAll(out.Counts)
+	d.traffic.Carry(out)
+	for range out.ListReads {
+		go d.readHosts()
+	}
+	for _, p := range out.Probes {
+		go d.probe(p)
+	}
+	for _, s := range out.PeerSends {
+		go d.sendToPeer(s)
+	}
+	for _, o := range out.Orders {
+		go d.order(o)
+	}
+	for _, op := range out.ConfigOps {
+		go runTable(d, configTable, op, func(in *rocktable.Inbox) *[]rocktable.TableResult[rocktable.ConfigRow] { return &in.ConfigResults })
+	}
+	for _, op := range out.LeaseOps {
+		go runTable(d, leaseTable, op, func(in *rocktable.Inbox) *[]rocktable.TableResult[rocktable.LeaseRow] { return &in.LeaseResults })
+	}
+	for _, op := range out.ClaimOps {
+		go runTable(d, claimTable, op, func(in *rocktable.Inbox) *[]rocktable.TableResult[rocktable.ClaimRow] { return &in.ClaimResults })
+	}
+	if out.ShutdownDone {
+		d.once.Do(func() { close(d.drained) })
+	}
+}
+
+// runTable runs one operation on the table service and posts its end.
+func runTable[T any](d *Daemon, table string, op rocktable.TableOp[T], results func(in *rocktable.Inbox) *[]rocktable.TableResult[T]) {
+	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+	defer cancel()
+	result := rockplatform.Do(ctx, d.platform, table, op)
+	d.control.Post(func(in *rocktable.Inbox) {
+		list := results(in)
+		*list = append(*list, result)
+	})
+}
+
+func (d *Daemon) readHosts() {
+	ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
+	defer cancel()
+	entries, err := d.platform.Hosts(ctx)
+	d.control.Post(func(in *rocktable.Inbox) {
+		in.HostLists = append(in.HostLists, rocktable.HostList{OK: err == nil, Entries: entries})
+	})
+}
+
+func (d *Daemon) probe(p rocktable.Probe) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	result := rocktable.ProbeResult{Server: p.Server}
+	var err error
+	if p.Role == rocktable.RoleModel {
+		result.Status, result.RoundTrip, err = d.engine.Status(ctx, p.Address)
+	} else {
+		result.Status, result.RoundTrip, err = d.probeService(ctx, p.Address)
+	}
+	result.OK = err == nil
+	d.control.Post(func(in *rocktable.Inbox) { in.Probes = append(in.Probes, result) })
+}
+
+func (d *Daemon) probeService(ctx context.Context, address string) (rocktable.EngineStatus, time.Duration, error) {
+	begin := time.Now()
+	health, err := d.service.Probe(ctx, address)
+	return rocktable.EngineStatus{State: health.State, Incarnation: health.Incarnation}, time.Since(begin), err
+}
+
+func (d *Daemon) sendToPeer(s rocktable.PeerSend) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	if err := d.peer.Send(ctx, s.Address, s.Message); err != nil {
+		d.control.Post(func(in *rocktable.Inbox) {
+			in.PeerFailures = append(in.PeerFailures, rocktable.PeerFailure{Host: s.Host})
+		})
+	}
+}
+
+// order sends an order, unless the lease under which it was decided is nearly over by now.
+func (d *Daemon) order(o rocktable.OrderSend) {
+	end := rocktable.OrderEnded{Server: o.Server, Fencing: o.Fencing}
+	if time.Now().Before(o.Until) {
+		ctx, cancel := context.WithDeadline(context.Background(), o.Until)
+		defer cancel()
+		reply, err := d.engine.Order(ctx, o.Address, rockengine.OrderRequest{
+			Order: "load", Model: o.Order.Model, Version: o.Order.Version,
+			FirstLayer: o.Order.FirstLayer, LastLayer: o.Order.LastLayer, Adapter: o.Order.Adapter, Fencing: o.Fencing,
+		})
+		end.OK, end.Refused = err == nil && reply.OK, err == nil && reply.Fenced
+	}
+	d.control.Post(func(in *rocktable.Inbox) { in.OrdersEnded = append(in.OrdersEnded, end) })
+}
--- /dev/null
+++ b/io/rockdaemon/main.go
@@ -0,0 +1,81 @@
+package rockdaemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"sassafrasrock/io/rocksettings"
+)
+
+// The exit codes of the daemon.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 4
+)
+
+type arguments struct {
+	File string `arg:"" help:"Settings file (JSON with comments)."`
+}
+
+// Main runs the daemon with the settings file that the arguments name and returns its exit code.
+func Main(args []string, stderr io.Writer) int {
+	var a arguments
+	parser, err := kong.New(&a, kong.Name("sassafrasrockd"), kong.Description("Routes model requests and application calls on an entry host."))
+	if err == nil {
+		_, err = parser.Parse(args)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "sassafrasrockd:", err)
+		return ExitUsage
+	}
+	data, err := os.ReadFile(a.File)
+	if err != nil {
+		fmt.Fprintln(stderr, "sassafrasrockd:", err)
+		return ExitUsage
+	}
+	settings, err := rocksettings.Decode[rocksettings.Daemon](data)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s:\n%v\n", a.File, err)
+		return ExitSettings
+	}
+	if err := runUntilSignal(settings, stderr); err != nil {
+		fmt.Fprintln(stderr, "sassafrasrockd:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// runUntilSignal serves until SIGTERM or SIGINT; a second signal ends it at once.
+func runUntilSignal(settings rocksettings.Daemon, stderr io.Writer) error {
+	var level slog.Level
+	if settings.LogLevel != "" {
+		if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+			return err
+		}
+	}
+	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level}))
+	d, err := New(settings, WithLogger(log))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
+	now := make(chan struct{})
+	go func() {
+		<-signals
+		stop()
+		<-signals
+		close(now)
+	}()
+	return d.Run(ctx, now)
+}
