--- /dev/null
+++ b/io/rockmetric/doc.go
@@ -0,0 +1,3 @@
+// Package rockmetric publishes expvar counters, one for each reason, and a few
+// gauges.
+package rockmetric
