--- /dev/null
+++ b/core/rocklookup/lookup.go
@@ -0,0 +1,73 @@
+package rocklookup
+
+import (
+	"slices"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// Caller returns the caller with this lower-case hexadecimal SHA-256 of its token, or the reason for a refusal.
+func Caller(s *rocktable.Snapshot, tokenSHA256 string) (rocktable.CallerID, rockreason.Code) {
+	// Without a configuration every token is unknown, which must not look like a wrong token.
+	if s.ConfigVersion == 0 {
+		return 0, rockreason.NotReady
+	}
+	id, ok := s.Callers[tokenSHA256]
+	if !ok {
+		return 0, rockreason.Unauthorized
+	}
+	return id, ""
+}
+
+// Pipeline returns the pipeline that carries a model, or the reason for a refusal.
+func Pipeline(s *rocktable.Snapshot, model string) (rocktable.PipelineID, rockreason.Code) {
+	id, ok := s.Models[model]
+	if !ok {
+		return 0, rockreason.UnknownModel
+	}
+	return id, ""
+}
+
+// Rank returns the rank with this name if the caller may use it, or the reason for a refusal; an empty name means the first of the caller's ranks.
+func Rank(s *rocktable.Snapshot, caller rocktable.CallerID, name string) (rocktable.RankID, rockreason.Code) {
+	allowed := s.CallerConfigs[caller].Ranks
+	if name == "" {
+		// A caller without a list of ranks has no default: any choice would either favour it or delay it.
+		if len(allowed) == 0 {
+			return 0, rockreason.BadField
+		}
+		name = allowed[0]
+	}
+	id, ok := s.Ranks[name]
+	if !ok {
+		return 0, rockreason.UnknownRank
+	}
+	if len(allowed) > 0 && !slices.Contains(allowed, name) {
+		return 0, rockreason.RankNotAllowed
+	}
+	return id, ""
+}
+
+// Target is the service of a call and whether the call may be repeated.
+type Target struct {
+	Service    rocktable.ServiceID
+	Idempotent bool
+}
+
+// Service returns the target of a call, or the reason for a refusal; reading tells that the call only reads.
+func Service(s *rocktable.Snapshot, name string, reading bool, key string) (Target, rockreason.Code) {
+	id, ok := s.Services[name]
+	if !ok {
+		return Target{}, rockreason.UnknownService
+	}
+	isNamed := func(cfg rocktable.ServiceConfig) bool { return cfg.Name == name }
+	t := Target{Service: id, Idempotent: reading}
+	if i := slices.IndexFunc(s.Config.Services, isNamed); i >= 0 {
+		t.Idempotent = reading || s.Config.Services[i].Idempotent
+	}
+	if !t.Idempotent && key == "" {
+		return Target{}, rockreason.MissingKey
+	}
+	return t, ""
+}
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -14,6 +14,7 @@
 	ConfigVersion uint64
 	Config        Configuration
 	Callers       map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
+	CallerConfigs map[CallerID]CallerConfig
 	Models        map[string]PipelineID
 	Ranks         map[string]RankID
 	Services      map[string]ServiceID
@@ -33,12 +34,14 @@
 		ConfigVersion: w.ConfigVersion,
 		Config:        w.Config.Configuration,
 		Callers:       make(map[string]CallerID, w.Callers.Len()),
+		CallerConfigs: make(map[CallerID]CallerConfig, w.Callers.Len()),
 		Models:        make(map[string]PipelineID, w.Pipelines.Len()),
 		Ranks:         make(map[string]RankID, w.Ranks.Len()),
 		Services:      make(map[string]ServiceID, w.Services.Len()),
 	}
 	for id, row := range w.Callers.All() {
 		s.Callers[row.Config.TokenSHA256] = id
+		s.CallerConfigs[id] = row.Config
 	}
 	for id, row := range w.Pipelines.All() {
 		s.Models[row.Config.Model] = id
