--- /dev/null
+++ b/io/rockhttp/refusal.go
@@ -0,0 +1,87 @@
+package rockhttp
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// defaultRetryAfter is told to callers that may try again if the control thread names no other time.
+const defaultRetryAfter = time.Second
+
+// ErrorBody is the answer to a request that was refused or failed.
+type ErrorBody struct {
+	Error   ErrorDetail        `json:"error"`
+	Outcome *rocktable.Outcome `json:"outcome,omitempty"` // of a model request
+}
+
+// ErrorDetail explains a reason to a caller.
+type ErrorDetail struct {
+	Code         rockreason.Code `json:"code"`
+	Title        string          `json:"title"`
+	Text         string          `json:"text"`
+	Ran          rockreason.Ran  `json:"ran"`
+	Retry        bool            `json:"retry"`
+	RetryAfterMs int64           `json:"retryAfterMs,omitempty"`
+}
+
+// newError returns the body and the HTTP status for a reason.
+func newError(code rockreason.Code, detail string, retryAfter time.Duration) (ErrorBody, int) {
+	reason, ok := rockreason.Find(code)
+	if !ok || reason.Status == 0 {
+		// A reason that is not meant for callers still ends the request; nothing is known about what ran.
+		reason, _ = rockreason.Find(rockreason.BackendFailed)
+	}
+	if detail != "" {
+		reason.Text += " " + detail
+	}
+	if !reason.TryAgain {
+		retryAfter = 0
+	} else if retryAfter <= 0 {
+		retryAfter = defaultRetryAfter
+	}
+	return ErrorBody{Error: ErrorDetail{
+		Code:         reason.Code,
+		Title:        reason.Title,
+		Text:         reason.Text,
+		Ran:          reason.Ran,
+		Retry:        reason.TryAgain,
+		RetryAfterMs: retryAfter.Milliseconds(),
+	}}, reason.Status
+}
+
+// refuse counts and answers a request that is refused here.
+func (s *Server) refuse(c *echo.Context, code rockreason.Code, detail string) {
+	s.Count(code)
+	body, status := newError(code, detail, 0)
+	s.writeError(c, status, body)
+}
+
+// fail answers a request with the reason of the control thread, which has counted it.
+func (s *Server) fail(c *echo.Context, answer rocktable.Answer, outcome *rocktable.Outcome) {
+	body, status := newError(answer.Reason, "", answer.RetryAfter)
+	body.Outcome = outcome
+	s.writeError(c, status, body)
+}
+
+func (s *Server) writeError(c *echo.Context, status int, body ErrorBody) {
+	header := c.Response().Header()
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	if ms := body.Error.RetryAfterMs; ms > 0 {
+		header.Set("Retry-After", strconv.FormatInt((ms+999)/1000, 10))
+	}
+	s.writeJSON(c, status, body)
+}
+
+// writeJSON answers with a body; a failed write means that the caller left, and nobody is there to be told.
+func (s *Server) writeJSON(c *echo.Context, status int, body any) {
+	s.extendWrite(c)
+	_ = c.JSON(status, body)
+}
--- /dev/null
+++ b/io/rockhttp/service.go
@@ -0,0 +1,89 @@
+package rockhttp
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/labstack/echo/v5"
+
+	"sassafrasrock/core/rocklookup"
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/io/rocktraffic"
+)
+
+const (
+	servicePrefix = "/v1/services/"
+	maxKey        = 255 // bytes of an idempotency key
+)
+
+// call answers /v1/services/{service}/*.
+func (s *Server) call(c *echo.Context, v view) {
+	r := c.Request()
+	key := r.Header.Get("Idempotency-Key")
+	if !isKeyValid(key) {
+		s.refuse(c, rockreason.BadField, badField("Idempotency-Key", "the value", "up to 255 printable ASCII characters").detail)
+		return
+	}
+	service, path := splitPath(r.URL)
+	target, code := rocklookup.Service(v.snapshot, service, isReading(r.Method), key)
+	if code != "" {
+		s.refuse(c, code, named("service", service))
+		return
+	}
+	body, ok := s.readBody(c)
+	if !ok {
+		return
+	}
+	answer, err := s.Call(r.Context(), rocktraffic.CallRequest{
+		Caller:     v.caller,
+		Service:    target.Service,
+		Idempotent: target.Idempotent,
+		Key:        key,
+		Method:     r.Method,
+		Path:       path,
+		Type:       r.Header.Get("Content-Type"),
+		Body:       body,
+	})
+	answer, gone := s.settle(r.Context(), answer, err)
+	if gone {
+		return
+	}
+	row := answer.Recorded
+	if answer.Reason == "" && (row == nil || row.Status < 200 || row.Status > 599) {
+		// net/http panics on an impossible status; what the call did is not known.
+		answer.Reason = rockreason.OutcomeUnknown
+		s.Count(answer.Reason)
+	}
+	if answer.Reason != "" {
+		s.fail(c, answer, nil)
+		return
+	}
+	s.extendWrite(c)
+	_ = c.Blob(row.Status, row.Type, row.Body) // a failed write means that the caller left
+}
+
+// isReading reports whether a method only reads, so that the call may be repeated.
+func isReading(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead
+}
+
+// isKeyValid reports whether an idempotency key can be passed on in a header and in a row's key; no key is valid.
+func isKeyValid(key string) bool {
+	isOther := func(r rune) bool { return r < ' ' || r > '~' }
+	return len(key) <= maxKey && !strings.ContainsFunc(key, isOther)
+}
+
+// splitPath returns the service of a URL and the rest of the path, still escaped and with the query.
+func splitPath(u *url.URL) (service, path string) {
+	segment, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), servicePrefix), "/")
+	service, err := url.PathUnescape(segment)
+	if err != nil {
+		return "", "/"
+	}
+	path = "/" + rest
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return service, path
+}
--- /dev/null
+++ b/io/rockhttp/status.go
@@ -0,0 +1,69 @@
+package rockhttp
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v5"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// OutcomesBody is the answer to GET /v1/outcomes: the caller's totals on this host since it started.
+type OutcomesBody struct {
+	Caller string         `json:"caller"`
+	Host   string         `json:"host"`
+	Ranks  []RankOutcomes `json:"ranks"` // in order of urgency
+}
+
+// RankOutcomes counts the caller's requests of one rank.
+type RankOutcomes struct {
+	Rank     string `json:"rank"`
+	Answered int    `json:"answered"` // whole answers
+	Kept     int    `json:"kept"`     // whole answers within the target
+	Refused  int    `json:"refused"`  // not run
+	Failed   int    `json:"failed"`   // neither whole nor refused
+	Tokens   int    `json:"tokens"`
+}
+
+func (s *Server) outcomes(c *echo.Context, v view) {
+	status, err := s.Status(c.Request().Context())
+	if err != nil {
+		s.refuse(c, rockreason.ShuttingDown, "")
+		return
+	}
+	s.writeJSON(c, http.StatusOK, outcomesOf(v, status))
+}
+
+func outcomesOf(v view, status *rocktable.Status) OutcomesBody {
+	body := OutcomesBody{Caller: status.Callers[v.caller], Host: status.Host, Ranks: []RankOutcomes{}}
+	for _, rank := range v.snapshot.Config.Ranks {
+		t := status.Tallies[rocktable.ShareKey{Rank: v.snapshot.Ranks[rank.Name], Caller: v.caller}]
+		body.Ranks = append(body.Ranks, RankOutcomes{
+			Rank: rank.Name, Answered: t.Answered, Kept: t.Kept, Refused: t.Refused, Failed: t.Failed, Tokens: t.Tokens,
+		})
+	}
+	return body
+}
+
+// Readiness is the answer to GET /readyz.
+type Readiness struct {
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	ConfigVersion uint64 `json:"configVersion"`
+}
+
+func (s *Server) healthz(c *echo.Context) error {
+	return c.String(http.StatusOK, "ok\n")
+}
+
+func (s *Server) readyz(c *echo.Context) error {
+	snapshot := s.Snapshot()
+	r := Readiness{Ready: snapshot.Ready, Draining: snapshot.Draining, ConfigVersion: snapshot.ConfigVersion}
+	status := http.StatusOK
+	if !r.Ready || r.Draining {
+		status = http.StatusServiceUnavailable
+	}
+	s.writeJSON(c, status, r)
+	return nil
+}
