Bound the nesting of settings files; check values without a file

Cause: hujson.Parse has no depth limit, and a file of 1 MiB of opening brackets ended the process with a stack overflow. A configuration that comes over the operators' protocol has no text, so Decode can't check its single fields, and it may hold infinite numbers.

Change: Decode refuses files nested deeper than 64 levels before it parses them. Check applies all rules to a value. CheckConfiguration refuses numbers that JSON can't hold.

--- a/io/rocksettings/configuration.go
+++ b/io/rocksettings/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -80,14 +81,22 @@
 func (c *checker) checkRanks(ranks []rocktable.RankConfig) {
 	c.checkUnique("ranks", ".name", namesOf(ranks, func(r rocktable.RankConfig) string { return r.Name }))
 	sum := 0.0
-	for _, r := range ranks {
+	for i, r := range ranks {
 		sum += r.Floor
+		c.checkFinite(fmt.Sprintf("ranks[%d].worth", i), r.Worth)
 	}
 	if sum >= 1 {
 		c.reject("ranks", fmt.Sprintf("a sum of floors of %g", sum), "a sum of less than 1")
 	}
 }
 
+// checkFinite rejects what the configuration row, which is JSON, can't hold; the operators' protocol can.
+func (c *checker) checkFinite(field string, value float64) {
+	if math.IsInf(value, 0) || math.IsNaN(value) {
+		c.reject(field, fmt.Sprint(value), "a finite number")
+	}
+}
+
 func (c *checker) checkCallers(callers []rocktable.CallerConfig, ranks []rocktable.RankConfig) {
 	c.checkUnique("callers", ".name", namesOf(callers, func(caller rocktable.CallerConfig) string { return caller.Name }))
 	c.checkUnique("callers", ".tokenSha256", namesOf(callers, func(caller rocktable.CallerConfig) string { return caller.TokenSHA256 }))
@@ -98,6 +107,8 @@
 		if caller.TokenSHA256 != strings.ToLower(caller.TokenSHA256) {
 			c.reject(field+".tokenSha256", strconv.Quote(caller.TokenSHA256), "lower-case hexadecimal digits")
 		}
+		c.checkFinite(field+".tokensPerSecond", caller.TokensPerSecond)
+		c.checkFinite(field+".burst", caller.Burst)
 		c.checkUnique(field+".ranks", "", caller.Ranks)
 		for j, rank := range caller.Ranks {
 			if !slices.Contains(known, rank) {
--- a/io/rocksettings/decode.go
+++ b/io/rocksettings/decode.go
@@ -47,6 +47,9 @@
 // Decode decodes JSON with comments and checks it, including the rules over several fields of the types of this package and of Configuration; its error is of type Problems.
 func Decode[T any](data []byte) (T, error) {
 	var v T
+	if isTooDeep(data) {
+		return v, Problems{{Field: "file", Value: "the nesting of lists and objects", Allowed: fmt.Sprintf("up to %d levels", maxDepth)}}
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return v, Problems{{Field: "file", Value: shorten(err.Error()), Allowed: "JSON with comments", Line: lineOf(err)}}
@@ -62,6 +65,14 @@
 	return v, src.problems
 }
 
+// Check returns what is wrong with a value that did not come from a file, by the same rules as Decode and without lines, or nil.
+func Check[T any](v T) Problems {
+	src := newSource(nil)
+	src.validate(reflect.ValueOf(&v).Elem())
+	src.add(checkFields(v)...)
+	return src.problems
+}
+
 // checkFields applies the rules over several fields.
 func checkFields(v any) Problems {
 	switch v := v.(type) {
--- a/io/rocksettings/decode_test.go
+++ b/io/rocksettings/decode_test.go
@@ -1,7 +1,9 @@
 package rocksettings_test
 
 import (
+	"bytes"
 	"errors"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -132,6 +134,34 @@
 	}
 }
 
+// Guards against a file that overflows the parser's stack, and against brackets in strings and comments being counted.
+func TestDeepNesting(t *testing.T) {
+	_, err := rocksettings.Decode[rocksettings.Client](bytes.Repeat([]byte("["), 1<<20))
+	if err == nil || !strings.Contains(err.Error(), "up to 64 levels") {
+		t.Errorf("error is %v", err)
+	}
+	brackets := strings.Repeat("[", 100)
+	file := "// " + brackets + "\n/* " + brackets + " */{\"operators\": [\"localhost:1\"], \"token\": \"\\\"" + brackets + "\"}"
+	if _, err := rocksettings.Decode[rocksettings.Client]([]byte(file)); err != nil {
+		t.Errorf("%v in %s", err, file)
+	}
+}
+
+// Guards against a configuration without a file, as the operators' protocol brings it, that escapes the rules.
+func TestCheckWithoutFile(t *testing.T) {
+	cfg, err := rocksettings.Decode[rocktable.Configuration](example(t, "configuration.json"))
+	if problems := rocksettings.Check(cfg); err != nil || problems != nil {
+		t.Errorf("example: %v, %v", err, problems)
+	}
+	cfg.Callers[2].Weight, cfg.Ranks[0].Worth, cfg.Ranks[1].Name = -1, math.Inf(1), "urgent"
+	got := rocksettings.Check(cfg).Error()
+	for _, want := range []string{"callers[2].weight: -1 is not allowed; allowed: at least 0", "ranks[0].worth: +Inf", "ranks[1].name: "} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q is not in: %s", want, got)
+		}
+	}
+}
+
 // Guards against a token in an error text.
 func TestTokenIsNotShown(t *testing.T) {
 	_, err := rocksettings.Decode[rocksettings.Client]([]byte(`{"operators": ["a:1"], "token": 31337}`))
--- a/io/rocksettings/validate.go
+++ b/io/rocksettings/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"reflect"
 	"strconv"
@@ -46,15 +47,19 @@
 	}
 	for _, failure := range failures {
 		_, field, _ := strings.Cut(failure.Namespace(), ".")
-		s.add(Problem{Field: field, Value: s.valueOf(field), Allowed: s.allowed(field, failure)})
+		s.add(Problem{Field: field, Value: s.valueOf(field, failure), Allowed: s.allowed(field, failure)})
 	}
 }
 
-func (s *source) valueOf(field string) string {
+// valueOf returns the text of a field in the file, or its value if there is no file.
+func (s *source) valueOf(field string, failure validator.FieldError) string {
 	if value, ok := s.values[field]; ok {
 		return value
 	}
-	return "a missing value"
+	if len(s.values) > 0 || failure.Tag() == "required" {
+		return "a missing value"
+	}
+	return shorten(fmt.Sprintf("%#v", failure.Value()))
 }
 
 // allowed describes all rules of a field, or the failed one if the others are not known.
