Add the conversion between messages and structs

Cause: operators' and peers' front ends need the same conversion, apart from decisions. A peer message with another protocol version, no sender or a rate that is negative or not a number is refused.

--- /dev/null
+++ b/io/rockschema/configuration.go
@@ -0,0 +1,150 @@
+package rockschema
+
+import (
+	"math"
+
+	"sassafrasrock/core/rocktable"
+	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
+)
+
+// ConfigurationToProto returns the message of a configuration; a number outside the message's range becomes the nearest one in it.
+func ConfigurationToProto(cfg rocktable.Configuration) *v1.Configuration {
+	return &v1.Configuration{
+		Pipelines: each(cfg.Pipelines, pipelineToProto),
+		Ranks:     each(cfg.Ranks, rankToProto),
+		Callers:   each(cfg.Callers, callerToProto),
+		Services:  each(cfg.Services, serviceToProto),
+		Drained:   cfg.Drained,
+	}
+}
+
+// ConfigurationFromProto returns the configuration of a message, unchecked; nil gives an empty configuration.
+func ConfigurationFromProto(m *v1.Configuration) rocktable.Configuration {
+	return rocktable.Configuration{
+		Pipelines: each(m.GetPipelines(), pipelineFromProto),
+		Ranks:     each(m.GetRanks(), rankFromProto),
+		Callers:   each(m.GetCallers(), callerFromProto),
+		Services:  each(m.GetServices(), serviceFromProto),
+		Drained:   m.GetDrained(),
+	}
+}
+
+func pipelineToProto(c rocktable.PipelineConfig) *v1.Pipeline {
+	return &v1.Pipeline{
+		Name:       c.Name,
+		Model:      c.Model,
+		Version:    c.Version,
+		Layers:     clampInt32(c.Layers),
+		Placements: each(c.Placements, placementToProto),
+	}
+}
+
+func pipelineFromProto(m *v1.Pipeline) rocktable.PipelineConfig {
+	return rocktable.PipelineConfig{
+		Name:       m.GetName(),
+		Model:      m.GetModel(),
+		Version:    m.GetVersion(),
+		Layers:     int(m.GetLayers()),
+		Placements: each(m.GetPlacements(), placementFromProto),
+	}
+}
+
+func placementToProto(p rocktable.Placement) *v1.Placement {
+	return &v1.Placement{
+		BackendServer: p.Server,
+		FirstLayer:    clampInt32(p.FirstLayer),
+		LastLayer:     clampInt32(p.LastLayer),
+		Adapter:       p.Adapter,
+	}
+}
+
+func placementFromProto(m *v1.Placement) rocktable.Placement {
+	return rocktable.Placement{
+		Server:     m.GetBackendServer(),
+		FirstLayer: int(m.GetFirstLayer()),
+		LastLayer:  int(m.GetLastLayer()),
+		Adapter:    m.GetAdapter(),
+	}
+}
+
+func rankToProto(c rocktable.RankConfig) *v1.Rank {
+	return &v1.Rank{
+		Name:         c.Name,
+		FirstTokenMs: clampInt32(c.FirstTokenMs),
+		GapMs:        clampInt32(c.GapMs),
+		Worth:        c.Worth,
+		Floor:        c.Floor,
+		MaxQueue:     clampInt32(c.MaxQueue),
+	}
+}
+
+func rankFromProto(m *v1.Rank) rocktable.RankConfig {
+	return rocktable.RankConfig{
+		Name:         m.GetName(),
+		FirstTokenMs: int(m.GetFirstTokenMs()),
+		GapMs:        int(m.GetGapMs()),
+		Worth:        m.GetWorth(),
+		Floor:        m.GetFloor(),
+		MaxQueue:     int(m.GetMaxQueue()),
+	}
+}
+
+func callerToProto(c rocktable.CallerConfig) *v1.Caller {
+	return &v1.Caller{
+		Name:            c.Name,
+		TokenSha256:     c.TokenSHA256,
+		Weight:          c.Weight,
+		TokensPerSecond: c.TokensPerSecond,
+		Burst:           c.Burst,
+		Ranks:           c.Ranks,
+	}
+}
+
+func callerFromProto(m *v1.Caller) rocktable.CallerConfig {
+	return rocktable.CallerConfig{
+		Name:            m.GetName(),
+		TokenSHA256:     m.GetTokenSha256(),
+		Weight:          m.GetWeight(),
+		TokensPerSecond: m.GetTokensPerSecond(),
+		Burst:           m.GetBurst(),
+		Ranks:           m.GetRanks(),
+	}
+}
+
+func serviceToProto(c rocktable.ServiceConfig) *v1.Service {
+	return &v1.Service{
+		Name:           c.Name,
+		BackendServers: c.Servers,
+		Idempotent:     c.Idempotent,
+		TimeoutMs:      clampInt32(c.TimeoutMs),
+	}
+}
+
+func serviceFromProto(m *v1.Service) rocktable.ServiceConfig {
+	return rocktable.ServiceConfig{
+		Name:       m.GetName(),
+		Servers:    m.GetBackendServers(),
+		Idempotent: m.GetIdempotent(),
+		TimeoutMs:  int(m.GetTimeoutMs()),
+	}
+}
+
+// each converts every element; an empty slice becomes nil, so that a round trip compares equal.
+func each[A, B any](in []A, convert func(A) B) []B {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make([]B, len(in))
+	for i, v := range in {
+		out[i] = convert(v)
+	}
+	return out
+}
+
+func clampInt32(n int) int32 {
+	return int32(min(max(n, math.MinInt32), math.MaxInt32))
+}
+
+func clampUint32(n int) uint32 {
+	return uint32(min(max(n, 0), math.MaxUint32))
+}
--- /dev/null
+++ b/io/rockschema/peer.go
@@ -0,0 +1,240 @@
+package rockschema
+
+import (
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasrock/core/rocktable"
+	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
+)
+
+// PeerProtocol is the version of the peers' protocol that this program speaks.
+const PeerProtocol = 1
+
+// ErrProtocol says that a peer's message has a protocol version that this program does not speak.
+var ErrProtocol = eris.New("unknown version of the peer protocol")
+
+// ErrPeerMessage says that a peer's message has a field that no peer sends.
+var ErrPeerMessage = eris.New("invalid peer message")
+
+// PeerToProto returns the message that is sent to a peer.
+func PeerToProto(p rocktable.PeerMessage) *v1.PeerMessage {
+	m := &v1.PeerMessage{
+		Protocol:          PeerProtocol,
+		Sender:            p.Sender,
+		Address:           p.Address,
+		DataCentre:        p.DataCentre,
+		Region:            p.Region,
+		Incarnation:       p.Incarnation,
+		Heartbeat:         p.Heartbeat,
+		State:             uint32(p.State),
+		InFlight:          clampUint32(p.InFlight),
+		ConfigVersion:     p.ConfigVersion,
+		WantConfiguration: p.WantConfiguration,
+		Reply:             p.Reply,
+		Hosts:             each(p.Hosts, hostNewsToProto),
+		Servers:           each(p.Servers, serverNewsToProto),
+		Sent:              each(p.Sent, sentNewsToProto),
+		Demand:            each(p.Demand, demandNewsToProto),
+		Suspects:          each(p.Suspects, suspectNewsToProto),
+	}
+	if p.Configuration != nil {
+		m.ChangeId = p.Configuration.ChangeID
+		m.Configuration = ConfigurationToProto(p.Configuration.Configuration)
+	}
+	return m
+}
+
+// PeerFromProto returns the struct of a peer's message, or an error that is ErrProtocol or ErrPeerMessage.
+func PeerFromProto(m *v1.PeerMessage) (rocktable.PeerMessage, error) {
+	if m.GetProtocol() != PeerProtocol {
+		return rocktable.PeerMessage{}, eris.Wrapf(ErrProtocol, "version %d", m.GetProtocol())
+	}
+	if m.GetSender() == "" {
+		return rocktable.PeerMessage{}, eris.Wrap(ErrPeerMessage, "the sender has no name")
+	}
+	if err := checkRates(m); err != nil {
+		return rocktable.PeerMessage{}, err
+	}
+	p := rocktable.PeerMessage{
+		Sender:            m.GetSender(),
+		Address:           m.GetAddress(),
+		DataCentre:        m.GetDataCentre(),
+		Region:            m.GetRegion(),
+		Incarnation:       m.GetIncarnation(),
+		Heartbeat:         m.GetHeartbeat(),
+		State:             stateFromProto(m.GetState()),
+		InFlight:          int(m.GetInFlight()),
+		ConfigVersion:     m.GetConfigVersion(),
+		WantConfiguration: m.GetWantConfiguration(),
+		Reply:             m.GetReply(),
+		Hosts:             each(m.GetHosts(), hostNewsFromProto),
+		Servers:           each(m.GetServers(), serverNewsFromProto),
+		Sent:              each(m.GetSent(), sentNewsFromProto),
+		Demand:            each(m.GetDemand(), demandNewsFromProto),
+		Suspects:          each(m.GetSuspects(), suspectNewsFromProto),
+	}
+	if m.GetConfiguration() != nil {
+		p.Configuration = &rocktable.ConfigRow{
+			ChangeID:      m.GetChangeId(),
+			Configuration: ConfigurationFromProto(m.GetConfiguration()),
+		}
+	}
+	return p, nil
+}
+
+// checkRates refuses rates that would spread through sums: one NaN makes every limit derived from it NaN.
+func checkRates(m *v1.PeerMessage) error {
+	for _, d := range m.GetDemand() {
+		if !isRate(d.GetRate()) {
+			return eris.Wrapf(ErrPeerMessage, "demand of caller %q is %v", d.GetCaller(), d.GetRate())
+		}
+	}
+	for _, s := range m.GetServers() {
+		if rate := s.GetStatus().GetTokensPerSecond(); !isRate(rate) {
+			return eris.Wrapf(ErrPeerMessage, "speed of backend server %q is %v", s.GetName(), rate)
+		}
+	}
+	return nil
+}
+
+func isRate(rate float32) bool {
+	return rate >= 0 && !math.IsInf(float64(rate), 0)
+}
+
+// stateFromProto maps a state that a later version may add to unknown, because State.String has no name for it.
+func stateFromProto(state uint32) rocktable.State {
+	if state > uint32(rocktable.StateDown) {
+		return rocktable.StateUnknown
+	}
+	return rocktable.State(state)
+}
+
+func hostNewsToProto(n rocktable.HostNews) *v1.HostNews {
+	return &v1.HostNews{
+		Name:          n.Name,
+		Address:       n.Address,
+		DataCentre:    n.DataCentre,
+		Region:        n.Region,
+		Incarnation:   n.Incarnation,
+		Heartbeat:     n.Heartbeat,
+		State:         uint32(n.State),
+		ConfigVersion: n.ConfigVersion,
+	}
+}
+
+func hostNewsFromProto(m *v1.HostNews) rocktable.HostNews {
+	return rocktable.HostNews{
+		Name:          m.GetName(),
+		Address:       m.GetAddress(),
+		DataCentre:    m.GetDataCentre(),
+		Region:        m.GetRegion(),
+		Incarnation:   m.GetIncarnation(),
+		Heartbeat:     m.GetHeartbeat(),
+		State:         stateFromProto(m.GetState()),
+		ConfigVersion: m.GetConfigVersion(),
+	}
+}
+
+func serverNewsToProto(n rocktable.ServerNews) *v1.ServerNews {
+	return &v1.ServerNews{
+		Name:      n.Name,
+		State:     uint32(n.State),
+		Drained:   n.Drained,
+		StatusSeq: n.StatusSeq,
+		Status:    engineStatusToProto(n.Status),
+	}
+}
+
+func serverNewsFromProto(m *v1.ServerNews) rocktable.ServerNews {
+	status := engineStatusFromProto(m.GetStatus())
+	if m.GetStatus() != nil {
+		// The engine's own name is not sent: it is the name of the row.
+		status.Name = m.GetName()
+	}
+	return rocktable.ServerNews{
+		Name:      m.GetName(),
+		State:     stateFromProto(m.GetState()),
+		Drained:   m.GetDrained(),
+		StatusSeq: m.GetStatusSeq(),
+		Status:    status,
+	}
+}
+
+// engineStatusToProto returns nil for an empty status, which saves bytes for a server that was never heard.
+func engineStatusToProto(s rocktable.EngineStatus) *v1.EngineStatus {
+	if s == (rocktable.EngineStatus{}) {
+		return nil
+	}
+	return &v1.EngineStatus{
+		Kind:            s.Kind,
+		Model:           s.Model,
+		Version:         s.Version,
+		FirstLayer:      clampUint32(s.FirstLayer),
+		LastLayer:       clampUint32(s.LastLayer),
+		Slots:           clampUint32(s.Slots),
+		Active:          clampUint32(s.Active),
+		Queued:          clampUint32(s.Queued),
+		TokensPerSecond: float32(s.TokensPerSecond),
+		Incarnation:     s.Incarnation,
+		State:           s.State,
+		Fencing:         s.Fencing,
+		ChecksFencing:   s.ChecksFencing,
+	}
+}
+
+func engineStatusFromProto(m *v1.EngineStatus) rocktable.EngineStatus {
+	return rocktable.EngineStatus{
+		Kind:            m.GetKind(),
+		Model:           m.GetModel(),
+		Version:         m.GetVersion(),
+		FirstLayer:      int(m.GetFirstLayer()),
+		LastLayer:       int(m.GetLastLayer()),
+		Slots:           int(m.GetSlots()),
+		Active:          int(m.GetActive()),
+		Queued:          int(m.GetQueued()),
+		TokensPerSecond: float64(m.GetTokensPerSecond()),
+		Incarnation:     m.GetIncarnation(),
+		State:           m.GetState(),
+		Fencing:         m.GetFencing(),
+		ChecksFencing:   m.GetChecksFencing(),
+	}
+}
+
+func sentNewsToProto(n rocktable.SentNews) *v1.SentNews {
+	return &v1.SentNews{Server: n.Server, InFlight: clampUint32(n.InFlight)}
+}
+
+func sentNewsFromProto(m *v1.SentNews) rocktable.SentNews {
+	return rocktable.SentNews{Server: m.GetServer(), InFlight: int(m.GetInFlight())}
+}
+
+func demandNewsToProto(n rocktable.DemandNews) *v1.DemandNews {
+	return &v1.DemandNews{Caller: n.Caller, Rate: float32(n.Rate)}
+}
+
+func demandNewsFromProto(m *v1.DemandNews) rocktable.DemandNews {
+	return rocktable.DemandNews{Caller: m.GetCaller(), Rate: float64(m.GetRate())}
+}
+
+func suspectNewsToProto(n rocktable.SuspectNews) *v1.SuspectNews {
+	return &v1.SuspectNews{
+		Fingerprint: n.Fingerprint,
+		Crashes:     clampUint32(n.Crashes),
+		AloneCrash:  clampUint32(n.AloneCrash),
+		Quarantined: n.Quarantined,
+		RemainingMs: clampUint32(int(n.Remaining.Milliseconds())),
+	}
+}
+
+func suspectNewsFromProto(m *v1.SuspectNews) rocktable.SuspectNews {
+	return rocktable.SuspectNews{
+		Fingerprint: m.GetFingerprint(),
+		Crashes:     int(m.GetCrashes()),
+		AloneCrash:  int(m.GetAloneCrash()),
+		Quarantined: m.GetQuarantined(),
+		Remaining:   time.Duration(m.GetRemainingMs()) * time.Millisecond,
+	}
+}
