Add the operators' RPC server and client

Cause: operators configure and inspect hosts over Connect. Change: io/rockoperator serves the schema's RPCs and /debug/vars through function fields of the control thread. Access is by token or mutual TLS; open access is limited to loopback, with a check of the Host header against DNS rebinding. PutConfiguration reports field errors before a change is handed on. A drain is in force at once and then recorded by compare-and-set, with a bounded number of tries after conflicts.

--- /dev/null
+++ b/io/rockoperator/server_test.go
@@ -0,0 +1,204 @@
+package rockoperator_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockoperator"
+	"sassafrasrock/io/rockschema"
+	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
+)
+
+// fake is a control state that accepts changes by compare-and-set.
+type fake struct {
+	mu      sync.Mutex
+	version uint64
+	cfg     rocktable.Configuration
+	rivals  int // changes of other operators that come first
+	drains  []rocktable.Drain
+	resets  []rocktable.Reset
+	counts  []rockreason.Code
+	refuse  rockreason.Code
+}
+
+func newFake() *fake {
+	return &fake{version: 1, cfg: rocktable.Configuration{
+		Ranks: []rocktable.RankConfig{{Name: "urgent", FirstTokenMs: 1000, GapMs: 100, Worth: 10}},
+	}}
+}
+
+func (f *fake) change(_ context.Context, c rocktable.ConfigChange) (rocktable.ConfigEnd, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rivals > 0 {
+		f.rivals--
+		f.version++
+	}
+	switch {
+	case f.refuse != "":
+		return rocktable.ConfigEnd{Reason: f.refuse, Version: f.version}, nil
+	case c.ExpectedVersion != f.version:
+		return rocktable.ConfigEnd{Reason: rockreason.ConfigConflict, Version: f.version}, nil
+	}
+	f.version++
+	f.cfg = c.Configuration
+	return rocktable.ConfigEnd{Version: f.version}, nil
+}
+
+func (f *fake) server(access rockoperator.Access) *rockoperator.Server {
+	return &rockoperator.Server{
+		Access: access,
+		Snapshot: func() *rocktable.Snapshot {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return &rocktable.Snapshot{ConfigVersion: f.version, Config: f.cfg}
+		},
+		Status: func(context.Context) (*rocktable.Status, error) {
+			return &rocktable.Status{
+				Servers:  []rocktable.BackendServer{{Name: "runner-1"}},
+				Suspects: []rocktable.Suspect{{Fingerprint: 0xab}},
+			}, nil
+		},
+		Change: f.change,
+		Drain:  func(d rocktable.Drain) { f.drains = append(f.drains, d) },
+		Reset:  func(r rocktable.Reset) { f.resets = append(f.resets, r) },
+		Count:  func(code rockreason.Code) { f.counts = append(f.counts, code) },
+		Now:    time.Now,
+		NewID:  func() string { return "1" },
+	}
+}
+
+func connectTo(t *testing.T, server *rockoperator.Server, token string) *rockoperator.Client {
+	t.Helper()
+	s := httptest.NewServer(server.Handler())
+	t.Cleanup(s.Close)
+	return rockoperator.NewClient(s.URL, rockoperator.ClientSettings{Token: token, Timeout: time.Minute})
+}
+
+// Guards against access without the token, and against an open server beyond loopback.
+func TestAccess(t *testing.T) {
+	sum := sha256.Sum256([]byte("secret"))
+	access := rockoperator.Access{TokenSHA256: hex.EncodeToString(sum[:])}
+	f := newFake()
+	for token, want := range map[string]connect.Code{"": connect.CodeUnauthenticated, "wrong": connect.CodeUnauthenticated, "secret": 0} {
+		_, err := connectTo(t, f.server(access), token).GetConfiguration(t.Context())
+		if err == nil != (want == 0) || (err != nil && connect.CodeOf(err) != want) {
+			t.Errorf("token %q: error = %v, want code %v", token, err, want)
+		}
+	}
+	if len(f.counts) != 2 {
+		t.Errorf("%d refusals counted, want 2", len(f.counts))
+	}
+	open := rockoperator.Access{}
+	for address, want := range map[string]error{
+		"127.0.0.1:1": nil, "[::1]:1": nil, "0.0.0.0:1": rockoperator.ErrOpenAccess, ":1": rockoperator.ErrOpenAccess, "192.0.2.1:1": rockoperator.ErrOpenAccess,
+	} {
+		if err := open.Check(address); !errors.Is(err, want) {
+			t.Errorf("open access on %s: error = %v, want %v", address, err, want)
+		}
+	}
+	if err := access.Check("0.0.0.0:1"); err != nil {
+		t.Errorf("token access on 0.0.0.0: %v", err)
+	}
+	if err := (rockoperator.Access{TokenSHA256: "ab"}).Check("127.0.0.1:1"); !errors.Is(err, rockoperator.ErrTokenHash) {
+		t.Errorf("short hash: error = %v", err)
+	}
+}
+
+// Guards against a web page that reaches an open server on loopback through a name of its own.
+func TestOpenAccessChecksHost(t *testing.T) {
+	handler := newFake().server(rockoperator.Access{}).Handler()
+	for host, want := range map[string]int{"localhost:9": http.StatusOK, "127.0.0.1": http.StatusOK, "attacker.example:9": http.StatusUnauthorized} {
+		r := httptest.NewRequest(http.MethodGet, "/debug/vars", nil)
+		r.RemoteAddr, r.Host = "127.0.0.1:5", host
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if w.Code != want {
+			t.Errorf("host %q: status %d, want %d", host, w.Code, want)
+		}
+	}
+}
+
+// Guards against an invalid configuration that is handed on, and against errors that don't name the field.
+func TestPutConfigurationReportsFields(t *testing.T) {
+	f := newFake()
+	client := connectTo(t, f.server(rockoperator.Access{}), "")
+	bad := f.cfg
+	bad.Ranks = []rocktable.RankConfig{{Name: "urgent", FirstTokenMs: 0, GapMs: 100, Worth: 10}}
+	bad.Callers = []rocktable.CallerConfig{{Name: "guild", TokenSHA256: "xyz"}}
+	r, err := client.PutConfiguration(t.Context(), &v1.PutConfigurationRequest{
+		Configuration: rockschema.ConfigurationToProto(bad), ExpectedVersion: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := make([]string, 0, 3)
+	for _, e := range r.GetErrors() {
+		fields = append(fields, e.GetField())
+	}
+	if want := []string{"changeId", "ranks[0].firstTokenMs", "callers[0].tokenSha256"}; !slices.Equal(fields, want) || r.GetAccepted() || f.version != 1 {
+		t.Errorf("fields = %v, accepted = %v, version = %d; want %v, false, 1", fields, r.GetAccepted(), f.version, want)
+	}
+
+	good := f.cfg
+	good.Callers = []rocktable.CallerConfig{{Name: "guild", TokenSHA256: strings.Repeat("AB", 32)}}
+	put := &v1.PutConfigurationRequest{Configuration: rockschema.ConfigurationToProto(good), ExpectedVersion: 1, ChangeId: "a"}
+	if r, err = client.PutConfiguration(t.Context(), put); err != nil || !r.GetAccepted() || r.GetVersion() != 2 {
+		t.Errorf("response = %v, error = %v; want accepted as version 2", r, err)
+	}
+	if f.cfg.Callers[0].TokenSHA256 != strings.Repeat("ab", 32) {
+		t.Errorf("hash = %q, want lower case", f.cfg.Callers[0].TokenSHA256)
+	}
+	if r, err = client.PutConfiguration(t.Context(), put); err != nil || r.GetReason() != string(rockreason.ConfigConflict) || r.GetVersion() != 2 {
+		t.Errorf("response = %v, error = %v; want a conflict with version 2", r, err)
+	}
+}
+
+// Guards against a drain that waits for the configuration, gives up on a conflict, or claims to be recorded when it is not.
+func TestDrainBackendServer(t *testing.T) {
+	f := newFake()
+	f.rivals = 2
+	client := connectTo(t, f.server(rockoperator.Access{}), "")
+	r, err := client.DrainBackendServer(t.Context(), &v1.DrainBackendServerRequest{Name: "runner-1"})
+	if err != nil || !r.GetRecorded() || !slices.Equal(f.cfg.Drained, []string{"runner-1"}) || len(f.drains) != 1 {
+		t.Errorf("response = %v, error = %v, drained = %v, drains = %v", r, err, f.cfg.Drained, f.drains)
+	}
+	f.refuse = rockreason.PlatformOut
+	r, err = client.DrainBackendServer(t.Context(), &v1.DrainBackendServerRequest{Name: "runner-1", Lift: true})
+	if err != nil || r.GetRecorded() || len(f.drains) != 2 || !f.drains[1].Lift {
+		t.Errorf("response = %v, error = %v, drains = %v; want in force and not recorded", r, err, f.drains)
+	}
+	_, err = client.DrainBackendServer(t.Context(), &v1.DrainBackendServerRequest{Name: "runner-9"})
+	if connect.CodeOf(err) != connect.CodeNotFound || len(f.drains) != 2 {
+		t.Errorf("error = %v, drains = %v; want not found and no drain", err, f.drains)
+	}
+}
+
+// Guards against a reset that reports success for a fingerprint that nobody holds.
+func TestResetQuarantine(t *testing.T) {
+	f := newFake()
+	client := connectTo(t, f.server(rockoperator.Access{}), "")
+	for fingerprint, want := range map[string]bool{"00000000000000ab": true, "ac": false} {
+		r, err := client.ResetQuarantine(t.Context(), &v1.ResetQuarantineRequest{Fingerprint: fingerprint})
+		if err != nil || r.GetFound() != want {
+			t.Errorf("%s: found = %v, error = %v, want %v", fingerprint, r.GetFound(), err, want)
+		}
+	}
+	_, err := client.ResetQuarantine(t.Context(), &v1.ResetQuarantineRequest{Fingerprint: "no"})
+	if connect.CodeOf(err) != connect.CodeInvalidArgument || len(f.resets) != 1 {
+		t.Errorf("error = %v, resets = %v; want an invalid argument and one reset", err, f.resets)
+	}
+}
