Add the open-loop load generator

Cause: throughput, first token and gap are measured under a load that does not wait for the system under test. Change: io/rockload sends a seeded exponential schedule over several targets, reads the event streams, checks answers through a function field and reports HDR histograms as a table or JSON. Count, time and requests in flight are bounded. Tokens count only for complete answers that pass the check.

--- /dev/null
+++ b/io/rockload/generator.go
@@ -0,0 +1,126 @@
+package rockload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	progressEvery = time.Second
+	// idleConnections per target keeps connections for reuse: opening one for each request would measure the handshake.
+	idleConnections = 512
+)
+
+// Generator runs a plan once.
+type Generator struct {
+	Plan     Plan
+	Check    func(prompt, answer string) error // of each complete answer; nil for none
+	Progress io.Writer                         // terminal for the progress line; nil for none
+
+	client   *http.Client
+	now      func() time.Time
+	mu       sync.Mutex
+	report   *Report
+	inFlight int
+}
+
+// Run sends the plan's requests and returns what was measured; when the context ends it stops sending, ends the running requests and returns the report so far.
+func (g *Generator) Run(ctx context.Context) (*Report, error) {
+	plan, err := g.Plan.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	g.Plan = plan
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, Proxy: nil}
+	defer transport.CloseIdleConnections()
+	g.client = &http.Client{Transport: transport}
+	g.now = time.Now
+	g.report = newReport(plan)
+
+	start := g.now()
+	stopProgress := g.showProgress(start)
+	g.send(ctx, start)
+	stopProgress()
+	g.report.Elapsed = g.now().Sub(start)
+	return g.report, nil
+}
+
+// send starts each request at its time and waits until all have ended.
+func (g *Generator) send(ctx context.Context, start time.Time) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for a := range g.Plan.Arrivals() {
+		scheduled := start.Add(a.At)
+		timer.Reset(scheduled.Sub(g.now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if !g.begin(a) {
+			continue
+		}
+		running.Go(func() { g.end(g.request(ctx, a, scheduled)) })
+	}
+}
+
+// begin counts a request as sent, or as dropped if too many are in flight.
+func (g *Generator) begin(a Arrival) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	row := g.report.row(a.Share)
+	row.Sent++
+	if g.inFlight >= g.Plan.MaxInFlight {
+		row.Dropped++
+		return false
+	}
+	g.inFlight++
+	return true
+}
+
+func (g *Generator) end(result Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	g.report.add(result)
+}
+
+// showProgress rewrites one line each second until the returned function is called.
+func (g *Generator) showProgress(start time.Time) (stop func()) {
+	if g.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() {
+		ticker := time.NewTicker(progressEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				fmt.Fprint(g.Progress, "\r\x1b[K")
+				return
+			case <-ticker.C:
+				fmt.Fprintf(g.Progress, "\r\x1b[K%s", g.progressLine(start))
+			}
+		}
+	})
+	return func() {
+		close(done)
+		running.Wait()
+	}
+}
+
+func (g *Generator) progressLine(start time.Time) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.report.total()
+	return fmt.Sprintf("%.0f s: %d of at most %d sent, %d in flight, %d answered, %d refused, %d failed",
+		g.now().Sub(start).Seconds(), t.Sent, g.Plan.Count, g.inFlight, t.Answered, t.Refused, t.Failed+t.Dropped)
+}
--- /dev/null
+++ b/io/rockload/load_test.go
@@ -0,0 +1,130 @@
+package rockload_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sassafrasrock/io/rockload"
+)
+
+// answer plays a callers' address: the prompt says how the request ends.
+func answer(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var request struct {
+		Messages []struct{ Content string }
+	}
+	if json.Unmarshal(body, &request) != nil || r.Header.Get("Authorization") != "Bearer t" {
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	prompt := request.Messages[0].Content
+	if prompt == "refuse" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error": {"code": "queueFull", "ran": "notRun"}}`)
+		return
+	}
+	for _, word := range strings.Fields(prompt) {
+		fmt.Fprintf(w, "data: {\"choices\": [{\"delta\": {\"content\": %q}}]}\n\n", word)
+	}
+	if prompt == "cut off" {
+		return
+	}
+	fmt.Fprint(w, "data: {\"choices\": [], \"outcome\": {\"kept\": true}}\n\ndata: [DONE]\n\n")
+}
+
+// Guards against an incomplete, refused or wrong answer that counts as served, and against a target that is left out.
+func TestRunCountsEachEnd(t *testing.T) {
+	var asked [2]atomic.Int64
+	plan := rockload.Plan{RatePerSecond: 2000, Count: 200, Seed: 1, Mix: []rockload.Share{
+		{Caller: "guild", Rank: "urgent", Token: "t", Prompts: []string{"three small words"}},
+		{Caller: "other", Rank: "urgent", Token: "t", Prompts: []string{"refuse", "cut off", "wrong"}},
+	}}
+	for i := range asked {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked[i].Add(1)
+			answer(w, r)
+		}))
+		defer s.Close()
+		plan.Targets = append(plan.Targets, s.URL)
+	}
+	generator := &rockload.Generator{Plan: plan, Check: func(prompt, answer string) error {
+		if answer == "wrong" || answer != strings.ReplaceAll(prompt, " ", "") {
+			return errors.New("not the prompt")
+		}
+		return nil
+	}}
+	report, err := generator.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	guild, other, total := report.Rows[0], report.Rows[1], report.Total()
+	if guild.Sent == 0 || guild.Answered != guild.Sent || guild.Kept != guild.Sent || guild.Tokens != 3*guild.Sent || guild.Gap.TotalCount() != int64(2*guild.Sent) {
+		t.Errorf("guild = %+v, want all answered with three tokens", *guild)
+	}
+	if other.Answered != 0 || other.Refused == 0 || other.Failed == 0 || other.Wrong == 0 || other.Refused+other.Failed+other.Wrong != other.Sent {
+		t.Errorf("other = %+v, want refused, failed and wrong answers only", *other)
+	}
+	if total.Sent != 200 || asked[0].Load() != 100 || asked[1].Load() != 100 || report.Refused["queueFull"] != other.Refused {
+		t.Errorf("sent %d, targets got %d and %d, refusals %v", total.Sent, asked[0].Load(), asked[1].Load(), report.Refused)
+	}
+}
+
+// Guards against a schedule that depends on anything but the plan, or that has another rate or mix than asked for.
+func TestArrivals(t *testing.T) {
+	plan := rockload.Plan{
+		Targets: []string{"a", "b", "c"}, RatePerSecond: 100, Count: 20000, DurationMs: 100_000, Seed: 7,
+		Mix: []rockload.Share{{Weight: 3, Prompts: []string{"x"}}, {Prompts: []string{"y"}}},
+	}
+	first := slices.Collect(plan.Arrivals())
+	if !slices.Equal(first, slices.Collect(plan.Arrivals())) {
+		t.Error("two schedules of the same plan differ")
+	}
+	// 100 s at 100/s; the standard deviation of the count is 100.
+	if n := float64(len(first)); math.Abs(n-10000) > 400 {
+		t.Errorf("%v arrivals, want about 10000", n)
+	}
+	heavy := 0
+	for _, a := range first {
+		if a.Share == 0 {
+			heavy++
+		}
+	}
+	if got := float64(heavy) / float64(len(first)); math.Abs(got-0.75) > 0.02 {
+		t.Errorf("share of weight 3 has %v, want about 0.75", got)
+	}
+	if last := first[len(first)-1].At; last > 100*time.Second {
+		t.Errorf("last arrival at %v, want none after 100 s", last)
+	}
+}
+
+// Guards against a generator that waits for answers, or piles up requests, when a target stops answering.
+func TestRunDropsBeyondMaxInFlight(t *testing.T) {
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		answer(w, r)
+	}))
+	defer s.Close()
+	plan := rockload.Plan{Targets: []string{s.URL}, RatePerSecond: 5000, Count: 50, MaxInFlight: 3, Mix: []rockload.Share{{Token: "t", Prompts: []string{"x"}}}}
+	time.AfterFunc(300*time.Millisecond, func() { close(release) })
+	report, err := (&rockload.Generator{Plan: plan}).Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if row := report.Rows[0]; row.Sent != 50 || row.Answered < 3 || row.Answered+row.Dropped != 50 {
+		t.Errorf("row = %+v, want at least 3 answered and the others dropped", *row)
+	}
+	if _, err := (&rockload.Generator{}).Run(t.Context()); !errors.Is(err, rockload.ErrPlan) {
+		t.Errorf("empty plan: error = %v, want ErrPlan", err)
+	}
+}
