Add the operators' command line

Cause: operators need one tool to apply, inspect, check, drain, reset and measure. Tags of the load plan state what is allowed. An empty histogram reports 0 as its maximum instead of 0.007 ms. The tool was not yet run against a daemon.

--- /dev/null
+++ b/io/rockcommand/outcomes.go
@@ -0,0 +1,91 @@
+package rockcommand
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
+)
+
+type outcomesCommand struct{}
+
+type outcomesResult struct {
+	Hosts   []string      `json:"hosts"`   // added up
+	Missing []string      `json:"missing"` // addresses that did not answer
+	Totals  []totalResult `json:"totals"`
+}
+
+type totalResult struct {
+	Caller   string `json:"caller"`
+	Rank     string `json:"rank"`
+	Answered int64  `json:"answered"`
+	Kept     int64  `json:"kept"`
+	Refused  int64  `json:"refused"`
+	Failed   int64  `json:"failed"`
+	Tokens   int64  `json:"tokens"`
+}
+
+// Run adds up the totals of all servers.
+func (c *outcomesCommand) Run(inv *invocation) error {
+	clients, err := inv.clients()
+	if err != nil {
+		return err
+	}
+	result := outcomesResult{Hosts: []string{}, Missing: []string{}, Totals: []totalResult{}}
+	for _, client := range clients {
+		answer, err := client.GetOutcomes(inv.ctx)
+		if err != nil {
+			result.Missing = append(result.Missing, fmt.Sprintf("%s: %v", client.Address, err))
+			continue
+		}
+		// Two addresses may lead to one host, which must not count twice.
+		if !slices.Contains(result.Hosts, answer.GetHost()) {
+			result.Hosts = append(result.Hosts, answer.GetHost())
+			result.add(answer.GetTotals())
+		}
+	}
+	slices.SortFunc(result.Totals, func(a, b totalResult) int {
+		return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Rank, b.Rank))
+	})
+	if err := inv.print(result, result.write); err != nil {
+		return err
+	}
+	if len(result.Missing) > 0 {
+		return exitWith(ExitFailed, "the sums lack %d of %d servers", len(result.Missing), len(clients))
+	}
+	return nil
+}
+
+func (r *outcomesResult) add(totals []*v1.Total) {
+	for _, t := range totals {
+		i := slices.IndexFunc(r.Totals, func(have totalResult) bool {
+			return have.Caller == t.GetCaller() && have.Rank == t.GetRank()
+		})
+		if i < 0 {
+			i = len(r.Totals)
+			r.Totals = append(r.Totals, totalResult{Caller: t.GetCaller(), Rank: t.GetRank()})
+		}
+		sum := &r.Totals[i]
+		sum.Answered += t.GetAnswered()
+		sum.Kept += t.GetKept()
+		sum.Refused += t.GetRefused()
+		sum.Failed += t.GetFailed()
+		sum.Tokens += t.GetTokens()
+	}
+}
+
+func (r outcomesResult) write(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CALLER\tRANK\tANSWERED\tKEPT\tREFUSED\tFAILED\tTOKENS")
+	for _, row := range r.Totals {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", row.Caller, row.Rank, row.Answered, row.Kept, row.Refused, row.Failed, row.Tokens)
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "sums over %d hosts\n", len(r.Hosts))
+	for _, missing := range r.Missing {
+		fmt.Fprintf(w, "missing: %s\n", missing)
+	}
+}
--- a/io/rockload/plan.go
+++ b/io/rockload/plan.go
@@ -24,15 +24,15 @@
 
 // Plan says what load is sent, where and for how long; it is bounded in count and time.
 type Plan struct {
-	Targets       []string `json:"targets"` // callers' addresses, used in turn: host and port, or URLs
-	Model         string   `json:"model"`
-	RatePerSecond float64  `json:"ratePerSecond"`
-	Count         int      `json:"count,omitempty"`      // requests; 0 means DefaultCount
-	DurationMs    int      `json:"durationMs,omitempty"` // of the arrivals; 0 means DefaultDuration
-	TimeoutMs     int      `json:"timeoutMs,omitempty"`  // of one request; 0 means DefaultTimeout
-	MaxInFlight   int      `json:"maxInFlight,omitempty"`
+	Targets       []string `json:"targets" validate:"required,min=1"` // callers' addresses, used in turn: host and port, or URLs
+	Model         string   `json:"model" validate:"required"`
+	RatePerSecond float64  `json:"ratePerSecond" validate:"gt=0,max=1000000"`
+	Count         int      `json:"count,omitempty" validate:"min=0"`      // requests; 0 means DefaultCount
+	DurationMs    int      `json:"durationMs,omitempty" validate:"min=0"` // of the arrivals; 0 means DefaultDuration
+	TimeoutMs     int      `json:"timeoutMs,omitempty" validate:"min=0"`  // of one request; 0 means DefaultTimeout
+	MaxInFlight   int      `json:"maxInFlight,omitempty" validate:"min=0"`
 	Seed          uint64   `json:"seed,omitempty"`
-	Mix           []Share  `json:"mix"`
+	Mix           []Share  `json:"mix" validate:"required,min=1,dive"`
 }
 
 // Share is a part of the load: the requests of one caller in one rank.
@@ -40,9 +40,9 @@
 	Caller    string   `json:"caller"` // name in the report
 	Token     string   `json:"token"`
 	Rank      string   `json:"rank"`
-	Weight    float64  `json:"weight,omitempty"` // 0 means 1
-	MaxTokens int      `json:"maxTokens"`
-	Prompts   []string `json:"prompts"` // one is chosen at random
+	Weight    float64  `json:"weight,omitempty" validate:"min=0,max=1000000"` // 0 means 1
+	MaxTokens int      `json:"maxTokens" validate:"min=1"`
+	Prompts   []string `json:"prompts" validate:"required,min=1"` // one is chosen at random
 }
 
 // Arrival is one scheduled request.
--- a/io/rockload/report.go
+++ b/io/rockload/report.go
@@ -188,6 +188,10 @@
 }
 
 func quantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	if h.TotalCount() == 0 {
+		// An empty histogram's maximum is not 0.
+		return Quantiles{}
+	}
 	ms := func(micros int64) float64 { return float64(micros) / 1000 }
 	return Quantiles{
 		Count: h.TotalCount(),
