Count invalid operators' requests and test mutual TLS

Cause: Connect refuses malformed and oversized messages before any handler runs, so no counter showed them; mutual TLS had no test. Change: a response writer counts refusals by status, or by the reason header that handlers set, which clients get too. Reads are bounded in time. The tries to record a drain last longer than the pause between reads of the configuration row. Failed handshakes are not logged.

--- a/io/rockoperator/drain.go
+++ b/io/rockoperator/drain.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// drainTries bounds the writes of the drained list when other operators' changes come first.
-	drainTries = 5
-	// drainRetryAfter is the first pause after a conflict; the host takes the version in the way over within it as a rule.
+	// drainTries bounds the writes of the drained list when other operators' changes come first. With the pauses between
+	// them they last about 6 s, longer than the 5 s between a host's reads of the configuration row.
+	drainTries = 10
+	// drainRetryAfter is the first pause after a conflict.
 	drainRetryAfter = 50 * time.Millisecond
 )
 
@@ -31,7 +32,7 @@
 	isListed := slices.ContainsFunc(status.Servers, func(row rocktable.BackendServer) bool { return row.Name == name })
 	// A server that is gone may still be in the drained list, and must be removable from it.
 	if !isListed && !slices.Contains(status.Config.Drained, name) {
-		return nil, connect.NewError(connect.CodeNotFound, eris.Errorf("no backend server has the name %q", name))
+		return nil, refuse(connect.CodeNotFound, rockreason.BadField, "no backend server has the name %q", name)
 	}
 	s.Drain(rocktable.Drain{Server: name, Lift: lift})
 	return connect.NewResponse(s.recordDrain(ctx, name, lift)), nil
--- a/io/rockoperator/server.go
+++ b/io/rockoperator/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -27,7 +29,10 @@
 	// changeTimeout ends a change that the control thread has not ended, so that a client without a deadline is not held forever.
 	changeTimeout     = 30 * time.Second
 	readHeaderTimeout = 5 * time.Second
-	shutdownTimeout   = 5 * time.Second
+	// readTimeout lets a slow link send maxMessage, and ends a client that sends its body forever.
+	readTimeout     = 30 * time.Second
+	idleTimeout     = 2 * time.Minute
+	shutdownTimeout = 5 * time.Second
 )
 
 // Server serves the operators' RPCs and /debug/vars. Every function field must be set and may be called by several goroutines at once.
@@ -55,7 +60,7 @@
 			http.Error(w, "unauthorized", http.StatusUnauthorized)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		mux.ServeHTTP(countingWriter{ResponseWriter: w, count: s.Count}, r)
 	})
 }
 
@@ -68,6 +73,10 @@
 		Handler:           s.Handler(),
 		TLSConfig:         s.Access.TLSConfig(),
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		// The log is for changes of state; a port scan would fill it with failed handshakes.
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	ended := make(chan error, 1)
 	go func() {
@@ -164,8 +173,8 @@
 func (s *Server) ResetQuarantine(ctx context.Context, r *connect.Request[v1.ResetQuarantineRequest]) (*connect.Response[v1.ResetQuarantineResponse], error) {
 	fingerprint, err := rockschema.ParseFingerprint(r.Msg.GetFingerprint())
 	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument,
-			eris.Errorf("fingerprint: %q is not allowed; allowed: 1 to 16 hexadecimal digits", r.Msg.GetFingerprint()))
+		return nil, refuse(connect.CodeInvalidArgument, rockreason.BadField,
+			"fingerprint: %q is not allowed; allowed: 1 to 16 hexadecimal digits", r.Msg.GetFingerprint())
 	}
 	status, err := s.Status(ctx)
 	if err != nil {
--- a/io/rockoperator/server_test.go
+++ b/io/rockoperator/server_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/hex"
 	"errors"
+	"math/big"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -17,6 +23,7 @@
 
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockcontrol"
 	"sassafrasrock/io/rockoperator"
 	"sassafrasrock/io/rockschema"
 	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
@@ -201,4 +208,114 @@
 	if connect.CodeOf(err) != connect.CodeInvalidArgument || len(f.resets) != 1 {
 		t.Errorf("error = %v, resets = %v; want an invalid argument and one reset", err, f.resets)
 	}
+	if want := []rockreason.Code{rockreason.BadField}; !slices.Equal(f.counts, want) {
+		t.Errorf("counted %v, want %v", f.counts, want)
+	}
+}
+
+// Guards against invalid requests that no counter shows.
+func TestInvalidRequestsAreCounted(t *testing.T) {
+	f := newFake()
+	server := httptest.NewServer(f.server(rockoperator.Access{}).Handler())
+	defer server.Close()
+	path := server.URL + "/sassafrasrock.v1.Operators/PutConfiguration"
+	for _, c := range []struct {
+		path, body string
+		want       rockreason.Code
+	}{
+		{path, "{", rockreason.BadJSON},
+		{path, `{"changeId": "` + strings.Repeat("a", 5<<20) + `"}`, rockreason.BodyTooLong},
+		{server.URL + "/other", "{}", rockreason.UnknownPath},
+	} {
+		f.counts = nil
+		response, err := http.Post(c.path, "application/json", strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if !slices.Equal(f.counts, []rockreason.Code{c.want}) {
+			t.Errorf("status %d, counted %v, want %v", response.StatusCode, f.counts, c.want)
+		}
+	}
+}
+
+// Guards against function fields that do not fit the control thread, and against a listener that outlives its context.
+func TestServeControl(t *testing.T) {
+	w := rocktable.NewWorld(time.Now(), rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: "ga-west-a"}, 1)
+	control := rockcontrol.New(w)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go control.Run(ctx)
+	server := newFake().server(rockoperator.Access{})
+	server.Snapshot, server.Status, server.Change = control.Snapshot, control.Status, control.Change
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, listener) }()
+	client := rockoperator.NewClient(listener.Addr().String(), rockoperator.ClientSettings{Timeout: time.Minute})
+	status, err := client.GetStatus(t.Context())
+	if err != nil || status.GetHost() != "entry-1" || status.GetHosts()[0].GetState() != "live" {
+		t.Errorf("status = %v, error = %v", status, err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("serve ended with %v, want no error", err)
+	}
+}
+
+// newCertificate returns a certificate that its own root signs, and the pool with that root.
+func newCertificate(t *testing.T) (*tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, pool
+}
+
+// Guards against access without a certificate of the right root when mutual TLS is on.
+func TestMutualTLS(t *testing.T) {
+	serverCertificate, serverRoots := newCertificate(t)
+	ours, clientRoots := newCertificate(t)
+	stranger, _ := newCertificate(t)
+	for name, token := range map[string]string{"mutual TLS alone": "", "with a token too": strings.Repeat("ab", 32)} {
+		access := rockoperator.Access{Certificate: serverCertificate, ClientRoots: clientRoots, TokenSHA256: token}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- newFake().server(access).Serve(ctx, listener) }()
+		for who, certificate := range map[string]*tls.Certificate{"ours": ours, "stranger": stranger, "none": nil} {
+			cfg := &tls.Config{RootCAs: serverRoots}
+			if certificate != nil {
+				cfg.Certificates = []tls.Certificate{*certificate}
+			}
+			client := rockoperator.NewClient(listener.Addr().String(), rockoperator.ClientSettings{TLS: cfg, Timeout: time.Minute})
+			if _, err := client.GetConfiguration(t.Context()); (err == nil) != (who == "ours") {
+				t.Errorf("%s, certificate %s: error = %v", name, who, err)
+			}
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("%s: serve ended with %v", name, err)
+		}
+	}
 }
