Use the finished settings in the command line and the operators' server

Cause: io/rocksettings now has the types Daemon and Client, finds lines itself and refuses token hashes in upper case. Change: the command line's settings file is rocksettings.Client; check knows daemon settings; the own search for lines and the change of hashes to lower case are gone. LoadAccess makes the access of a daemon's settings. A token is not sent to another machine without TLS.

--- a/io/rockcommand/apply.go
+++ b/io/rockcommand/apply.go
@@ -16,6 +16,7 @@
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockoperator"
 	"sassafrasrock/io/rockschema"
+	"sassafrasrock/io/rocksettings"
 	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
 )
 
@@ -47,9 +48,9 @@
 	if err != nil {
 		return eris.Wrap(err, "read the file")
 	}
-	after, err := decodeConfiguration(data)
+	after, err := rocksettings.Decode[rocktable.Configuration](data)
 	if err != nil {
-		return inv.report(c.File, configurationKind.Name, data, err)
+		return inv.report(c.File, configurationKind.Name, err)
 	}
 	current, err := first(inv, func(ctx context.Context, client *rockoperator.Client) (*v1.GetConfigurationResponse, error) {
 		return client.GetConfiguration(ctx)
--- a/io/rockcommand/command.go
+++ b/io/rockcommand/command.go
@@ -29,17 +29,9 @@
 	Kinds      []FileKind // files that check knows
 }
 
-// Option changes a Command while it is made.
-type Option func(*Command)
-
-// WithFileKind adds a kind of file that check knows.
-func WithFileKind(kind FileKind) Option {
-	return func(c *Command) { c.Kinds = append(c.Kinds, kind) }
-}
-
 // New returns the command line with the system's clock, files and network.
-func New(options ...Option) *Command {
-	c := &Command{
+func New() *Command {
+	return &Command{
 		Dial:     rockoperator.NewClient,
 		ReadFile: os.ReadFile,
 		Sleep:    sleep,
@@ -49,19 +41,15 @@
 			return g.Run(ctx)
 		},
 		IsTerminal: isTerminal,
-		Kinds:      []FileKind{configurationKind, commandKind, loadKind},
-	}
-	for _, option := range options {
-		option(c)
+		Kinds:      []FileKind{configurationKind, daemonKind, commandKind, loadKind},
 	}
-	return c
 }
 
 // Main runs the command line until it ends or is interrupted, and returns its exit code; args exclude the program's name.
-func Main(args []string, stdout, stderr io.Writer, options ...Option) int {
+func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return New(options...).Run(ctx, args, stdout, stderr)
+	return New().Run(ctx, args, stdout, stderr)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -84,14 +72,14 @@
 
 // grammar holds the arguments of all commands.
 type grammar struct {
-	Server      []string      `short:"s" placeholder:"ADDRESS" help:"Operators' address of a host; may be given several times. The next one is used when one does not answer."`
-	Output      string        `short:"o" enum:"text,json" default:"text" help:"Form of the output: text or json."`
-	Settings    string        `placeholder:"FILE" env:"SASSAFRASROCK_SETTINGS" help:"File with the settings of the command line; flags go before it."`
-	TokenFile   string        `placeholder:"FILE" help:"File with the operators' token."`
-	Certificate string        `placeholder:"FILE" help:"Client certificate for mutual TLS (PEM)."`
-	Key         string        `placeholder:"FILE" help:"Key of the client certificate (PEM)."`
-	TrustRoot   string        `placeholder:"FILE" help:"Root of the servers' certificates (PEM); turns TLS on."`
-	Timeout     time.Duration `placeholder:"DURATION" help:"Limit of one call (default 35s)."`
+	Server    []string      `short:"s" placeholder:"ADDRESS" help:"Operators' address of a host; may be given several times. The next one is used when one does not answer."`
+	Output    string        `short:"o" enum:"text,json" default:"text" help:"Form of the output: text or json."`
+	Settings  string        `placeholder:"FILE" env:"SASSAFRASROCK_SETTINGS" help:"File with the settings of the command line; flags go before it."`
+	TokenFile string        `placeholder:"FILE" help:"File with the operators' token."`
+	CAFile    string        `name:"ca-file" placeholder:"FILE" help:"Trust root of the servers' certificates (PEM); turns TLS on."`
+	CertFile  string        `placeholder:"FILE" help:"Client certificate for mutual TLS (PEM)."`
+	KeyFile   string        `placeholder:"FILE" help:"Key of the client certificate (PEM)."`
+	Timeout   time.Duration `placeholder:"DURATION" help:"Limit of one call (default 35s)."`
 
 	Apply    applyCommand    `cmd:"" help:"Show what a configuration file changes, put it in force, and wait until all live hosts have it."`
 	Get      getCommand      `cmd:"" help:"Print the configuration in force."`
--- a/io/rockcommand/command_test.go
+++ b/io/rockcommand/command_test.go
@@ -199,6 +199,17 @@
 		{"checkBad", "check bad.json", rockcommand.ExitInvalid, nil},
 		{"checkBadJSON", "check bad.json -o json", rockcommand.ExitInvalid, nil},
 		{"checkKind", "check new.json --kind comand", rockcommand.ExitUsage, nil},
+		{"checkDaemon", "check daemon.json", rockcommand.ExitInvalid, func(p *platform) {
+			p.files["daemon.json"] = "{\n  \"callersAddress\": \"x\",\n  \"logLevel\": \"loud\",\n  \"hots\": 1\n}"
+		}},
+		{"checkSyntax", "check new.json", rockcommand.ExitInvalid, func(p *platform) { p.files["new.json"] = "{\n\"ranks\": [}" }},
+		{"settings", "get --settings command.json", rockcommand.ExitOK, func(p *platform) {
+			p.files["command.json"] = `{"operators": ["127.0.0.1:1"], "token": "secret"}`
+		}},
+		{"settingsBad", "get --settings command.json", rockcommand.ExitInvalid, func(p *platform) {
+			p.files["command.json"] = `{"operators": ["127.0.0.1:1"], "certFile": "x"}`
+		}},
+		{"plainToken", "get -s 192.0.2.1:1 --token-file token", rockcommand.ExitUsage, func(p *platform) { p.files["token"] = "secret" }},
 		{"drain", "drain runner-1 -s a", rockcommand.ExitOK, nil},
 		{"drainLiftUnrecorded", "drain runner-1 --lift -s a", rockcommand.ExitFailed, nil},
 		{"drainUnknown", "drain runner-9 -s a", rockcommand.ExitNotFound, nil},
--- a/io/rockcommand/connection.go
+++ b/io/rockcommand/connection.go
@@ -18,36 +18,31 @@
 // defaultTimeout is longer than the 30 s after which a server ends an unfinished change.
 const defaultTimeout = 35 * time.Second
 
-// Settings are the settings file of the command line.
-type Settings struct {
-	Servers     []string `json:"servers" validate:"max=1024"`
-	TokenFile   string   `json:"tokenFile,omitempty"`
-	Certificate string   `json:"certificate,omitempty"`
-	Key         string   `json:"key,omitempty"`
-	TrustRoot   string   `json:"trustRoot,omitempty"`
-	TimeoutMs   int      `json:"timeoutMs,omitempty" validate:"min=0,max=600000"`
-}
-
 // settings returns the settings file with the flags in place of its values.
-func (inv *invocation) settings() (Settings, error) {
-	var s Settings
+func (inv *invocation) settings() (rocksettings.Client, error) {
+	var s rocksettings.Client
 	if name := inv.flags.Settings; name != "" {
 		data, err := inv.ReadFile(name)
 		if err != nil {
 			return s, eris.Wrap(err, "settings")
 		}
-		if s, err = rocksettings.Decode[Settings](data); err != nil {
-			return s, &exitError{code: ExitInvalid, err: err}
+		if s, err = rocksettings.Decode[rocksettings.Client](data); err != nil {
+			return s, &exitError{code: ExitInvalid, err: eris.Wrap(err, name)}
 		}
 	}
 	if len(inv.flags.Server) > 0 {
-		s.Servers = inv.flags.Server
+		s.Operators = inv.flags.Server
+	}
+	s.CAFile = cmp.Or(inv.flags.CAFile, s.CAFile)
+	s.CertFile = cmp.Or(inv.flags.CertFile, s.CertFile)
+	s.KeyFile = cmp.Or(inv.flags.KeyFile, s.KeyFile)
+	if inv.flags.TokenFile != "" {
+		token, err := inv.ReadFile(inv.flags.TokenFile)
+		if err != nil {
+			return s, eris.Wrap(err, "token file")
+		}
+		s.Token = strings.TrimSpace(string(token))
 	}
-	s.TokenFile = cmp.Or(inv.flags.TokenFile, s.TokenFile)
-	s.Certificate = cmp.Or(inv.flags.Certificate, s.Certificate)
-	s.Key = cmp.Or(inv.flags.Key, s.Key)
-	s.TrustRoot = cmp.Or(inv.flags.TrustRoot, s.TrustRoot)
-	s.TimeoutMs = cmp.Or(int(inv.flags.Timeout.Milliseconds()), s.TimeoutMs, int(defaultTimeout.Milliseconds()))
 	return s, nil
 }
 
@@ -57,51 +52,50 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(s.Servers) == 0 {
-		return nil, exitWith(ExitUsage, "no server is given: use --server, or servers in the --settings file")
+	if len(s.Operators) == 0 {
+		return nil, exitWith(ExitUsage, "no server is given: use --server, or operators in the --settings file")
 	}
-	settings := rockoperator.ClientSettings{Timeout: time.Duration(s.TimeoutMs) * time.Millisecond}
+	settings := rockoperator.ClientSettings{Token: s.Token, Timeout: cmp.Or(inv.flags.Timeout, defaultTimeout)}
 	if settings.TLS, err = inv.tlsConfig(s); err != nil {
 		return nil, err
 	}
-	if s.TokenFile != "" {
-		token, err := inv.ReadFile(s.TokenFile)
-		if err != nil {
-			return nil, eris.Wrap(err, "token file")
+	clients := make([]*rockoperator.Client, len(s.Operators))
+	for i, address := range s.Operators {
+		if err := settings.Check(address); err != nil {
+			return nil, &exitError{code: ExitUsage, err: err}
 		}
-		settings.Token = strings.TrimSpace(string(token))
-	}
-	clients := make([]*rockoperator.Client, len(s.Servers))
-	for i, address := range s.Servers {
 		clients[i] = inv.Dial(address, settings)
 	}
 	return clients, nil
 }
 
 // tlsConfig returns nil if the settings name neither a root nor a certificate.
-func (inv *invocation) tlsConfig(s Settings) (*tls.Config, error) {
-	if s.TrustRoot == "" && s.Certificate == "" {
+func (inv *invocation) tlsConfig(s rocksettings.Client) (*tls.Config, error) {
+	if s.CAFile == "" && s.CertFile == "" {
 		return nil, nil
 	}
+	if (s.CertFile == "") != (s.KeyFile == "") {
+		return nil, exitWith(ExitUsage, "a client certificate needs both --cert-file and --key-file")
+	}
 	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
-	if s.TrustRoot != "" {
-		root, err := inv.ReadFile(s.TrustRoot)
+	if s.CAFile != "" {
+		root, err := inv.ReadFile(s.CAFile)
 		if err != nil {
 			return nil, eris.Wrap(err, "trust root")
 		}
 		cfg.RootCAs = x509.NewCertPool()
 		if !cfg.RootCAs.AppendCertsFromPEM(root) {
-			return nil, exitWith(ExitInvalid, "trust root: %q holds no certificate in PEM", s.TrustRoot)
+			return nil, exitWith(ExitInvalid, "trust root: %q holds no certificate in PEM", s.CAFile)
 		}
 	}
-	if s.Certificate == "" {
+	if s.CertFile == "" {
 		return cfg, nil
 	}
-	certificate, err := inv.ReadFile(s.Certificate)
+	certificate, err := inv.ReadFile(s.CertFile)
 	if err != nil {
 		return nil, eris.Wrap(err, "certificate")
 	}
-	key, err := inv.ReadFile(s.Key)
+	key, err := inv.ReadFile(s.KeyFile)
 	if err != nil {
 		return nil, eris.Wrap(err, "key of the certificate")
 	}
--- a/io/rockcommand/load.go
+++ b/io/rockcommand/load.go
@@ -31,7 +31,7 @@
 	}
 	plan, err := rocksettings.Decode[rockload.Plan](data)
 	if err != nil {
-		return inv.report(c.Plan, loadKind.Name, data, err)
+		return inv.report(c.Plan, loadKind.Name, err)
 	}
 	c.override(&plan)
 	generator := &rockload.Generator{Plan: plan}
--- a/io/rockoperator/access.go
+++ b/io/rockoperator/access.go
@@ -9,9 +9,12 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"sassafrasrock/io/rocksettings"
 )
 
 // ErrOpenAccess says that an address beyond loopback would be served without a token or mutual TLS.
@@ -27,6 +30,29 @@
 	ClientRoots *x509.CertPool   // roots of client certificates; nil if there is no mutual TLS
 }
 
+// LoadAccess returns the access of a daemon's settings; the TLS files, if any, turn mutual TLS on.
+func LoadAccess(settings rocksettings.Daemon) (Access, error) {
+	access := Access{TokenSHA256: settings.OperatorTokenSHA256}
+	files := settings.OperatorTLS
+	if files == nil {
+		return access, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+	if err != nil {
+		return access, eris.Wrap(err, "operators' certificate")
+	}
+	roots, err := os.ReadFile(files.CAFile)
+	if err != nil {
+		return access, eris.Wrap(err, "operators' trust root")
+	}
+	access.Certificate = &certificate
+	access.ClientRoots = x509.NewCertPool()
+	if !access.ClientRoots.AppendCertsFromPEM(roots) {
+		return access, eris.Errorf("operators' trust root: %q holds no certificate in PEM", files.CAFile)
+	}
+	return access, nil
+}
+
 // Check returns an error if the address must not be served with this access.
 func (a Access) Check(address string) error {
 	if a.TokenSHA256 != "" {
--- a/io/rockoperator/client.go
+++ b/io/rockoperator/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 
 	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
 	"sassafrasrock/schema/gen/sassafrasrock/v1/sassafrasrockv1connect"
@@ -31,6 +32,18 @@
 	Timeout time.Duration // of one call; 0 means no limit
 }
 
+// ErrPlainToken says that a token would be sent to another machine without TLS.
+var ErrPlainToken = eris.New("a token is sent to another machine only with TLS")
+
+// Check returns ErrPlainToken if a client with these settings must not be used for the address.
+func (s ClientSettings) Check(address string) error {
+	host, isPlain := strings.CutPrefix(baseURL(address, s.TLS != nil), "http://")
+	if s.Token != "" && isPlain && !isLoopback(host) {
+		return eris.Wrap(ErrPlainToken, address)
+	}
+	return nil
+}
+
 // NewClient returns a client for an address: host and port, or a URL.
 func NewClient(address string, settings ClientSettings) *Client {
 	transport := &http.Transport{TLSClientConfig: settings.TLS, ForceAttemptHTTP2: true}
--- a/io/rockoperator/server.go
+++ b/io/rockoperator/server.go
@@ -8,7 +8,6 @@
 	"log"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -126,10 +125,6 @@
 			Errors:  wrong,
 		}), nil
 	}
-	for i := range cfg.Callers {
-		// Callers' tokens are looked up by their hash in lower case.
-		cfg.Callers[i].TokenSHA256 = strings.ToLower(cfg.Callers[i].TokenSHA256)
-	}
 	end, err := s.change(ctx, rocktable.ConfigChange{
 		Change:          r.Msg.GetChangeId(),
 		ExpectedVersion: r.Msg.GetExpectedVersion(),
