Name seed peers for the time before the platform's list is read

Cause: a host that starts while the platform is out knows no peer. Change: World.Seeds from the settings.

--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -59,6 +59,7 @@
 	Self        HostID
 	Incarnation uint64
 	Started     time.Time
+	Seeds       []string // addresses that get a message while no peer is known
 
 	Hosts       Table[HostID, Host]
 	DataCentres Table[DataCentreID, DataCentre]
@@ -143,6 +144,11 @@
 	return func(w *World) { w.Limits = limits }
 }
 
+// WithSeeds names peers' addresses to begin with, before the platform's list has been read.
+func WithSeeds(addresses ...string) Option {
+	return func(w *World) { w.Seeds = addresses }
+}
+
 // NewWorld returns the state of a host that has just started.
 func NewWorld(now time.Time, self Host, dataCentre DataCentre, incarnation uint64, options ...Option) *World {
 	w := &World{
