--- /dev/null
+++ b/io/rockengine/prefix.go
@@ -0,0 +1,26 @@
+package rockengine
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlock is the number of words of a prompt between two prefix hashes.
+const PrefixBlock = 16
+
+// PrefixHashes returns the hashes of the prompt's prefixes as cache events name them, one for each whole block of words.
+func PrefixHashes(prompt string) []uint64 {
+	var hashes []uint64
+	digest := xxhash.New()
+	n := 0
+	for word := range strings.FieldsSeq(prompt) {
+		// Hash.Write never returns an error.
+		_, _ = digest.WriteString(word)
+		_, _ = digest.WriteString("\n")
+		if n++; n%PrefixBlock == 0 {
+			hashes = append(hashes, digest.Sum64())
+		}
+	}
+	return hashes
+}
--- a/io/rockplatform/platform.go
+++ b/io/rockplatform/platform.go
@@ -16,6 +16,8 @@
 	ErrUnclear = eris.New("the platform's answer was lost")
 	// ErrConflict says that the row has another version than expected.
 	ErrConflict = eris.New("the row has another version")
+	// ErrNotFound says that there is no object of that name.
+	ErrNotFound = eris.New("there is no such object")
 )
 
 // HostList is the body of the platform's host list.
@@ -47,4 +49,6 @@
 	GetObject func(ctx context.Context, name string) ([]byte, error)
 	// PutObject writes an object.
 	PutObject func(ctx context.Context, name string, body []byte) error
+	// Close closes the connections that no operation uses.
+	Close func()
 }
--- /dev/null
+++ b/io/rockservice/client.go
@@ -0,0 +1,120 @@
+package rockservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// The headers that carry the fields of a Call.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderAttempt = "Sassafrasrock-Attempt"
+)
+
+// Options are the limits of a client.
+type Options struct {
+	DialTimeout time.Duration
+	MaxBody     int // bytes of an answer
+}
+
+// Option changes the limits of a client.
+type Option func(*Options)
+
+// WithDialTimeout sets the longest wait for a connection.
+func WithDialTimeout(d time.Duration) Option { return func(o *Options) { o.DialTimeout = d } }
+
+// DefaultOptions returns the limits of a client that is made without options.
+func DefaultOptions() Options { return Options{DialTimeout: time.Second, MaxBody: 16 << 20} }
+
+// client holds the transport behind the fields of a Client.
+type client struct {
+	options   Options
+	transport *http.Transport
+}
+
+// New returns a Client over HTTP/1.1.
+func New(options ...Option) *Client {
+	o := DefaultOptions()
+	for _, option := range options {
+		option(&o)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	c := &client{options: o, transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		Protocols:   protocols,
+		// net/http repeats a request with an Idempotency-Key when a reused connection breaks, so no connection is reused.
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}}
+	return &Client{Do: c.do, Probe: c.probe}
+}
+
+func (c *client) do(ctx context.Context, address string, call Call) (Reply, error) {
+	var handed atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { handed.Store(true) },
+	})
+	fail := func(err error) error {
+		if handed.Load() {
+			return fmt.Errorf("%w: %w", ErrLost, err)
+		}
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	req, err := newRequest(ctx, address, call)
+	if err != nil {
+		return Reply{}, fail(err)
+	}
+	// RoundTrip follows no redirect, which would be a second call.
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return Reply{}, fail(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.options.MaxBody)+1))
+	if err != nil {
+		return Reply{}, fail(err)
+	}
+	if len(body) > c.options.MaxBody {
+		return Reply{}, fail(fmt.Errorf("the answer has more than %d bytes", c.options.MaxBody))
+	}
+	return Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send the body a second time.
+	req.GetBody = nil
+	for header, value := range map[string]string{"Content-Type": call.Type, HeaderKey: call.Key, HeaderAttempt: call.Attempt} {
+		if value != "" {
+			req.Header.Set(header, value)
+		}
+	}
+	return req, nil
+}
+
+func (c *client) probe(ctx context.Context, address string) (Health, error) {
+	var health Health
+	reply, err := c.do(ctx, address, Call{Method: http.MethodGet, Path: "/healthz"})
+	if err != nil {
+		return health, err
+	}
+	if reply.Status != http.StatusOK {
+		return health, fmt.Errorf("%w: status %d", ErrLost, reply.Status)
+	}
+	if err := json.Unmarshal(reply.Body, &health); err != nil {
+		return health, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	return health, nil
+}
