--- /dev/null
+++ b/io/rockstandin/application_test.go
@@ -0,0 +1,154 @@
+package rockstandin_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"sassafrasrock/io/rockservice"
+	"sassafrasrock/io/rockstandin"
+)
+
+func order(key string) rockservice.Call {
+	return rockservice.Call{
+		Method: http.MethodPost, Path: "/orders", Type: "application/json",
+		Key: key, Attempt: "h1-1", Body: []byte(`{"item":"rope","quantity":2}`),
+	}
+}
+
+// Guards against a call or a read that is passed on wrongly, and against a probe that shows no departure.
+func TestCalls(t *testing.T) {
+	s := start(t, settings())
+	c := rockservice.New()
+	square := rockservice.Call{Method: http.MethodPost, Path: "/squares", Key: "k1", Body: []byte(`{"number":12}`)}
+	reply, err := c.Do(patient(t), s.Address("app"), square)
+	if err != nil || reply.Status != http.StatusCreated || !strings.Contains(string(reply.Body), "144") {
+		t.Fatalf("reply %d %s, error %v", reply.Status, reply.Body, err)
+	}
+	reply, err = c.Do(patient(t), s.Address("app"), rockservice.Call{Method: http.MethodGet, Path: "/squares/s1"})
+	if err != nil || reply.Status != http.StatusOK || !strings.Contains(string(reply.Body), "144") {
+		t.Fatalf("reply %d %s, error %v", reply.Status, reply.Body, err)
+	}
+	fault(t, s, rockstandin.Fault{Target: "app", Kind: rockstandin.FaultLeaving})
+	if health, err := c.Probe(patient(t), s.Address("app")); err != nil || health.State != "leaving" || health.Incarnation == 0 {
+		t.Fatalf("health %+v, error %v", health, err)
+	}
+}
+
+// Guards against net/http, which repeats calls with an idempotency key by itself, and against a run that is reported as not handed over.
+func TestCallRunsAtMostOnce(t *testing.T) {
+	cases := []struct {
+		kind string
+		runs int
+	}{
+		{rockstandin.FaultLostAnswer, 1},
+		{rockstandin.FaultCrashAfter, 1},
+		{rockstandin.FaultCrashBefore, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.kind, func(t *testing.T) {
+			s := start(t, settings())
+			c := rockservice.New()
+			if _, err := c.Do(patient(t), s.Address("app"), order("first")); err != nil {
+				t.Fatal(err)
+			}
+			fault(t, s, rockstandin.Fault{Target: "app", Kind: test.kind, Times: 1})
+			if _, err := c.Do(patient(t), s.Address("app"), order("k1")); !errors.Is(err, rockservice.ErrLost) {
+				t.Fatalf("got %v, want ErrLost", err)
+			}
+			if got := s.Counts().Runs["k1"]; got != test.runs {
+				t.Fatalf("%d runs, want %d", got, test.runs)
+			}
+		})
+	}
+}
+
+// Guards against a server that cannot be reached and is reported as a lost answer, which would never be sent elsewhere.
+func TestUnreachableService(t *testing.T) {
+	s := start(t, settings())
+	fault(t, s, rockstandin.Fault{Target: "app", Kind: rockstandin.FaultKill})
+	_, err := rockservice.New().Do(patient(t), s.Address("app"), order("k1"))
+	if !errors.Is(err, rockservice.ErrUnreachable) || errors.Is(err, rockservice.ErrLost) {
+		t.Fatalf("got %v, want ErrUnreachable", err)
+	}
+}
+
+// Guards against a timeout that is reported as not handed over while the call still runs.
+func TestSlowService(t *testing.T) {
+	cfg := settings()
+	cfg.Applications[0].RunMs = 1
+	s := start(t, cfg)
+	fault(t, s, rockstandin.Fault{Target: "app", Kind: rockstandin.FaultSlow, Factor: 300})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := rockservice.New().Do(ctx, s.Address("app"), order("k1")); !errors.Is(err, rockservice.ErrLost) {
+		t.Fatalf("got %v, want ErrLost", err)
+	}
+	eventually(t, "the run", func() bool { return s.Counts().Runs["k1"] == 1 })
+}
+
+// Guards against faults and witnesses that only the Go methods can reach, and against a typing error that switches nothing.
+func TestControlAddress(t *testing.T) {
+	s := start(t, settings())
+	c := rockservice.New()
+	post := func(body string) int {
+		reply, err := c.Do(patient(t), s.Address(rockstandin.ControlName), rockservice.Call{Method: http.MethodPost, Path: "/v1/faults", Body: []byte(body)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply.Status
+	}
+	if got := post(`{"target":"app","kind":"kil"}`); got != http.StatusBadRequest {
+		t.Fatalf("unknown kind: status %d", got)
+	}
+	if got := post(`{"target":"ga-west-a","kind":"kill"}`); got != http.StatusOK {
+		t.Fatalf("kill of a data centre: status %d", got)
+	}
+	reply, err := c.Do(patient(t), s.Address(rockstandin.ControlName), rockservice.Call{Method: http.MethodGet, Path: "/v1/counts"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var counts rockstandin.Counts
+	if err := json.Unmarshal(reply.Body, &counts); err != nil || !counts.Servers["a"].Down || !counts.Servers["app"].Down {
+		t.Fatalf("counts %s, error %v", reply.Body, err)
+	}
+}
+
+// Guards against an example that does not load or that holds no whole model.
+func TestExample(t *testing.T) {
+	s, err := rockstandin.LoadFile("../../examples/sassafrasrock-standin.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rockstandin.NewWorld(time.Now(), s); err != nil {
+		t.Fatal(err)
+	}
+	firsts, kinds := make(map[int]int), make(map[string]int)
+	for _, e := range s.Engines {
+		firsts[e.FirstLayer]++
+		kinds[e.Kind]++
+	}
+	if len(s.Engines) != 9 || firsts[0] != 3 || firsts[3] != 3 || firsts[6] != 3 || len(kinds) != 3 || len(s.Applications) != 3 {
+		t.Fatalf("engines by first layer %v, by kind %v, %d applications", firsts, kinds, len(s.Applications))
+	}
+}
+
+// Guards against goroutines that outlive Close.
+func TestClose(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	s, err := rockstandin.Start(t.Context(), settings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := engineClient(t)
+	mustOpen(t, e, s, "a", "r1")
+	s.Close()
+	e.Close()
+	goleak.VerifyNone(t, before)
+}
--- /dev/null
+++ b/io/rockstandin/engine_test.go
@@ -0,0 +1,282 @@
+package rockstandin_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockstandin"
+)
+
+// Guards against an engine or a client that loses, doubles or misplaces layers, positions or tokens.
+func TestAnswerOverThreeStages(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	stages := []*rockengine.Session{mustOpen(t, e, s, "a", "r1"), mustOpen(t, e, s, "b", "r1"), mustOpen(t, e, s, "c", "r1")}
+	equal(t, generate(t, stages, prompt, 12), rockstandin.Expected("windsock-9", 9, prompt, 12))
+	if got := s.Counts().Requests["r1"]; got.Sessions != 3 || got.Steps != 36 {
+		t.Fatalf("counts %+v, want 3 sessions and 36 steps", got)
+	}
+}
+
+// Guards against a witness that a skipped or doubled range of layers does not change.
+func TestExpectedShowsWrongLayers(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	want := rockstandin.Expected("windsock-9", 9, prompt, 4)
+	for _, path := range []string{"ac", "abbc"} {
+		var stages []*rockengine.Session
+		for _, name := range strings.Split(path, "") {
+			stages = append(stages, mustOpen(t, e, s, name, path))
+		}
+		if got := generate(t, stages, prompt, 4); slices.Equal(got, want) {
+			t.Fatalf("path %s gives the right answer", path)
+		}
+	}
+	if slices.Equal(rockstandin.Expected("windsock-9", 9, prompt+" x", 4), want) {
+		t.Fatal("another prompt gives the same answer")
+	}
+}
+
+// Guards against a prefix cache that changes the answer, and against cache events that the router cannot match with the prompt.
+func TestPrefixCache(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	long := strings.Repeat(prompt+" ", 4)
+	for _, request := range []string{"cold", "warm"} {
+		stages := []*rockengine.Session{mustOpen(t, e, s, "a", request), mustOpen(t, e, s, "b", request), mustOpen(t, e, s, "c", request)}
+		equal(t, generate(t, stages, long, 3), rockstandin.Expected("windsock-9", 9, long, 3))
+	}
+	session := mustOpen(t, e, s, "a", "warm")
+	reply, err := session.Step(patient(t), rockengine.Step{Prompt: long})
+	if err != nil || reply.Cached != 32 {
+		t.Fatalf("%d positions cached, want 32; error %v", reply.Cached, err)
+	}
+	events, err := e.CacheEvents(patient(t), s.Address("a"), 0)
+	if err != nil || len(events.Events) != 2 || events.Events[0].Prefix != rockengine.PrefixHashes(long)[0] {
+		t.Fatalf("events %+v, error %v", events, err)
+	}
+}
+
+// Guards against a replay or a moved KV cache that changes the rest of the answer.
+func TestReplayAndMove(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	first := mustOpen(t, e, s, "a", "r1")
+	before, err := first.Step(patient(t), rockengine.Step{Prompt: prompt, Tokens: []uint32{7}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	move, err := e.Export(patient(t), s.Address("a"), rockengine.Move{Request: "r1", Epoch: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	move.Request = "r2"
+	if err := e.Import(patient(t), s.Address("a"), move); err != nil {
+		t.Fatal(err)
+	}
+	second := mustOpen(t, e, s, "a", "r2")
+	step := rockengine.Step{Index: 1, Position: before.Position, Tokens: []uint32{9}}
+	want, err := first.Step(patient(t), step)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := second.Step(patient(t), step)
+	if err != nil || !slices.Equal(got.Activations, want.Activations) {
+		t.Fatalf("moved session gives %v, want %v; error %v", got.Activations, want.Activations, err)
+	}
+	if _, err := e.Export(patient(t), s.Address("a"), rockengine.Move{Request: "none"}); !errors.Is(err, rockengine.ErrNotStarted) {
+		t.Fatalf("export of no session: %v", err)
+	}
+}
+
+// Guards against steps that are taken at another position than the session's.
+func TestStepAtWrongPosition(t *testing.T) {
+	s := start(t, settings())
+	session := mustOpen(t, engineClient(t), s, "a", "r1")
+	if _, err := session.Step(patient(t), rockengine.Step{Position: 5, Tokens: []uint32{1}}); !errors.Is(err, rockengine.ErrMisstep) {
+		t.Fatalf("got %v, want ErrMisstep", err)
+	}
+}
+
+// Guards against a refusal that is taken for work that may have run, and against more sessions than slots and queue.
+func TestRefusals(t *testing.T) {
+	cfg := settings()
+	cfg.Engines[0].Slots, cfg.Engines[0].Queue = 1, 0
+	s := start(t, cfg)
+	e := engineClient(t)
+	_, err := e.Open(patient(t), s.Address("b"), rockengine.OpenRequest{Request: "r1", Model: "other"})
+	if !errors.Is(err, rockengine.ErrNotStarted) {
+		t.Fatalf("wrong model: %v", err)
+	}
+	held := mustOpen(t, e, s, "a", "r1")
+	if _, err := open(t, e, s, "a", "r2"); !errors.Is(err, rockengine.ErrNotStarted) {
+		t.Fatalf("full engine: %v", err)
+	}
+	held.Close()
+	eventually(t, "the slot of a closed session", func() bool {
+		session, err := open(t, e, s, "a", "r3")
+		if err == nil {
+			session.Close()
+		}
+		return err == nil
+	})
+	fault(t, s, rockstandin.Fault{Target: "b", Kind: rockstandin.FaultLeaving, Refuse: true})
+	if _, err := open(t, e, s, "b", "r4"); !errors.Is(err, rockengine.ErrNotStarted) {
+		t.Fatalf("leaving engine: %v", err)
+	}
+	if status, _, err := e.Status(patient(t), s.Address("b")); err != nil || status.State != "leaving" {
+		t.Fatalf("status %+v, error %v", status, err)
+	}
+}
+
+// Guards against orders of an old holder at engines that check the fencing number, and against a witness that misses them at others.
+func TestOrders(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	load := rockengine.OrderRequest{Order: "load", Model: "windsock-9", Version: "2", FirstLayer: 3, LastLayer: 8}
+	for _, name := range []string{"b", "c"} {
+		for _, fencing := range []uint64{5, 4} {
+			load.Fencing = fencing
+			reply, err := e.Order(patient(t), s.Address(name), load)
+			if fenced := name == "b" && fencing == 4; err != nil || reply.Fenced != fenced || reply.OK == fenced {
+				t.Fatalf("engine %s, fencing %d: %+v, error %v", name, fencing, reply, err)
+			}
+		}
+	}
+	if got := s.Counts().Engines["c"].OldOrders; got != 1 {
+		t.Fatalf("%d old orders counted, want 1", got)
+	}
+	if status, _, err := e.Status(patient(t), s.Address("b")); err != nil || status.Version != "2" || status.LastLayer != 8 {
+		t.Fatalf("status %+v, error %v", status, err)
+	}
+}
+
+// Guards against sessions that survive a kill, a port that stays open and a restart that looks like the same process.
+func TestKillAndRestart(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	session := mustOpen(t, e, s, "a", "r1")
+	before, _, err := e.Status(patient(t), s.Address("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultKill})
+	if _, err := session.Step(patient(t), rockengine.Step{Prompt: prompt}); !errors.Is(err, rockengine.ErrLost) {
+		t.Fatalf("step at a killed engine: %v", err)
+	}
+	eventually(t, "a refused connection", func() bool {
+		_, err := open(t, e, s, "a", "r2")
+		return errors.Is(err, rockengine.ErrUnreachable)
+	})
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultKill, Lift: true})
+	eventually(t, "the restarted engine", func() bool {
+		after, _, err := e.Status(patient(t), s.Address("a"))
+		return err == nil && after.Incarnation != before.Incarnation
+	})
+}
+
+// Guards against a step that is lost while the engine is frozen for less than the ping limit.
+func TestFreeze(t *testing.T) {
+	s := start(t, settings())
+	e := rockengine.New(rockengine.WithPing(patience, patience))
+	t.Cleanup(e.Close)
+	session := mustOpen(t, e, s, "a", "r1")
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultFreeze})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := session.Step(patient(t), rockengine.Step{Prompt: prompt})
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		t.Fatalf("a step ended at a frozen engine: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultFreeze, Lift: true})
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against calls that hang on a silent connection, and against a new call that is put on it for good.
+func TestSilentConnection(t *testing.T) {
+	for _, kind := range []string{rockstandin.FaultSilent, rockstandin.FaultCut, rockstandin.FaultFreeze} {
+		t.Run(kind, func(t *testing.T) {
+			s := start(t, settings())
+			e := engineClient(t)
+			session := mustOpen(t, e, s, "a", "r1")
+			other := mustOpen(t, e, s, "a", "r2")
+			fault(t, s, rockstandin.Fault{Target: "a", Kind: kind})
+			for _, session := range []*rockengine.Session{session, other} {
+				if _, err := session.Step(patient(t), rockengine.Step{Prompt: prompt}); !errors.Is(err, rockengine.ErrLost) {
+					t.Fatalf("step on a silent connection: %v", err)
+				}
+			}
+			fault(t, s, rockstandin.Fault{Target: "a", Kind: kind, Lift: true})
+			eventually(t, "a new connection", func() bool {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, _, err := e.Status(ctx, s.Address("a"))
+				return err == nil
+			})
+		})
+	}
+}
+
+// Guards against an engine that does not crash on the text, and against a crash that other requests cannot survive.
+func TestCrashOnText(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultCrash, Text: "reef"})
+	if _, err := mustOpen(t, e, s, "a", "r1").Step(patient(t), rockengine.Step{Prompt: "the reef"}); !errors.Is(err, rockengine.ErrLost) {
+		t.Fatalf("step that crashes the engine: %v", err)
+	}
+	eventually(t, "the restarted engine", func() bool {
+		session, err := open(t, e, s, "a", "r2")
+		if err != nil {
+			return false
+		}
+		defer session.Close()
+		_, err = session.Step(patient(t), rockengine.Step{Prompt: prompt})
+		return err == nil
+	})
+	if got := s.Counts().Servers["a"].Crashes; got != 1 {
+		t.Fatalf("%d crashes, want 1", got)
+	}
+}
+
+// Guards against a session that stays usable after its step timed out, when a late answer would be out of step.
+func TestStepTimeout(t *testing.T) {
+	s := start(t, settings())
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultSlow, Factor: 1e6})
+	session := mustOpen(t, engineClient(t), s, "a", "r1")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := session.Step(ctx, rockengine.Step{Prompt: prompt}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v, want the deadline", err)
+	}
+	if _, err := session.Step(patient(t), rockengine.Step{Prompt: prompt}); !errors.Is(err, rockengine.ErrLost) {
+		t.Fatalf("got %v, want ErrLost", err)
+	}
+	eventually(t, "the session to end at the engine", func() bool { return s.Counts().Engines["a"].Canceled == 1 })
+}
+
+// Guards against an opening that outlasts its context while the engine does not answer.
+func TestOpenTimeout(t *testing.T) {
+	s := start(t, settings())
+	e := rockengine.New(rockengine.WithPing(patience, patience))
+	t.Cleanup(e.Close)
+	mustOpen(t, e, s, "a", "r1")
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultFreeze})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := e.Open(ctx, s.Address("a"), rockengine.OpenRequest{Request: "r2"})
+	if !errors.Is(err, context.DeadlineExceeded) || !errors.Is(err, rockengine.ErrLost) {
+		t.Fatalf("got %v, want ErrLost and the deadline", err)
+	}
+}
--- /dev/null
+++ b/io/rockstandin/faults.go
@@ -0,0 +1,260 @@
+package rockstandin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrFault says that a fault names no target or no kind that the target has.
+var ErrFault = eris.New("the fault is not known")
+
+// Fault is a fault to switch on, or off if Lift is set.
+type Fault struct {
+	Target  string  `json:"target"` // name of a server, "platform", or a data centre for all of its servers
+	Kind    string  `json:"kind"`
+	Lift    bool    `json:"lift,omitempty"`
+	ForMs   int     `json:"forMs,omitempty"`   // lifted after this time; 0 means that it stays
+	Times   int     `json:"times,omitempty"`   // lifted after it struck this often; 0 means that it stays
+	Text    string  `json:"text,omitempty"`    // of FaultCrash
+	Factor  float64 `json:"factor,omitempty"`  // of FaultSlow: times the step and run times
+	DelayMs int     `json:"delayMs,omitempty"` // of FaultSlow, FaultLag and FaultOldReads
+	Refuse  bool    `json:"refuse,omitempty"`  // of FaultLeaving: new sessions are refused
+}
+
+// The kinds of faults.
+const (
+	FaultKill        = "kill"        // connections reset, port closed; lifting it restarts the server
+	FaultRestart     = "restart"     // kill and start with a new incarnation, once
+	FaultFreeze      = "freeze"      // the process does nothing and loses nothing
+	FaultCut         = "cut"         // nothing passes in either direction; connections are reset when it ends
+	FaultSlow        = "slow"        // longer steps and runs, delayed answers
+	FaultSilent      = "silent"      // the connections that are open go silent for good; new ones work
+	FaultCrash       = "crash"       // an engine crashes on a prompt that contains the text, and restarts
+	FaultLeaving     = "leaving"     // reported and listed as leaving
+	FaultOutage      = "outage"      // the platform refuses connections
+	FaultLag         = "lag"         // the host list lags more
+	FaultLostAnswer  = "lostAnswer"  // a write or a run takes effect and its answer is lost
+	FaultOldReads    = "oldReads"    // reads return rows as they were before the last write
+	FaultCrashBefore = "crashBefore" // an application server crashes before the run
+	FaultCrashAfter  = "crashAfter"  // an application server crashes after the run
+)
+
+// faultRoles tells which servers can have a fault.
+var faultRoles = map[string][]string{
+	FaultKill:        {RoleModel, RoleApplication},
+	FaultRestart:     {RoleModel, RoleApplication},
+	FaultFreeze:      {RolePlatform, RoleModel, RoleApplication},
+	FaultCut:         {RolePlatform, RoleModel, RoleApplication},
+	FaultSlow:        {RolePlatform, RoleModel, RoleApplication},
+	FaultSilent:      {RolePlatform, RoleModel, RoleApplication},
+	FaultCrash:       {RoleModel},
+	FaultLeaving:     {RoleModel, RoleApplication},
+	FaultOutage:      {RolePlatform},
+	FaultLag:         {RolePlatform},
+	FaultLostAnswer:  {RolePlatform, RoleApplication},
+	FaultOldReads:    {RolePlatform},
+	FaultCrashBefore: {RoleApplication},
+	FaultCrashAfter:  {RoleApplication},
+}
+
+// FaultEvent switches a fault; the reply is ErrFault or nil.
+type FaultEvent struct {
+	Fault Fault
+	Reply func(error)
+}
+
+func runFaults(now time.Time, w *World) {
+	for _, event := range w.Inbox.Faults {
+		event.Reply(switchFault(now, w, event.Fault))
+	}
+	for _, s := range w.Servers.All() {
+		for _, active := range s.Faults {
+			switch {
+			case active.Until.IsZero():
+			case now.Before(active.Until):
+				w.WakeAt(active.Until)
+			default:
+				liftFault(now, w, s, active.Fault.Kind)
+			}
+		}
+	}
+}
+
+func switchFault(now time.Time, w *World, f Fault) error {
+	roles, ok := faultRoles[f.Kind]
+	if !ok {
+		return fmt.Errorf("%w: kind %q", ErrFault, f.Kind)
+	}
+	if f.Kind == FaultCrash && f.Text == "" && !f.Lift {
+		return fmt.Errorf("%w: kind %q without a text", ErrFault, f.Kind)
+	}
+	found := false
+	for _, s := range w.Servers.All() {
+		if s.Name != f.Target && (s.DataCentre == "" || s.DataCentre != f.Target) || !contains(roles, s.Role) {
+			continue
+		}
+		found = true
+		if f.Lift {
+			liftFault(now, w, s, f.Kind)
+		} else {
+			startFault(now, w, s, f)
+		}
+	}
+	if !found {
+		return fmt.Errorf("%w: target %q has no fault of kind %q", ErrFault, f.Target, f.Kind)
+	}
+	return nil
+}
+
+func contains(list []string, value string) bool {
+	for _, item := range list {
+		if item == value {
+			return true
+		}
+	}
+	return false
+}
+
+func startFault(now time.Time, w *World, s *Server, f Fault) {
+	switch f.Kind {
+	case FaultRestart:
+		stopServer(w, s)
+		s.RestartAt = now.Add(milliseconds(max(f.DelayMs, w.Settings.Engine.RestartMs)))
+		return
+	case FaultSilent:
+		w.gate(s.Name, GateMute, 0)
+		return
+	case FaultKill:
+		stopServer(w, s)
+		s.RestartAt = time.Time{}
+	case FaultOutage:
+		w.gate(s.Name, GateClose, 0)
+	case FaultFreeze:
+		w.gate(s.Name, GateFreeze, 0)
+	case FaultCut:
+		w.gate(s.Name, GateCut, 0)
+	case FaultSlow:
+		w.gate(s.Name, GateDelay, milliseconds(f.DelayMs))
+	case FaultLeaving:
+		s.Leaving = now
+		w.relist(s)
+	}
+	active := ActiveFault{Fault: f, Left: f.Times}
+	if f.ForMs > 0 {
+		active.Until = now.Add(milliseconds(f.ForMs))
+	}
+	s.Faults[f.Kind] = active
+}
+
+func liftFault(now time.Time, w *World, s *Server, kind string) {
+	if _, ok := s.Faults[kind]; !ok {
+		return
+	}
+	delete(s.Faults, kind)
+	switch kind {
+	case FaultKill:
+		s.RestartAt = now
+	case FaultOutage:
+		w.gate(s.Name, GateOpen, 0)
+	case FaultFreeze:
+		w.gate(s.Name, GateThaw, 0)
+	case FaultCut:
+		w.gate(s.Name, GateHeal, 0)
+	case FaultSlow:
+		w.gate(s.Name, GateDelay, 0)
+	case FaultLeaving:
+		s.Leaving = time.Time{}
+		w.relist(s)
+	}
+}
+
+func (w *World) relist(s *Server) {
+	if !s.Down {
+		w.Hosts.Put(s.Name, hostOf(s))
+		w.Platform.Stale = true
+	}
+}
+
+// strike reports whether a fault is in effect, and counts it down if it has a number of times.
+func strike(s *Server, kind string) bool {
+	active, ok := s.Faults[kind]
+	if !ok {
+		return false
+	}
+	if active.Left > 0 {
+		if active.Left--; active.Left == 0 {
+			delete(s.Faults, kind)
+		} else {
+			s.Faults[kind] = active
+		}
+	}
+	return true
+}
+
+// has reports whether a fault is in effect.
+func (s *Server) has(kind string) bool {
+	_, ok := s.Faults[kind]
+	return ok
+}
+
+// slowness returns the factor for step and run times.
+func (s *Server) slowness() float64 {
+	return max(1, s.Faults[FaultSlow].Fault.Factor)
+}
+
+// crash stops a server that restarts by itself.
+func crash(now time.Time, w *World, s *Server) {
+	stopServer(w, s)
+	s.Crashes++
+	s.RestartAt = now.Add(milliseconds(w.Settings.Engine.RestartMs))
+	w.WakeAt(s.RestartAt)
+}
+
+// stopServer ends the process of a server with everything in its memory.
+func stopServer(w *World, s *Server) {
+	w.gate(s.Name, GateClose, 0)
+	s.Down = true
+	delete(s.Faults, FaultFreeze)
+	w.Hosts.Delete(s.Name)
+	w.Platform.Stale = true
+	for id, call := range w.Calls.All() {
+		if call.Event.Server == s.Name {
+			call.Event.Reply(CallReply{Lost: true})
+			w.Calls.Delete(id)
+		}
+	}
+	e := w.Engines.Get(s.Name)
+	if e == nil {
+		return
+	}
+	for _, session := range w.Sessions.All() {
+		if session.Engine == s.Name {
+			dropSession(w, session)
+		}
+	}
+	for key := range w.Imports.All() {
+		if key.Engine == s.Name {
+			w.Imports.Delete(key)
+		}
+	}
+	e.Batch, e.Loading, e.Events = nil, nil, nil
+	e.Cache, e.Report = newCache(), Load{}
+	// The highest fencing number is kept in durable memory by engines that check it.
+}
+
+func runServers(now time.Time, w *World) {
+	for _, s := range w.Servers.All() {
+		switch {
+		case !s.Down || s.RestartAt.IsZero():
+		case now.Before(s.RestartAt):
+			w.WakeAt(s.RestartAt)
+		default:
+			s.Down, s.RestartAt = false, time.Time{}
+			s.Incarnation++
+			w.gate(s.Name, GateOpen, 0)
+			w.relist(s)
+		}
+	}
+}
--- /dev/null
+++ b/io/rockstandin/gate.go
@@ -0,0 +1,215 @@
+package rockstandin
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// gate owns the sockets of one server and can disturb them.
+type gate struct {
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*gateConn]bool
+	thawed   chan struct{} // closed while the server is not frozen
+	cut      bool
+	delay    time.Duration
+}
+
+// gateConn is a connection whose traffic the gate can stop or drop.
+type gateConn struct {
+	net.Conn
+	gate   *gate
+	closed chan struct{}
+	once   sync.Once
+	mute   bool // guarded by gate.mu
+}
+
+// gateListener hands connections to the gate.
+type gateListener struct {
+	net.Listener
+	gate *gate
+}
+
+func newGate() *gate {
+	g := &gate{conns: make(map[*gateConn]bool), thawed: make(chan struct{})}
+	close(g.thawed)
+	return g
+}
+
+// open opens the port and returns the listener to serve.
+func (g *gate) open(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listener = l
+	return &gateListener{Listener: l, gate: g}, nil
+}
+
+// Accept returns the next connection.
+func (l *gateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &gateConn{Conn: conn, gate: l.gate, closed: make(chan struct{})}
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	if l.gate.listener != l.Listener {
+		reset(conn)
+		return nil, net.ErrClosed
+	}
+	c.mute = l.gate.cut
+	l.gate.conns[c] = true
+	return c, nil
+}
+
+// reset closes a connection with a TCP reset, as the end of a process does with unread data.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// change applies an action of the control thread, other than GateOpen.
+func (g *gate) change(action GateAction) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch action.Do {
+	case GateClose:
+		g.closeLocked()
+	case GateFreeze:
+		g.freezeLocked()
+	case GateThaw:
+		g.thawLocked()
+	case GateCut:
+		g.cut = true
+		g.muteLocked()
+	case GateHeal:
+		g.cut = false
+		for c := range g.conns {
+			if c.mute {
+				reset(c.Conn)
+			}
+		}
+	case GateMute:
+		g.muteLocked()
+	case GateDelay:
+		g.delay = action.Delay
+	}
+}
+
+func (g *gate) muteLocked() {
+	for c := range g.conns {
+		c.mute = true
+	}
+}
+
+func (g *gate) freezeLocked() {
+	select {
+	case <-g.thawed:
+		g.thawed = make(chan struct{})
+	default:
+	}
+}
+
+func (g *gate) thawLocked() {
+	select {
+	case <-g.thawed:
+	default:
+		close(g.thawed)
+	}
+}
+
+func (g *gate) closeLocked() {
+	if g.listener != nil {
+		_ = g.listener.Close()
+		g.listener = nil
+	}
+	for c := range g.conns {
+		reset(c.Conn)
+	}
+	g.thawLocked()
+}
+
+// state returns how a connection behaves now.
+func (c *gateConn) state() (thawed chan struct{}, mute bool, delay time.Duration) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.gate.thawed, c.mute, c.gate.delay
+}
+
+// awaitThaw waits while the server is frozen, and returns whether the connection drops its traffic and the delay of its writes.
+func (c *gateConn) awaitThaw() (mute bool, delay time.Duration, err error) {
+	for {
+		thawed, mute, delay := c.state()
+		select {
+		case <-thawed:
+			return mute, delay, nil
+		default:
+		}
+		select {
+		case <-thawed:
+		case <-c.closed:
+			return false, 0, net.ErrClosed
+		}
+	}
+}
+
+// Read reads data, or drops it while the connection is mute.
+func (c *gateConn) Read(b []byte) (int, error) {
+	for {
+		if _, _, err := c.awaitThaw(); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(b)
+		mute, _, frozen := c.awaitThaw()
+		if frozen != nil {
+			return 0, frozen
+		}
+		if err != nil || !mute {
+			return n, err
+		}
+	}
+}
+
+// Write writes data, or drops it while the connection is mute.
+func (c *gateConn) Write(b []byte) (int, error) {
+	mute, delay, err := c.awaitThaw()
+	switch {
+	case err != nil:
+		return 0, err
+	case mute:
+		return len(b), nil
+	case delay > 0:
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection; a mute one sends nothing, not even its end.
+func (c *gateConn) Close() error {
+	err := net.ErrClosed
+	c.once.Do(func() {
+		close(c.closed)
+		c.gate.mu.Lock()
+		delete(c.gate.conns, c)
+		c.gate.mu.Unlock()
+		err = c.Conn.Close()
+	})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/io/rockstandin/handlers.go
@@ -0,0 +1,315 @@
+package rockstandin
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockplatform"
+)
+
+// maxLine is the largest line of a session and maxBody the largest other body, in bytes.
+const (
+	maxLine = 4 << 20
+	maxBody = 64 << 20
+)
+
+// writeJSON answers with a status and a JSON body.
+func writeJSON(rw http.ResponseWriter, status int, v any) {
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	// A failure to write means that the client has gone.
+	_ = json.NewEncoder(rw).Encode(v)
+}
+
+// readJSON decodes a body, or answers with status 400 and returns false.
+func readJSON(rw http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxBody)).Decode(v); err != nil {
+		writeJSON(rw, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return false
+	}
+	return true
+}
+
+// abort breaks the connection without an answer.
+func abort() { panic(http.ErrAbortHandler) }
+
+// pause waits and reports whether the client is still there.
+func pause(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Standin) engineHandler(name string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/sessions", func(rw http.ResponseWriter, r *http.Request) { s.serveSession(name, rw, r) })
+	mux.HandleFunc("GET /v1/status", func(rw http.ResponseWriter, r *http.Request) {
+		s.answer(rw, r, func(_ time.Time, w *World) any { return statusOf(w, w.Engines.Get(name)) })
+	})
+	mux.HandleFunc("GET /v1/cacheEvents", func(rw http.ResponseWriter, r *http.Request) {
+		// A missing number is 0, which asks for all events.
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		s.answer(rw, r, func(now time.Time, w *World) any { return eventsAfter(now, w.Engines.Get(name), after) })
+	})
+	mux.HandleFunc("POST /v1/orders", func(rw http.ResponseWriter, r *http.Request) { s.serveOrder(name, rw, r) })
+	mux.HandleFunc("POST /v1/kv/export", func(rw http.ResponseWriter, r *http.Request) { s.serveExport(name, rw, r) })
+	mux.HandleFunc("POST /v1/kv/import", func(rw http.ResponseWriter, r *http.Request) { s.serveImport(name, rw, r) })
+	return mux
+}
+
+// answer answers with what the state tells.
+func (s *Standin) answer(rw http.ResponseWriter, r *http.Request, read func(now time.Time, w *World) any) {
+	v, err := query(r.Context(), s, read)
+	if err != nil {
+		abort()
+	}
+	writeJSON(rw, http.StatusOK, v)
+}
+
+func (s *Standin) serveSession(name string, rw http.ResponseWriter, r *http.Request) {
+	id := SessionID(s.lastSession.Add(1))
+	control := http.NewResponseController(rw)
+	rw.WriteHeader(http.StatusOK)
+	if control.Flush() != nil {
+		return
+	}
+	lines := bufio.NewReader(r.Body)
+	var open rockengine.OpenRequest
+	if !readLine(lines, &open) {
+		return
+	}
+	defer s.post(func(in *Inbox) { in.Closes = append(in.Closes, id) })
+	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(rockengine.OpenReply)) {
+		in.Opens = append(in.Opens, OpenEvent{Engine: name, Session: id, Request: open, Reply: reply})
+	})
+	if err != nil {
+		abort()
+	}
+	for ok := writeLine(rw, control, reply) && reply.Accepted; ok; {
+		ok = s.serveStep(id, lines, rw, control, r)
+	}
+}
+
+// serveStep serves one step and reports whether the session goes on.
+func (s *Standin) serveStep(id SessionID, lines *bufio.Reader, rw io.Writer, control *http.ResponseController, r *http.Request) bool {
+	var step rockengine.Step
+	if !readLine(lines, &step) {
+		return false
+	}
+	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(rockengine.StepReply)) {
+		in.Steps = append(in.Steps, StepEvent{Session: id, Step: step, Reply: reply})
+	})
+	if err != nil {
+		abort()
+	}
+	return writeLine(rw, control, reply)
+}
+
+func readLine(lines *bufio.Reader, v any) bool {
+	line, err := rockengine.ReadLine(lines, maxLine)
+	return err == nil && json.Unmarshal(line, v) == nil
+}
+
+func writeLine(rw io.Writer, control *http.ResponseController, v any) bool {
+	return json.NewEncoder(rw).Encode(v) == nil && control.Flush() == nil
+}
+
+func (s *Standin) serveOrder(name string, rw http.ResponseWriter, r *http.Request) {
+	var order rockengine.OrderRequest
+	if !readJSON(rw, r, &order) {
+		return
+	}
+	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(rockengine.OrderReply)) {
+		in.Orders = append(in.Orders, OrderEvent{Engine: name, Order: order, Reply: reply})
+	})
+	if err != nil {
+		abort()
+	}
+	writeJSON(rw, http.StatusOK, reply)
+}
+
+func (s *Standin) serveExport(name string, rw http.ResponseWriter, r *http.Request) {
+	var move rockengine.Move
+	if !readJSON(rw, r, &move) {
+		return
+	}
+	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(rockengine.Move)) {
+		in.Exports = append(in.Exports, ExportEvent{Engine: name, Move: move, Reply: reply})
+	})
+	switch {
+	case err != nil:
+		abort()
+	case len(reply.State) == 0:
+		writeJSON(rw, http.StatusNotFound, map[string]string{"error": "no such session"})
+	default:
+		writeJSON(rw, http.StatusOK, reply)
+	}
+}
+
+func (s *Standin) serveImport(name string, rw http.ResponseWriter, r *http.Request) {
+	var move rockengine.Move
+	if !readJSON(rw, r, &move) {
+		return
+	}
+	refusal, err := ask(r.Context(), s, func(in *Inbox, reply func(string)) {
+		in.Imports = append(in.Imports, ImportEvent{Engine: name, Move: move, Reply: reply})
+	})
+	switch {
+	case err != nil:
+		abort()
+	case refusal != "":
+		writeJSON(rw, http.StatusConflict, map[string]string{"error": refusal})
+	default:
+		writeJSON(rw, http.StatusOK, struct{}{})
+	}
+}
+
+func (s *Standin) platformHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", func(rw http.ResponseWriter, r *http.Request) {
+		if !s.pausePlatform(r) {
+			return
+		}
+		s.answer(rw, r, func(now time.Time, w *World) any {
+			w.Platform.Count.ListReads++
+			return rockplatform.HostList{Hosts: laggedList(now, w)}
+		})
+	})
+	mux.HandleFunc("GET /v1/tables/{table}/{key}", func(rw http.ResponseWriter, r *http.Request) { s.serveRow(rw, r, nil) })
+	mux.HandleFunc("PUT /v1/tables/{table}/{key}", func(rw http.ResponseWriter, r *http.Request) {
+		put := new(rockplatform.PutRequest)
+		if readJSON(rw, r, put) {
+			s.serveRow(rw, r, put)
+		}
+	})
+	mux.HandleFunc("GET /v1/objects/{name}", func(rw http.ResponseWriter, r *http.Request) { s.serveObject(rw, r, false) })
+	mux.HandleFunc("PUT /v1/objects/{name}", func(rw http.ResponseWriter, r *http.Request) { s.serveObject(rw, r, true) })
+	return mux
+}
+
+// pausePlatform waits for the time of a read of the host list.
+func (s *Standin) pausePlatform(r *http.Request) bool {
+	delay, err := query(r.Context(), s, func(_ time.Time, w *World) time.Duration {
+		return milliseconds(w.Settings.Platform.ReadMs * w.Servers.Get(PlatformName).slowness())
+	})
+	return err == nil && pause(r, delay)
+}
+
+func (s *Standin) serveRow(rw http.ResponseWriter, r *http.Request, put *rockplatform.PutRequest) {
+	key := RowKey{Table: r.PathValue("table"), Key: r.PathValue("key")}
+	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(RowReply)) {
+		in.Rows = append(in.Rows, RowEvent{Key: key, Put: put, Reply: reply})
+	})
+	if err != nil || !pause(r, reply.Delay) || reply.Lost {
+		abort()
+	}
+	writeJSON(rw, reply.Status, reply.Row)
+}
+
+func (s *Standin) serveObject(rw http.ResponseWriter, r *http.Request, write bool) {
+	var body []byte
+	if write {
+		var err error
+		if body, err = io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBody)); err != nil {
+			writeJSON(rw, http.StatusRequestEntityTooLarge, map[string]string{"error": err.Error()})
+			return
+		}
+	}
+	type object struct {
+		body []byte
+		ok   bool
+	}
+	found, err := ask(r.Context(), s, func(in *Inbox, reply func(object)) {
+		in.Objects = append(in.Objects, ObjectEvent{
+			Name: r.PathValue("name"), Write: write, Body: body,
+			Reply: func(body []byte, ok bool) { reply(object{body: body, ok: ok}) },
+		})
+	})
+	switch {
+	case err != nil:
+		abort()
+	case !found.ok:
+		writeJSON(rw, http.StatusNotFound, map[string]string{"error": "no such object"})
+	default:
+		_, _ = rw.Write(found.body)
+	}
+}
+
+func (s *Standin) applicationHandler(name string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, r *http.Request) {
+		s.answer(rw, r, func(_ time.Time, w *World) any {
+			server := w.Servers.Get(name)
+			return map[string]any{"state": hostOf(server).State, "incarnation": server.Incarnation}
+		})
+	})
+	mux.HandleFunc("/", func(rw http.ResponseWriter, r *http.Request) { s.serveCall(name, rw, r) })
+	return mux
+}
+
+func (s *Standin) serveCall(name string, rw http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBody))
+	if err != nil {
+		writeJSON(rw, http.StatusRequestEntityTooLarge, map[string]string{"error": err.Error()})
+		return
+	}
+	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(CallReply)) {
+		in.Calls = append(in.Calls, CallEvent{
+			Server: name, Key: r.Header.Get("Idempotency-Key"),
+			Method: r.Method, Path: r.URL.Path, Body: body, Reply: reply,
+		})
+	})
+	if err != nil || reply.Lost {
+		abort()
+	}
+	writeJSON(rw, reply.Status, reply.Body)
+}
+
+func (s *Standin) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/faults", func(rw http.ResponseWriter, r *http.Request) {
+		var fault Fault
+		if !readJSON(rw, r, &fault) {
+			return
+		}
+		if err := s.Fault(fault); err != nil {
+			writeJSON(rw, http.StatusBadRequest, map[string]string{"error": err.Error()})
+			return
+		}
+		writeJSON(rw, http.StatusOK, fault)
+	})
+	mux.HandleFunc("GET /v1/counts", func(rw http.ResponseWriter, r *http.Request) {
+		s.answer(rw, r, func(_ time.Time, w *World) any { return countsOf(w) })
+	})
+	mux.HandleFunc("POST /v1/hosts", func(rw http.ResponseWriter, r *http.Request) {
+		var host rocktable.ListedHost
+		if !readJSON(rw, r, &host) {
+			return
+		}
+		if err := s.SetHost(host); err != nil {
+			abort()
+		}
+		writeJSON(rw, http.StatusOK, host)
+	})
+	mux.HandleFunc("DELETE /v1/hosts/{name}", func(rw http.ResponseWriter, r *http.Request) {
+		if err := s.RemoveHost(r.PathValue("name")); err != nil {
+			abort()
+		}
+		writeJSON(rw, http.StatusOK, struct{}{})
+	})
+	return mux
+}
--- /dev/null
+++ b/io/rockstandin/model.go
@@ -0,0 +1,87 @@
+package rockstandin
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// endEvery makes about one token in this many end the answer.
+const endEvery = 512
+
+// Tokenise returns one token for each word of a prompt.
+func Tokenise(prompt string) []uint32 {
+	var tokens []uint32
+	for word := range strings.FieldsSeq(prompt) {
+		tokens = append(tokens, uint32(xxhash.Sum64String(word)&0xffff))
+	}
+	return tokens
+}
+
+// Text returns the text of a token; different tokens have different texts.
+func Text(token uint32) string {
+	const consonants, vowels = "bdfghjklmnprstvz", "aiou"
+	return " " + string([]byte{
+		consonants[token>>12&15], vowels[token>>10&3], consonants[token>>6&15],
+		vowels[token>>4&3], consonants[token&15],
+	})
+}
+
+// Expected returns the texts of the tokens of an undisturbed run.
+func Expected(model string, layers int, prompt string, maxTokens int) []string {
+	cache := make([]uint64, layers)
+	seeds := layerSeeds(model, 0, layers-1)
+	var texts []string
+	position := 0
+	next := Tokenise(prompt)
+	for len(next) > 0 && len(texts) < maxTokens {
+		var out uint64
+		for _, token := range next {
+			out = runLayers(seeds, cache, embed(token, position))
+			position++
+		}
+		token := tokenOf(out)
+		texts = append(texts, Text(token))
+		if isEnd(token) {
+			break
+		}
+		next = []uint32{token}
+	}
+	return texts
+}
+
+// mix is the finaliser of SplitMix64, a bijection that spreads every input bit.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// embed returns the activation that enters layer 0.
+func embed(token uint32, position int) uint64 {
+	return mix(uint64(token)<<32 | uint64(uint32(position)))
+}
+
+// layerSeeds returns the weights of a range of layers; last is inclusive.
+func layerSeeds(model string, first, last int) []uint64 {
+	var seeds []uint64
+	for layer := first; layer <= last; layer++ {
+		seeds = append(seeds, xxhash.Sum64String(model+"/"+strconv.Itoa(layer)))
+	}
+	return seeds
+}
+
+// runLayers runs one position through a range of layers, whose KV cache holds one word for each layer that depends on every earlier position.
+func runLayers(seeds, cache []uint64, activation uint64) uint64 {
+	for i, seed := range seeds {
+		cache[i] = mix(cache[i] ^ mix(activation^seed))
+		activation = mix(activation + cache[i] ^ seed)
+	}
+	return activation
+}
+
+func tokenOf(activation uint64) uint32 { return uint32(activation >> 48) }
+
+func isEnd(token uint32) bool { return token%endEvery == 0 }
--- /dev/null
+++ b/io/rockstandin/orders.go
@@ -0,0 +1,131 @@
+package rockstandin
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockengine"
+)
+
+func runOrders(now time.Time, w *World) {
+	for _, event := range w.Inbox.Orders {
+		takeOrder(now, w, event)
+	}
+	for _, e := range w.Engines.All() {
+		switch {
+		case e.Loading == nil || w.Servers.Get(e.Name).has(FaultFreeze):
+		case now.Before(e.LoadEnd):
+			w.WakeAt(e.LoadEnd)
+		default:
+			finishOrder(w, e)
+		}
+	}
+}
+
+func takeOrder(now time.Time, w *World, event OrderEvent) {
+	e, order := w.Engines.Get(event.Engine), event.Order
+	old := order.Fencing < e.Highest
+	e.Highest = max(e.Highest, order.Fencing)
+	if e.Settings.ChecksFencing && order.Fencing < e.Fencing {
+		e.Count.FencedOrders++
+		event.Reply(rockengine.OrderReply{Fenced: true, Text: fmt.Sprintf("fencing number %d is older than %d", order.Fencing, e.Fencing), Fencing: e.Fencing})
+		return
+	}
+	if refusal := checkOrder(e, order); refusal != "" {
+		event.Reply(rockengine.OrderReply{Text: refusal, Fencing: e.Fencing})
+		return
+	}
+	if e.Settings.ChecksFencing {
+		e.Fencing = order.Fencing
+	}
+	e.Count.Orders++
+	if old {
+		e.Count.OldOrders++
+	}
+	if e.Loading != nil {
+		e.Count.OverlappingOrders++
+		e.Loading.Reply(rockengine.OrderReply{Text: "replaced by another order", Fencing: e.Fencing})
+	}
+	e.Loading, e.LoadEnd = &event, now.Add(milliseconds(w.Settings.Engine.LoadMs))
+}
+
+func checkOrder(e *Engine, order rockengine.OrderRequest) string {
+	switch {
+	case order.Order != "load" && order.Order != "unload" && order.Order != "role":
+		return fmt.Sprintf("order %q is not load, unload or role", order.Order)
+	case order.Order == "load" && (order.FirstLayer < 0 || order.LastLayer < order.FirstLayer || order.LastLayer >= e.Settings.Layers):
+		return fmt.Sprintf("layers %d-%d of %d", order.FirstLayer, order.LastLayer, e.Settings.Layers)
+	}
+	return ""
+}
+
+func finishOrder(w *World, e *Engine) {
+	event := e.Loading
+	e.Loading = nil
+	order := event.Order
+	switch order.Order {
+	case "role":
+		e.Role = order.Role
+	case "unload":
+		e.hold(w, "", "", 0, 0)
+	case "load":
+		e.Adapter = order.Adapter
+		e.hold(w, order.Model, order.Version, order.FirstLayer, order.LastLayer)
+	}
+	event.Reply(rockengine.OrderReply{OK: true, Fencing: e.Fencing})
+}
+
+// hold changes what the engine holds and ends the sessions of what it held before.
+func (e *Engine) hold(w *World, model, version string, first, last int) {
+	held := &e.Settings
+	if held.Model == model && held.Version == version && held.FirstLayer == first && held.LastLayer == last {
+		return
+	}
+	held.Model, held.Version, held.FirstLayer, held.LastLayer = model, version, first, last
+	e.Seeds = layerSeeds(model, first, last)
+	e.Cache, e.Batch = newCache(), nil
+	for _, session := range w.Sessions.All() {
+		if session.Engine != e.Name {
+			continue
+		}
+		if p := session.Pending; p != nil {
+			p.Event.Reply(rockengine.StepReply{
+				Epoch: session.Request.Epoch, Index: p.Event.Step.Index,
+				Position: session.KV.Position, Error: "the engine holds other layers now",
+			})
+		}
+		dropSession(w, session)
+	}
+}
+
+func runReports(now time.Time, w *World) {
+	lag := milliseconds(w.Settings.Engine.ReportLagMs)
+	for _, e := range w.Engines.All() {
+		// Reports are made when they are due and something changed, so an idle stand-in sleeps.
+		switch {
+		case e.Load == e.Report:
+		case now.Sub(e.Reported) < lag:
+			w.WakeAt(e.Reported.Add(lag))
+		default:
+			e.Report, e.Reported = e.Load, now
+		}
+	}
+}
+
+// statusOf returns the report of an engine.
+func statusOf(w *World, e *Engine) rocktable.EngineStatus {
+	s, held := w.Servers.Get(e.Name), e.Settings
+	kind := w.Kinds.Get(held.Kind)
+	status := rocktable.EngineStatus{
+		Name: e.Name, Kind: held.Kind, Model: held.Model, Version: held.Version,
+		FirstLayer: held.FirstLayer, LastLayer: held.LastLayer, Slots: held.Slots,
+		Active: e.Report.Active, Queued: e.Report.Queued,
+		Incarnation: s.Incarnation, State: hostOf(s).State,
+		Fencing: e.Fencing, ChecksFencing: held.ChecksFencing,
+	}
+	if batch := kind.StepMs + kind.PerSessionMs*float64(held.Slots-1); batch > 0 {
+		status.TokensPerSecond = 1000 * float64(held.Slots) / batch
+	}
+	return status
+}
--- /dev/null
+++ b/io/rockstandin/platform_test.go
@@ -0,0 +1,153 @@
+package rockstandin_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockplatform"
+	"sassafrasrock/io/rockstandin"
+)
+
+func platform(t *testing.T, s *rockstandin.Standin, options ...rockplatform.Option) *rockplatform.Platform {
+	p := rockplatform.New(s.PlatformURL(), options...)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func write(t *testing.T, p *rockplatform.Platform, expected uint64, holder string) rocktable.TableResult[rocktable.LeaseRow] {
+	t.Helper()
+	return rockplatform.Do(patient(t), p, "leases", rocktable.TableOp[rocktable.LeaseRow]{
+		Op: 1, Key: "ga-west-a/1", Write: true, Expected: expected, Row: rocktable.LeaseRow{Holder: holder},
+	})
+}
+
+func read(t *testing.T, p *rockplatform.Platform) rocktable.TableResult[rocktable.LeaseRow] {
+	t.Helper()
+	return rockplatform.Do(patient(t), p, "leases", rocktable.TableOp[rocktable.LeaseRow]{Op: 2, Key: "ga-west-a/1"})
+}
+
+// Guards against a write that ignores the expected version, and against a conflict that hides the other side's row.
+func TestCompareAndSet(t *testing.T) {
+	p := platform(t, start(t, settings()))
+	if got := read(t, p); got.Status != rocktable.TableOK || got.Found {
+		t.Fatalf("missing row: %+v", got)
+	}
+	if got := write(t, p, 0, "h1"); got.Status != rocktable.TableOK || got.Version != 1 || got.Row.Holder != "h1" {
+		t.Fatalf("first write: %+v", got)
+	}
+	if got := write(t, p, 0, "h2"); got.Status != rocktable.TableConflict || got.Version != 1 || got.Row.Holder != "h1" {
+		t.Fatalf("conflicting write: %+v", got)
+	}
+	if got := write(t, p, 1, "h2"); got.Status != rocktable.TableOK || got.Version != 2 {
+		t.Fatalf("second write: %+v", got)
+	}
+}
+
+// Guards against a lost answer that is reported as a write that did not take effect.
+func TestLostAnswerOfWrite(t *testing.T) {
+	s := start(t, settings())
+	p := platform(t, s)
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultLostAnswer, Times: 1})
+	if got := write(t, p, 0, "h1"); got.Status != rocktable.TableUnclear {
+		t.Fatalf("write with a lost answer: %+v", got)
+	}
+	if got := read(t, p); got.Status != rocktable.TableOK || got.Row.Holder != "h1" {
+		t.Fatalf("the write did not take effect: %+v", got)
+	}
+}
+
+// Guards against a write that timed out and is reported as one that never reached the service.
+func TestSlowWrite(t *testing.T) {
+	cfg := settings()
+	cfg.Platform.WriteMs = 1
+	s := start(t, cfg)
+	p := platform(t, s, rockplatform.WithCallTimeout(100*time.Millisecond))
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultSlow, Factor: 1e6})
+	if got := write(t, p, 0, "h1"); got.Status != rocktable.TableUnclear {
+		t.Fatalf("slow write: %+v", got)
+	}
+}
+
+// Guards against an outage or a refusal over the rate that is reported as unclear, which would hold up claims for nothing.
+func TestOutage(t *testing.T) {
+	cfg := settings()
+	cfg.Platform.WritesPerSecond = 1
+	s := start(t, cfg)
+	p := platform(t, s)
+	if got := write(t, p, 0, "h1"); got.Status != rocktable.TableOK {
+		t.Fatalf("first write: %+v", got)
+	}
+	if got := write(t, p, 1, "h1"); got.Status != rocktable.TableUnavailable {
+		t.Fatalf("write over the rate: %+v", got)
+	}
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultOutage})
+	p.Close()
+	for _, got := range []rocktable.TableResult[rocktable.LeaseRow]{write(t, p, 1, "h1"), read(t, p)} {
+		if got.Status != rocktable.TableUnavailable {
+			t.Fatalf("operation in an outage: %+v", got)
+		}
+	}
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultOutage, Lift: true})
+	eventually(t, "the end of the outage", func() bool { return read(t, p).Row.Holder == "h1" })
+}
+
+// Guards against old reads that the stand-in does not show.
+func TestOldReads(t *testing.T) {
+	s := start(t, settings())
+	p := platform(t, s)
+	write(t, p, 0, "h1")
+	write(t, p, 1, "h2")
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultOldReads})
+	if got := read(t, p); got.Version != 1 || got.Row.Holder != "h1" {
+		t.Fatalf("old read: %+v", got)
+	}
+}
+
+// Guards against a host list that shows a departure at once, which would hide faults of the router.
+func TestHostList(t *testing.T) {
+	s := start(t, settings())
+	p := platform(t, s)
+	state := func(name string) string {
+		hosts, err := p.Hosts(patient(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, host := range hosts {
+			if host.Name == name {
+				return host.State
+			}
+		}
+		return ""
+	}
+	if got := state("a"); got != "live" {
+		t.Fatalf("state %q, want live", got)
+	}
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultLag, DelayMs: 3600000})
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultLeaving})
+	fault(t, s, rockstandin.Fault{Target: "b", Kind: rockstandin.FaultKill})
+	if got := state("a") + state("b"); got != "livelive" {
+		t.Fatalf("states %q within the lag, want livelive", got)
+	}
+	fault(t, s, rockstandin.Fault{Target: rockstandin.PlatformName, Kind: rockstandin.FaultLag, Lift: true})
+	eventually(t, "the list to show a departure and a failure", func() bool { return state("a") == "leaving" && state("b") == "" })
+	if err := s.SetHost(rocktable.ListedHost{Name: "entry-1", Role: "entry", State: "live"}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "an added host", func() bool { return state("entry-1") == "live" })
+}
+
+// Guards against objects that change on the way.
+func TestObjects(t *testing.T) {
+	p := platform(t, start(t, settings()))
+	if _, err := p.GetObject(patient(t), "weights/1"); !errors.Is(err, rockplatform.ErrNotFound) {
+		t.Fatalf("missing object: %v", err)
+	}
+	if err := p.PutObject(patient(t), "weights/1", []byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := p.GetObject(patient(t), "weights/1"); err != nil || string(body) != "abc" {
+		t.Fatalf("object %q, error %v", body, err)
+	}
+}
--- /dev/null
+++ b/io/rockstandin/sessions.go
@@ -0,0 +1,194 @@
+package rockstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sassafrasrock/io/rockengine"
+)
+
+// maxPositions is the largest KV cache of one session, in positions.
+const maxPositions = 32768
+
+// maxImports bounds the KV cache that waits at all engines for sessions.
+const maxImports = 1024
+
+// The codes of OpenReply, with which nothing was started.
+const (
+	codeFull        = "full"
+	codeLeaving     = "leaving"
+	codeWrongLayers = "wrongLayers"
+	codeWrongModel  = "wrongModel"
+)
+
+func runSessions(now time.Time, w *World) {
+	for _, id := range w.Inbox.Closes {
+		closeSession(w, id)
+	}
+	for _, event := range w.Inbox.Exports {
+		event.Reply(exportCache(w, event))
+	}
+	for _, event := range w.Inbox.Imports {
+		event.Reply(importCache(w, event))
+	}
+	for _, event := range w.Inbox.Opens {
+		event.Reply(openSession(now, w, event))
+	}
+	for _, event := range w.Inbox.Steps {
+		takeStep(w, event)
+	}
+}
+
+func closeSession(w *World, id SessionID) {
+	session := w.Sessions.Get(id)
+	if session == nil {
+		return
+	}
+	e := w.Engines.Get(session.Engine)
+	if session.Pending != nil {
+		e.Count.Canceled++
+	}
+	dropSession(w, session)
+}
+
+// dropSession removes a session and frees its slot.
+func dropSession(w *World, session *Session) {
+	load := &w.Engines.Get(session.Engine).Load
+	if session.Slot {
+		load.Active--
+	} else {
+		load.Queued--
+	}
+	w.Sessions.Delete(session.ID)
+}
+
+func openSession(now time.Time, w *World, event OpenEvent) rockengine.OpenReply {
+	e, s, req := w.Engines.Get(event.Engine), w.Servers.Get(event.Engine), event.Request
+	if reply := refuse(w, e, s, req); !reply.Accepted {
+		e.Count.Refused++
+		return reply
+	}
+	session := Session{ID: event.Session, Engine: e.Name, Request: req}
+	session.KV = KVCache{
+		Model: e.Settings.Model, Version: e.Settings.Version,
+		FirstLayer: e.Settings.FirstLayer, LastLayer: e.Settings.LastLayer,
+		Layers: make([]uint64, len(e.Seeds)),
+	}
+	key := ImportKey{Engine: e.Name, Request: req.Request, Epoch: req.Epoch}
+	if kv := w.Imports.Get(key); kv != nil {
+		session.KV = *kv
+		w.Imports.Delete(key)
+	}
+	w.Sessions.Put(session.ID, session)
+	e.Load.Queued++
+	e.Count.Sessions++
+	if !s.Leaving.IsZero() {
+		e.Count.LeavingSessions++
+		e.Count.LastLeavingMs = max(e.Count.LastLeavingMs, now.Sub(s.Leaving).Milliseconds())
+	}
+	w.Requests.GetOrPut(req.Request).Sessions++
+	return rockengine.OpenReply{Accepted: true}
+}
+
+func refuse(w *World, e *Engine, s *Server, req rockengine.OpenRequest) rockengine.OpenReply {
+	held := e.Settings
+	switch {
+	case s.Down:
+		return rockengine.OpenReply{Code: codeLeaving, Text: "the engine is stopping"}
+	case s.Faults[FaultLeaving].Fault.Refuse:
+		return rockengine.OpenReply{Code: codeLeaving, Text: "the engine is leaving"}
+	case e.Loading != nil || req.Model != held.Model || req.Version != "" && req.Version != held.Version:
+		return rockengine.OpenReply{Code: codeWrongModel, Text: fmt.Sprintf("the engine holds %s %s", held.Model, held.Version)}
+	case req.FirstLayer != held.FirstLayer || req.LastLayer != held.LastLayer:
+		return rockengine.OpenReply{Code: codeWrongLayers, Text: fmt.Sprintf("the engine holds layers %d-%d", held.FirstLayer, held.LastLayer)}
+	case e.Load.Queued >= held.Queue+held.Slots-e.Load.Active:
+		return rockengine.OpenReply{Code: codeFull, Text: "the engine's queue is full"}
+	}
+	return rockengine.OpenReply{Accepted: true}
+}
+
+func takeStep(w *World, event StepEvent) {
+	session := w.Sessions.Get(event.Session)
+	if session == nil {
+		return // The engine was stopped, and its connections are being reset.
+	}
+	e := w.Engines.Get(session.Engine)
+	pending := PendingStep{Event: event}
+	if refusal := readInputs(session, &pending); refusal != "" {
+		e.Count.RefusedSteps++
+		event.Reply(rockengine.StepReply{
+			Epoch: session.Request.Epoch, Index: event.Step.Index, Position: session.KV.Position, Error: refusal,
+		})
+		return
+	}
+	lookUp(w, e, session, &pending)
+	session.Pending = &pending
+}
+
+// readInputs fills in the activations that enter the engine's first layer, or returns why the step is refused.
+func readInputs(session *Session, pending *PendingStep) string {
+	step, position := pending.Event.Step, session.KV.Position
+	switch {
+	case session.Pending != nil:
+		return "the last step has not ended"
+	case step.Position != position:
+		return fmt.Sprintf("position %d, but the session holds %d", step.Position, position)
+	case step.Prompt != "" && position != 0:
+		return "a prompt after the first position"
+	}
+	if session.KV.FirstLayer == 0 {
+		if len(step.Activations) > 0 {
+			return "activations for layer 0"
+		}
+		for i, token := range append(Tokenise(step.Prompt), step.Tokens...) {
+			pending.Inputs = append(pending.Inputs, embed(token, position+i))
+		}
+		pending.Prefix = rockengine.PrefixHashes(step.Prompt)
+	} else {
+		if step.Prompt != "" || len(step.Tokens) > 0 {
+			return "a prompt or tokens for a later layer"
+		}
+		pending.Inputs = step.Activations
+	}
+	switch n := len(pending.Inputs); {
+	case n == 0:
+		return "a step without positions"
+	case position+n > maxPositions:
+		return fmt.Sprintf("%d positions, at most %d", position+n, maxPositions)
+	}
+	return ""
+}
+
+func exportCache(w *World, event ExportEvent) rockengine.Move {
+	for _, session := range w.Sessions.All() {
+		if session.Engine != event.Engine || session.Request.Request != event.Move.Request || session.Request.Epoch != event.Move.Epoch {
+			continue
+		}
+		state, err := json.Marshal(session.KV)
+		if err != nil {
+			return rockengine.Move{}
+		}
+		return rockengine.Move{Request: event.Move.Request, Epoch: event.Move.Epoch, State: state}
+	}
+	return rockengine.Move{}
+}
+
+func importCache(w *World, event ImportEvent) string {
+	e := w.Engines.Get(event.Engine)
+	var kv KVCache
+	if err := json.Unmarshal(event.Move.State, &kv); err != nil {
+		return err.Error()
+	}
+	held := e.Settings
+	switch {
+	case kv.Model != held.Model || kv.Version != held.Version:
+		return fmt.Sprintf("KV cache of %s %s at an engine with %s %s", kv.Model, kv.Version, held.Model, held.Version)
+	case kv.FirstLayer != held.FirstLayer || kv.LastLayer != held.LastLayer || len(kv.Layers) != len(e.Seeds):
+		return fmt.Sprintf("KV cache of layers %d-%d at an engine with %d-%d", kv.FirstLayer, kv.LastLayer, held.FirstLayer, held.LastLayer)
+	case w.Imports.Len() >= maxImports:
+		return "too much KV cache waits for its session"
+	}
+	w.Imports.Put(ImportKey{Engine: e.Name, Request: event.Move.Request, Epoch: event.Move.Epoch}, kv)
+	return ""
+}
--- /dev/null
+++ b/io/rockstandin/standin.go
@@ -0,0 +1,273 @@
+package rockstandin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// ErrStopped says that the stand-in has been closed.
+var ErrStopped = eris.New("the stand-in has stopped")
+
+// Standin plays the outside systems until Close.
+type Standin struct {
+	w           *World
+	gates       map[string]*gate
+	servers     map[string]*http.Server
+	addresses   map[string]string
+	lastSession atomic.Uint64
+
+	wake  chan struct{}
+	done  chan struct{}
+	stop  context.CancelFunc
+	group sync.WaitGroup
+
+	mu    sync.Mutex
+	inbox Inbox
+}
+
+// ControlName is the name of the control address in Address.
+const ControlName = "control"
+
+// Start opens every port and plays the outside systems until ctx ends or Close is called; its error is ErrSettings or of the network.
+func Start(ctx context.Context, settings Settings) (*Standin, error) {
+	w, err := NewWorld(time.Now(), settings)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	s := &Standin{
+		w:         w,
+		gates:     make(map[string]*gate),
+		servers:   make(map[string]*http.Server),
+		addresses: make(map[string]string),
+		wake:      make(chan struct{}, 1),
+		done:      make(chan struct{}),
+		stop:      stop,
+	}
+	if err := s.openAll(settings); err != nil {
+		stop()
+		s.closeServers()
+		s.group.Wait()
+		return nil, err
+	}
+	w.listServers()
+	s.group.Go(func() { s.run(ctx) })
+	// The first tick publishes the host list before anyone can read it.
+	s.signal()
+	return s, nil
+}
+
+func (s *Standin) openAll(settings Settings) error {
+	for _, row := range s.w.Servers.All() {
+		handler := s.handler(row.Name, row.Role)
+		if err := s.openServer(row.Name, row.Address, handler); err != nil {
+			return err
+		}
+		row.Address = s.addresses[row.Name]
+	}
+	return s.openServer(ControlName, settings.Control, s.controlHandler())
+}
+
+func (s *Standin) handler(name, role string) http.Handler {
+	switch role {
+	case RoleModel:
+		return s.engineHandler(name)
+	case RoleApplication:
+		return s.applicationHandler(name)
+	default:
+		return s.platformHandler()
+	}
+}
+
+func (s *Standin) openServer(name, address string, handler http.Handler) error {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	g := newGate()
+	l, err := g.open(address)
+	if err != nil {
+		return fmt.Errorf("address of %s: %w", name, err)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.gates[name], s.addresses[name] = g, l.Addr().String()
+	s.servers[name] = &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: 10 * time.Second,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 10000},
+	}
+	s.serve(name, l)
+	return nil
+}
+
+func (s *Standin) serve(name string, l net.Listener) {
+	server := s.servers[name]
+	s.group.Go(func() { _ = server.Serve(l) })
+}
+
+// Close ends every server and waits for the control thread and the servers; handlers end with their connections.
+func (s *Standin) Close() {
+	s.stop()
+	<-s.done
+	s.group.Wait()
+}
+
+// Done is closed when the stand-in has stopped.
+func (s *Standin) Done() <-chan struct{} { return s.done }
+
+func (s *Standin) closeServers() {
+	for name, server := range s.servers {
+		s.gates[name].change(GateAction{Do: GateClose})
+		_ = server.Close()
+	}
+}
+
+// Address returns the address of a server, of PlatformName or of ControlName, or "" if there is none.
+func (s *Standin) Address(name string) string { return s.addresses[name] }
+
+// PlatformURL returns the URL of the platform.
+func (s *Standin) PlatformURL() string { return "http://" + s.Address(PlatformName) }
+
+// post adds events to the inbox and wakes the control thread.
+func (s *Standin) post(fill func(in *Inbox)) {
+	s.mu.Lock()
+	fill(&s.inbox)
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *Standin) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run runs ticks until the context ends.
+func (s *Standin) run(ctx context.Context) {
+	defer close(s.done)
+	defer s.closeServers()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-timer.C:
+		}
+		s.mu.Lock()
+		s.w.Inbox, s.inbox = s.inbox, Inbox{}
+		s.mu.Unlock()
+		out, wake := Tick(time.Now(), s.w)
+		s.carry(out)
+		timer.Stop()
+		if !wake.IsZero() {
+			timer.Reset(time.Until(wake))
+		}
+	}
+}
+
+func (s *Standin) carry(out Outbox) {
+	for _, action := range out.Gates {
+		g := s.gates[action.Server]
+		if action.Do != GateOpen {
+			g.change(action)
+			continue
+		}
+		l, err := g.open(s.addresses[action.Server])
+		if err != nil {
+			// The kernel may hold the port for a moment; the server stays down until the next GateOpen.
+			s.retryOpen(action)
+			continue
+		}
+		s.serve(action.Server, l)
+	}
+}
+
+// retryOpen asks for the port again a little later.
+func (s *Standin) retryOpen(action GateAction) {
+	const pause = 50 * time.Millisecond
+	time.AfterFunc(pause, func() {
+		s.post(func(in *Inbox) {
+			in.Queries = append(in.Queries, func(_ time.Time, w *World) {
+				if !w.Servers.Get(action.Server).Down {
+					w.gate(action.Server, GateOpen, 0)
+				}
+			})
+		})
+	})
+}
+
+// ask posts an event whose reply it waits for; its error is ErrStopped or the context's.
+func ask[T any](ctx context.Context, s *Standin, fill func(in *Inbox, reply func(T))) (T, error) {
+	answer := make(chan T, 1)
+	s.post(func(in *Inbox) { fill(in, func(v T) { answer <- v }) })
+	var zero T
+	select {
+	case v := <-answer:
+		return v, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-s.done:
+		return zero, ErrStopped
+	}
+}
+
+// query asks for something that the state tells.
+func query[T any](ctx context.Context, s *Standin, read func(now time.Time, w *World) T) (T, error) {
+	return ask(ctx, s, func(in *Inbox, reply func(T)) {
+		in.Queries = append(in.Queries, func(now time.Time, w *World) { reply(read(now, w)) })
+	})
+}
+
+// Fault switches a fault and returns when it is in effect; its error is ErrFault or ErrStopped.
+func (s *Standin) Fault(f Fault) error {
+	result, err := ask(context.Background(), s, func(in *Inbox, reply func(error)) {
+		in.Faults = append(in.Faults, FaultEvent{Fault: f, Reply: reply})
+	})
+	if err != nil {
+		return err
+	}
+	if result != nil {
+		return result
+	}
+	// The actions of a tick are carried out before the next tick.
+	_, err = query(context.Background(), s, func(time.Time, *World) bool { return true })
+	return err
+}
+
+// Counts returns the witnesses of what ran; it is empty after Close.
+func (s *Standin) Counts() Counts {
+	counts, _ := query(context.Background(), s, func(_ time.Time, w *World) Counts { return countsOf(w) })
+	return counts
+}
+
+// SetHost adds a host to the platform's list or replaces it.
+func (s *Standin) SetHost(host rocktable.ListedHost) error {
+	return s.changeHost(HostEvent{Host: host})
+}
+
+// RemoveHost removes a host from the platform's list.
+func (s *Standin) RemoveHost(name string) error {
+	return s.changeHost(HostEvent{Host: rocktable.ListedHost{Name: name}, Remove: true})
+}
+
+func (s *Standin) changeHost(event HostEvent) error {
+	_, err := ask(context.Background(), s, func(in *Inbox, reply func(bool)) {
+		event.Reply = func() { reply(true) }
+		in.Hosts = append(in.Hosts, event)
+	})
+	return err
+}
