Delay answers instead of connections in the slow fault

Cause: a delay of each write held up every session of a connection in turn, which a slow link does not do; a time limit on headers ended connections that were to stay silent.

--- a/io/rockstandin/engine_test.go
+++ b/io/rockstandin/engine_test.go
@@ -180,6 +180,23 @@
 	})
 }
 
+// Guards against a slow link that breaks the session, and against a restart with the old incarnation.
+func TestSlowAndRestart(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	session := mustOpen(t, e, s, "a", "r1")
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultSlow, DelayMs: 20, ForMs: 60})
+	if _, err := session.Step(patient(t), rockengine.Step{Prompt: prompt}); err != nil {
+		t.Fatal(err)
+	}
+	before := s.Counts().Servers["a"].Incarnation
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultRestart})
+	eventually(t, "the restarted engine", func() bool {
+		status, _, err := e.Status(patient(t), s.Address("a"))
+		return err == nil && status.Incarnation == before+1
+	})
+}
+
 // Guards against a step that is lost while the engine is frozen for less than the ping limit.
 func TestFreeze(t *testing.T) {
 	s := start(t, settings())
--- a/io/rockstandin/world.go
+++ b/io/rockstandin/world.go
@@ -117,7 +117,7 @@
 	GateCut   // drop everything in both directions
 	GateHeal  // end GateCut and reset the connections that it affected
 	GateMute  // drop everything on the connections that are open now, for good
-	GateDelay // delay each write
+	GateDelay // delay each answer
 )
 
 // OpenEvent is the first line of a session.
