Test calls without a body and the measured round trip

Cause: net/http takes a call without a body for one that it may send again. Change: another case of TestCallRunsAtMostOnce, and a check of the round trip that Status returns.

--- a/io/rockstandin/application_test.go
+++ b/io/rockstandin/application_test.go
@@ -44,22 +44,26 @@
 // Guards against net/http, which repeats calls with an idempotency key by itself, and against a run that is reported as not handed over.
 func TestCallRunsAtMostOnce(t *testing.T) {
 	cases := []struct {
+		name string
 		kind string
+		call rockservice.Call
 		runs int
 	}{
-		{rockstandin.FaultLostAnswer, 1},
-		{rockstandin.FaultCrashAfter, 1},
-		{rockstandin.FaultCrashBefore, 0},
+		{"lost answer", rockstandin.FaultLostAnswer, order("k1"), 1},
+		{"crash after the run", rockstandin.FaultCrashAfter, order("k1"), 1},
+		{"crash before the run", rockstandin.FaultCrashBefore, order("k1"), 0},
+		// net/http takes a call without a body for one that can be sent again; the stand-in refuses it after the fault.
+		{"no body", rockstandin.FaultLostAnswer, rockservice.Call{Method: http.MethodPost, Path: "/orders", Key: "k1"}, 0},
 	}
 	for _, test := range cases {
-		t.Run(test.kind, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			s := start(t, settings())
 			c := rockservice.New()
 			if _, err := c.Do(patient(t), s.Address("app"), order("first")); err != nil {
 				t.Fatal(err)
 			}
 			fault(t, s, rockstandin.Fault{Target: "app", Kind: test.kind, Times: 1})
-			if _, err := c.Do(patient(t), s.Address("app"), order("k1")); !errors.Is(err, rockservice.ErrLost) {
+			if _, err := c.Do(patient(t), s.Address("app"), test.call); !errors.Is(err, rockservice.ErrLost) {
 				t.Fatalf("got %v, want ErrLost", err)
 			}
 			if got := s.Counts().Runs["k1"]; got != test.runs {
--- a/io/rockstandin/engine_test.go
+++ b/io/rockstandin/engine_test.go
@@ -161,9 +161,9 @@
 	s := start(t, settings())
 	e := engineClient(t)
 	session := mustOpen(t, e, s, "a", "r1")
-	before, _, err := e.Status(patient(t), s.Address("a"))
-	if err != nil {
-		t.Fatal(err)
+	before, roundTrip, err := e.Status(patient(t), s.Address("a"))
+	if err != nil || roundTrip <= 0 {
+		t.Fatalf("round trip %v, error %v", roundTrip, err)
 	}
 	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultKill})
 	if _, err := session.Step(patient(t), rockengine.Step{Prompt: prompt}); !errors.Is(err, rockengine.ErrLost) {
