Reserve the address of a stopped server

Cause: the kernel may give the port of a stopped server to another process, whose answers a client would take for the restarted server's. Change: a stopped server keeps a bound socket that does not listen.

--- a/io/rockstandin/engine_test.go
+++ b/io/rockstandin/engine_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -156,7 +158,16 @@
 	}
 }
 
-// Guards against sessions that survive a kill, a port that stays open and a restart that looks like the same process.
+// exclusive listens as a process does that does not ask to share an address.
+var exclusive = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
+	})
+	return errors.Join(err, failed)
+}}
+
+// Guards against sessions that survive a kill, an address that others can take meanwhile, a port that stays open and a restart that looks like the same process.
 func TestKillAndRestart(t *testing.T) {
 	s := start(t, settings())
 	e := engineClient(t)
@@ -173,6 +184,10 @@
 		_, err := open(t, e, s, "a", "r2")
 		return errors.Is(err, rockengine.ErrUnreachable)
 	})
+	if l, err := exclusive.Listen(t.Context(), "tcp", s.Address("a")); err == nil {
+		l.Close()
+		t.Fatal("the address of a killed engine is free for others")
+	}
 	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultKill, Lift: true})
 	eventually(t, "the restarted engine", func() bool {
 		after, _, err := e.Status(patient(t), s.Address("a"))
--- a/io/rockstandin/gate.go
+++ b/io/rockstandin/gate.go
@@ -11,6 +11,7 @@
 type gate struct {
 	mu       sync.Mutex
 	listener net.Listener
+	reserved *port // while the port is closed
 	conns    map[*gateConn]bool
 	thawed   chan struct{} // closed while the server is not frozen
 	cut      bool
@@ -38,18 +39,30 @@
 	return g
 }
 
-// open opens the port and returns the listener to serve.
+// open opens the port and returns the listener to serve; it is nil if the port is open already.
 func (g *gate) open(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listener != nil {
+		return nil, nil
+	}
+	reserved := g.reserved
+	g.reserved = nil
+	l, err := listenOn(reserved, address)
 	if err != nil {
 		return nil, err
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.listener = l
 	return &gateListener{Listener: l, gate: g}, nil
 }
 
+func listenOn(reserved *port, address string) (net.Listener, error) {
+	if reserved != nil {
+		return reserved.listen()
+	}
+	return net.Listen("tcp", address)
+}
+
 // Accept returns the next connection.
 func (l *gateListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
@@ -126,10 +139,24 @@
 	}
 }
 
+// release closes the port and gives its address back.
+func (g *gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closeLocked()
+	if g.reserved != nil {
+		g.reserved.release()
+		g.reserved = nil
+	}
+}
+
 func (g *gate) closeLocked() {
 	if g.listener != nil {
+		address := g.listener.Addr().String()
 		_ = g.listener.Close()
 		g.listener = nil
+		// If the address cannot be reserved, the port is opened like a new one.
+		g.reserved, _ = reservePort(address)
 	}
 	for c := range g.conns {
 		reset(c.Conn)
--- a/io/rockstandin/standin.go
+++ b/io/rockstandin/standin.go
@@ -129,7 +129,7 @@
 
 func (s *Standin) closeServers() {
 	for name, server := range s.servers {
-		s.gates[name].change(GateAction{Do: GateClose})
+		s.gates[name].release()
 		_ = server.Close()
 	}
 }
@@ -193,7 +193,9 @@
 			s.retryOpen(action)
 			continue
 		}
-		s.serve(action.Server, l)
+		if l != nil {
+			s.serve(action.Server, l)
+		}
 	}
 }
 
