--- a/io/rockstandin/application_test.go
+++ b/io/rockstandin/application_test.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/goleak"
 
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockplatform"
 	"sassafrasrock/io/rockservice"
 	"sassafrasrock/io/rockstandin"
 )
@@ -156,3 +158,31 @@
 	e.Close()
 	goleak.VerifyNone(t, before)
 }
+
+// Guards against sockets of the platform and the application that the faults of sockets do not reach, or that stay disturbed after them.
+func TestSocketFaultsOfOtherServers(t *testing.T) {
+	for _, kind := range []string{rockstandin.FaultFreeze, rockstandin.FaultCut} {
+		t.Run(kind, func(t *testing.T) {
+			s := start(t, settings())
+			c, p := rockservice.New(), platform(t, s, rockplatform.WithCallTimeout(100*time.Millisecond))
+			for _, target := range []string{"app", rockstandin.PlatformName} {
+				fault(t, s, rockstandin.Fault{Target: target, Kind: kind})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			if _, err := c.Do(ctx, s.Address("app"), order("k1")); !errors.Is(err, rockservice.ErrLost) {
+				t.Fatalf("call: got %v, want ErrLost", err)
+			}
+			if got := write(t, p, 0, "h1"); got.Status != rocktable.TableUnclear {
+				t.Fatalf("write: %+v", got)
+			}
+			for _, target := range []string{"app", rockstandin.PlatformName} {
+				fault(t, s, rockstandin.Fault{Target: target, Kind: kind, Lift: true})
+			}
+			if _, err := c.Do(patient(t), s.Address("app"), order("k2")); err != nil {
+				t.Fatalf("call after the fault: %v", err)
+			}
+			eventually(t, "a read after the fault", func() bool { return read(t, p).Status == rocktable.TableOK })
+		})
+	}
+}
