Find requests that crash backend servers

Cause: rockcrash was empty; a request that crashes the servers that run it could take down one after the other.

Change: the first sign of a crash records the work in flight there. A probe that finds another incarnation, or failed probes, confirms the crash; an answer of the old incarnation shows that only the link was cut. Content that was in flight at two crashes runs alone, and a crash while it runs alone quarantines it for an hour.

--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -1,11 +1,31 @@
 package rockcrash
 
 import (
+	"strconv"
 	"time"
 
 	"sassafrasrock/core/rocktable"
 )
 
+const (
+	// SuspectFor is the time for which a suspect is remembered after its last crash.
+	SuspectFor = 10 * time.Minute
+	// QuarantineFor is the time for which a request content stays refused.
+	QuarantineFor = time.Hour
+	// confirmWithin is the longest that a crash may stay unconfirmed; a link that was cut for this time makes no suspects.
+	confirmWithin = 5 * time.Second
+	// reportLag is the age after which a report is known to have been made after the sign of a crash.
+	reportLag = 300 * time.Millisecond
+	// failedProbes is the number of failed probes in a row that confirms a crash.
+	failedProbes = 2
+	// aloneAfter is the number of crashes after which a request content runs alone. A single crash is most often a failure of the server, and its requests are replayed at once; the alone run is then the third and last crash that a request can cause.
+	aloneAfter = 2
+	// clearedFor is the time for which a cleared suspect is kept, so that peers learn of it.
+	clearedFor = time.Minute
+	// sweepEvery is the time between checks for expired suspects.
+	sweepEvery = 10 * time.Second
+)
+
 // System keeps suspects and quarantine.
 var System = rocktable.System{
 	Name: "rockcrash",
@@ -13,4 +33,169 @@
 	Run:  run,
 }
 
-func run(now time.Time, w *rocktable.World) {}
+func run(now time.Time, w *rocktable.World) {
+	for _, e := range w.Inbox.Ended {
+		takeEnd(now, w, e)
+	}
+	for _, reset := range w.Inbox.Resets {
+		if s := w.Suspects.Get(reset.Fingerprint); s != nil {
+			clearSuspect(now, w, s)
+		}
+	}
+	for _, s := range w.Servers.All() {
+		if !s.CrashAt.IsZero() {
+			settle(now, w, s)
+		}
+	}
+	for id, s := range w.Suspects.All() {
+		if !now.Before(s.Expires) && s.Unsettled == 0 && !s.Running {
+			w.Suspects.Delete(id)
+		}
+	}
+	if w.Suspects.Len() > 0 {
+		w.WakeAt(now.Add(sweepEvery))
+	}
+}
+
+func takeEnd(now time.Time, w *rocktable.World, e rocktable.Ended) {
+	a := w.Attempts.Get(e.Attempt)
+	if a == nil {
+		return
+	}
+	r := w.Requests.Get(a.Request)
+	if r == nil {
+		return
+	}
+	if a.Alone {
+		if s := w.Suspects.Get(r.Fingerprint); s != nil {
+			s.Running = false
+			if e.Reason == "" {
+				clearSuspect(now, w, s)
+			}
+		}
+	}
+	if s := w.Servers.Get(e.Server); s != nil && e.Crashed {
+		notice(now, w, s, a)
+	}
+}
+
+// notice records the work that was in flight on a backend server at the first sign of a crash.
+func notice(now time.Time, w *rocktable.World, s *rocktable.BackendServer, failed *rocktable.Attempt) {
+	if !s.CrashAt.IsZero() {
+		return
+	}
+	s.CrashAt, s.CrashIncarnation = now, s.Incarnation
+	for _, stage := range failed.Path {
+		if stage.Server == s.ID && stage.Incarnation != 0 {
+			s.CrashIncarnation = stage.Incarnation
+		}
+	}
+	for _, a := range w.Attempts.All() {
+		for _, stage := range a.Path {
+			if stage.Server == s.ID && (stage.Incarnation == 0 || stage.Incarnation == s.CrashIncarnation) {
+				addPrint(now, w, s, a)
+				break
+			}
+		}
+	}
+	w.WakeAt(now.Add(confirmWithin))
+}
+
+func addPrint(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt) {
+	r := w.Requests.Get(a.Request)
+	if r == nil || r.Fingerprint == 0 {
+		return
+	}
+	for _, p := range s.CrashPrints {
+		if p.Fingerprint == r.Fingerprint {
+			return
+		}
+	}
+	s.CrashPrints = append(s.CrashPrints, rocktable.CrashPrint{Fingerprint: r.Fingerprint, Alone: a.Alone})
+	suspect := w.Suspects.GetOrPut(r.Fingerprint)
+	suspect.Fingerprint = r.Fingerprint
+	suspect.Unsettled++
+	if a.Alone {
+		suspect.AloneSigns++
+	}
+	if suspect.Crashes == 0 {
+		suspect.Expires = now.Add(SuspectFor)
+	}
+}
+
+// settle decides whether a backend server crashed: its incarnation changed, or its probes fail.
+func settle(now time.Time, w *rocktable.World, s *rocktable.BackendServer) {
+	crashed := false
+	switch {
+	case s.Incarnation != s.CrashIncarnation || s.FailedProbes >= failedProbes || s.State == rocktable.StateDown:
+		crashed = true
+	case s.StatusAt.Sub(s.CrashAt) >= reportLag:
+		// It still runs: only the link was cut.
+	case now.Sub(s.CrashAt) >= confirmWithin:
+	default:
+		w.WakeAt(s.CrashAt.Add(confirmWithin))
+		return
+	}
+	for _, p := range s.CrashPrints {
+		settlePrint(now, w, p, crashed)
+	}
+	s.CrashAt, s.CrashPrints = time.Time{}, nil
+	w.WakeAt(now) // requests that waited for this can go on
+}
+
+func settlePrint(now time.Time, w *rocktable.World, p rocktable.CrashPrint, crashed bool) {
+	s := w.Suspects.Get(p.Fingerprint)
+	if s == nil {
+		return
+	}
+	s.Unsettled = max(0, s.Unsettled-1)
+	if p.Alone {
+		s.AloneSigns = max(0, s.AloneSigns-1)
+	}
+	if crashed {
+		confirm(now, w, s, p.Alone)
+		return
+	}
+	if s.Unsettled == 0 && s.Changed == 0 {
+		w.Suspects.Delete(p.Fingerprint)
+	}
+}
+
+func confirm(now time.Time, w *rocktable.World, s *rocktable.Suspect, alone bool) {
+	s.Crashes++
+	s.Changed = w.Changed()
+	if s.Quarantined {
+		return
+	}
+	s.Expires = now.Add(SuspectFor)
+	if !alone {
+		return
+	}
+	s.AloneCrash++
+	s.Quarantined, s.Expires = true, now.Add(QuarantineFor)
+	w.LogChange("suspect", strconv.FormatUint(s.Fingerprint, 16), "suspect", "quarantined")
+}
+
+// clearSuspect lifts suspicion and quarantine; the row stays for a while, so that peers learn of it.
+func clearSuspect(now time.Time, w *rocktable.World, s *rocktable.Suspect) {
+	s.Crashes, s.AloneCrash, s.Quarantined = 0, 0, false
+	s.Expires, s.Changed = now.Add(clearedFor), w.Changed()
+}
+
+// IsQuarantined reports whether requests with this content are refused.
+func IsQuarantined(now time.Time, w *rocktable.World, fingerprint uint64) bool {
+	s := w.Suspects.Get(fingerprint)
+	return s != nil && s.Quarantined && now.Before(s.Expires)
+}
+
+// IsSuspect reports whether a request with this content must run alone: it was in flight at aloneAfter crashes or signs of crashes.
+func IsSuspect(now time.Time, w *rocktable.World, fingerprint uint64) bool {
+	s := w.Suspects.Get(fingerprint)
+	return s != nil && s.Crashes+s.Unsettled >= aloneAfter && now.Before(s.Expires)
+}
+
+// MustWait reports whether a suspect may not start now: it already runs alone here, or it is not settled yet whether it crashed a backend server while it ran alone.
+func MustWait(w *rocktable.World, fingerprint uint64) bool {
+	s := w.Suspects.Get(fingerprint)
+	return s != nil && (s.Running || s.AloneSigns > 0)
+}
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -103,6 +103,11 @@
 	Limit      float64      // concurrency limit of this host, in attempts
 	RoundTrip  time.Duration
 	Exclusive  RequestID // suspect that must run alone here, or 0
+	CutAt      time.Time // last decrease of Limit
+
+	CrashAt          time.Time    // first sign of a crash that is not confirmed yet; zero if there is none
+	CrashIncarnation uint64       // incarnation that is thought to have crashed
+	CrashPrints      []CrashPrint // work that was in flight at that time
 
 	RetryBudget  float64 // retries that may still be sent here
 	Probing      bool    // this host is one of its probers
@@ -112,6 +117,12 @@
 	Changed      uint64 // World.ChangeSeq of the last change that peers should learn
 }
 
+// CrashPrint is a request content that was in flight on a backend server that may have crashed.
+type CrashPrint struct {
+	Fingerprint uint64
+	Alone       bool // ran alone there
+}
+
 // EngineStatus is the load and content that an engine reports.
 type EngineStatus struct {
 	Name            string  `json:"name"`
@@ -128,6 +139,7 @@
 	State           string  `json:"state"` // live or leaving
 	Fencing         uint64  `json:"fencing"`
 	ChecksFencing   bool    `json:"checksFencing"`
+	SubRanges       bool    `json:"subRanges"` // a session may begin after FirstLayer
 }
 
 // Caller is an organisation that sends requests.
@@ -142,10 +154,22 @@
 	DemandAt    time.Time
 }
 
-// Share holds the service that one caller got in one rank.
+// Share holds the service that one caller got in one rank, and its waiting requests.
 type Share struct {
-	Served float64 // tokens divided by the caller's weight
-	Queue  []RequestID
+	Served  float64 // tokens divided by the caller's weight
+	Waiting int     // queued requests
+	Queued  float64 // tokens of queued requests
+	HeavyAt int     // position in Rank.Heaviest plus one; 0 when absent
+	Lines   []Line
+	Queue   []RequestID
+}
+
+// Line is the queue of one caller in one lane.
+type Line struct {
+	Pipeline PipelineID
+	Queue    []RequestID // in order of arrival; entries of requests that left are skipped
+	Waiting  int
+	HeapAt   int // position in Lane.Callers plus one; 0 when absent
 }
 
 // ShareKey identifies the share of a caller in a rank.
@@ -154,16 +178,30 @@
 	Caller CallerID
 }
 
+// Lane is the waiting work of one rank for one pipeline. Pipelines use different backend servers, so that floors and expected waits apply to each lane.
+type Lane struct {
+	Waiting   int
+	Queued    float64     // tokens of queued requests
+	Started   float64     // tokens started, decaying over the floor window
+	StartedAt time.Time   // time of the last decay
+	Callers   []CallerID  // heap of callers with waiting requests, fewest tokens served first
+	Front     []RequestID // requeued requests and suspects, which go before the callers' lines
+}
+
+// LaneKey identifies a lane.
+type LaneKey struct {
+	Rank     RankID
+	Pipeline PipelineID
+}
+
 // Rank is a class of work with a target and a worth.
 type Rank struct {
 	ID       RankID
 	Config   RankConfig
-	Waiting  int     // queued requests
-	Started  float64 // tokens started, decaying over the floor window
-	Rate     float64 // tokens per second that were started, smoothed
-	RateAt   time.Time
-	Queued   float64 // tokens of queued requests
-	MinServe float64 // lowest Served among active callers
+	Waiting  int         // queued requests
+	MinServe float64     // highest counter of a caller that was chosen; the floor for callers that return when nobody waits
+	Heaviest []CallerID  // heap of callers with waiting requests, most requests first
+	Expiry   []RequestID // requests in order of arrival, to find those that waited too long
 }
 
 // RequestState is the progress of a request.
@@ -202,6 +240,13 @@
 	Requeued    bool // goes before new requests of its rank
 	Alone       bool // suspect: runs alone on its backend servers
 
+	RanBefore bool // an earlier attempt may have run
+
+	Estimate float64   // tokens that it was counted with while it waited
+	Waiting  bool      // in a queue
+	InFront  bool      // in Lane.Front
+	QueuedAt time.Time // last time it entered a queue
+
 	Call *Call // set for application calls
 }
 
@@ -242,6 +287,8 @@
 	Address    string
 	FirstLayer int
 	LastLayer  int // inclusive
+
+	Incarnation uint64 // of the backend server when the path was chosen
 }
 
 // Attempt is one run of a request on a path.
@@ -254,6 +301,7 @@
 	Progress time.Time // last sign of progress
 	Tokens   int
 	Canceled bool
+	Alone    bool // its backend servers have no other work of this host
 }
 
 // Suspect is a request content that was in flight when a backend server crashed.
@@ -263,14 +311,30 @@
 	AloneCrash  int // crashes while it ran alone
 	Quarantined bool
 	Running     bool // an attempt that runs alone is under way at this host
+	Unsettled   int  // signs of crashes at this host that are not confirmed yet
+	AloneSigns  int  // those of them while it ran alone
 	Expires     time.Time
-	Changed     uint64
+	Changed     uint64 // 0 while there is nothing that peers should learn
 }
 
 // Pipeline is a model carried over layer ranges.
 type Pipeline struct {
-	ID     PipelineID
-	Config PipelineConfig
+	ID          PipelineID
+	Config      PipelineConfig
+	Waiting     int           // queued requests of all ranks
+	TriedAt     time.Time     // last search for places
+	NoPathSince time.Time     // since when no live backend servers cover every layer; zero if they do
+	Alone       []RequestID   // suspects that run alone or wait for reserved backend servers
+	Backlogged  bool          // requests were left waiting at the end of the last tick
+	BusyAt      time.Time     // time of the last update of BusyTime
+	BusyTime    float64       // seconds with a backlog, decaying
+	BusyTokens  float64       // tokens started in BusyTime, decaying
+	Opening     time.Duration // from the start of an attempt to its first token, smoothed
+}
+
+// PrefixHint tells which backend servers recently ran a prompt prefix. It is a hint: the engine may have dropped the prefix.
+type PrefixHint struct {
+	Servers []BackendServerID
 }
 
 // Service is an application or a plain service.
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -70,12 +70,16 @@
 	Requests    Table[RequestID, Request]
 	Attempts    Table[AttemptID, Attempt]
 	Shares      Table[ShareKey, Share]
+	Lanes       Table[LaneKey, Lane]
+	Prefixes    Table[uint64, PrefixHint] // by hash of the prefix
 	Suspects    Table[uint64, Suspect]
 	Orders      Table[BackendServerID, Order]
 	Tallies     Table[ShareKey, Tally]
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
 	Lease       Lease
 
+	PrefixOrder []uint64 // keys of Prefixes, oldest first
+
 	Config        ConfigRow
 	ConfigVersion uint64 // in force at this host; 0 before the first
 	ConfigState   ConfigState
@@ -87,6 +91,9 @@
 	ChangeSeq uint64                     // rises with each change that peers should learn
 	Counters  map[rockreason.Code]uint64 // since the start
 
+	// QueuedVersion is the ConfigVersion with which the queues agree.
+	QueuedVersion uint64
+
 	// CheckedVersion is ConfigVersion at the end of the last tick.
 	CheckedVersion uint64
 
