Decide about model requests: queues, paths, retries, outcomes

Cause: admission took every request, the next request was found by a scan of all shares, paths ignored load and overlapping ranges, and each failure was retried up to six times.

Change: waiting requests stand in lanes (rank and pipeline) with a heap of callers by tokens served; floors, refusal on arrival, shedding and callers' limits work on these. Paths are shortest paths over layer boundaries with a random choice among those within 10%. Attempts ended by a failure are replayed before other work, within budgets of the caller and of the server at fault. Suspects run alone on reserved servers. Each server has a concurrency limit with additive increase and multiplicative decrease.

With a third of the servers failing half of their attempts, extra attempts stay at or below 10% of 3,000 requests; a request that crashes its servers takes down at most 3, and the 100 others are answered.

--- /dev/null
+++ b/core/rockadmit/queue.go
@@ -0,0 +1,183 @@
+package rockadmit
+
+import (
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// compactSlack is the number of entries of departed requests that a queue may hold before it is compacted.
+const compactSlack = 32
+
+// push puts a request at the end of its caller's line.
+func push(now time.Time, w *rocktable.World, r *rocktable.Request) {
+	share := w.Shares.GetOrPut(shareKey(r))
+	if share.Waiting == 0 {
+		share.Served = max(share.Served, lowestActive(w, r.Rank))
+	}
+	count(now, w, r, 1)
+	line := lineOf(share, r.Pipeline)
+	line.Queue = append(line.Queue, r.ID)
+	line.Waiting++
+	if line.Waiting == 1 {
+		key := laneKey(r)
+		byServed(w, key, w.Lanes.Get(key)).push(r.Caller)
+	}
+}
+
+// Requeue puts a request whose attempt ended, or a suspect, before the callers' lines of its lane.
+func Requeue(now time.Time, w *rocktable.World, r *rocktable.Request) {
+	r.State, r.InFront = rocktable.RequestQueued, true
+	w.Shares.GetOrPut(shareKey(r))
+	count(now, w, r, 1)
+	lane := w.Lanes.Get(laneKey(r))
+	lane.Front = append(lane.Front, r.ID)
+}
+
+// Remove takes a request out of its queue, if it waits in one. Its entry in a line is skipped later.
+func Remove(w *rocktable.World, r *rocktable.Request) {
+	if !r.Waiting {
+		return
+	}
+	count(r.QueuedAt, w, r, -1)
+	if r.InFront {
+		r.InFront = false
+		lane := w.Lanes.Get(laneKey(r))
+		for i, id := range lane.Front {
+			if id == r.ID {
+				lane.Front = append(lane.Front[:i], lane.Front[i+1:]...)
+				break
+			}
+		}
+		return
+	}
+	share := w.Shares.Get(shareKey(r))
+	line := lineOf(share, r.Pipeline)
+	line.Waiting--
+	if len(line.Queue) > 0 && line.Queue[0] == r.ID {
+		line.Queue = line.Queue[1:]
+	}
+	if len(line.Queue) > 2*line.Waiting+compactSlack {
+		compact(w, line)
+	}
+	if line.Waiting == 0 {
+		line.Queue = line.Queue[:0]
+		key := laneKey(r)
+		byServed(w, key, w.Lanes.Get(key)).remove(r.Caller)
+	}
+}
+
+// count adds a request to, or takes it from, every count of waiting work.
+func count(now time.Time, w *rocktable.World, r *rocktable.Request, sign int) {
+	r.Waiting, r.QueuedAt = sign > 0, now
+	share := w.Shares.Get(shareKey(r))
+	share.Waiting += sign
+	share.Queued += float64(sign) * r.Estimate
+	lane := w.Lanes.GetOrPut(laneKey(r))
+	lane.Waiting += sign
+	lane.Queued = max(0, lane.Queued+float64(sign)*r.Estimate)
+	if lane.Waiting == 0 {
+		lane.Queued = 0 // drops rounding errors
+	}
+	if p := w.Pipelines.Get(r.Pipeline); p != nil {
+		p.Waiting += sign
+	}
+	rank := w.Ranks.Get(r.Rank)
+	if rank == nil {
+		share.HeavyAt = 0 // the heap went with the rank
+		return
+	}
+	rank.Waiting += sign
+	h := byWaiting(w, rank)
+	switch {
+	case share.HeavyAt == 0 && share.Waiting > 0:
+		h.push(r.Caller)
+	case share.HeavyAt > 0 && share.Waiting == 0:
+		h.remove(r.Caller)
+	case share.HeavyAt > 0:
+		h.fix(r.Caller)
+	}
+}
+
+func compact(w *rocktable.World, line *rocktable.Line) {
+	kept := make([]rocktable.RequestID, 0, line.Waiting)
+	for _, id := range line.Queue {
+		if isInLine(w, id) {
+			kept = append(kept, id)
+		}
+	}
+	line.Queue = kept
+}
+
+func isInLine(w *rocktable.World, id rocktable.RequestID) bool {
+	r := w.Requests.Get(id)
+	return r != nil && r.Waiting && !r.InFront
+}
+
+// head returns the first waiting request of a line, or nil.
+func head(w *rocktable.World, line *rocktable.Line) *rocktable.Request {
+	for len(line.Queue) > 0 {
+		if isInLine(w, line.Queue[0]) {
+			return w.Requests.Get(line.Queue[0])
+		}
+		line.Queue = line.Queue[1:]
+	}
+	return nil
+}
+
+// tail returns the last waiting request of a line, or nil.
+func tail(w *rocktable.World, line *rocktable.Line) *rocktable.Request {
+	for n := len(line.Queue); n > 0; n-- {
+		if isInLine(w, line.Queue[n-1]) {
+			return w.Requests.Get(line.Queue[n-1])
+		}
+		line.Queue = line.Queue[:n-1]
+	}
+	return nil
+}
+
+// lowestActive returns the lowest counter among callers that wait in the rank, so that idle time earns no credit.
+func lowestActive(w *rocktable.World, rank rocktable.RankID) float64 {
+	lowest, found := 0.0, false
+	for id := range w.Pipelines.All() {
+		lane := w.Lanes.Get(rocktable.LaneKey{Rank: rank, Pipeline: id})
+		if lane == nil || len(lane.Callers) == 0 {
+			continue
+		}
+		served := w.Shares.Get(rocktable.ShareKey{Rank: rank, Caller: lane.Callers[0]}).Served
+		if !found || served < lowest {
+			lowest, found = served, true
+		}
+	}
+	if found {
+		return lowest
+	}
+	if row := w.Ranks.Get(rank); row != nil {
+		return row.MinServe
+	}
+	return 0
+}
+
+// serve changes the counter of a caller and its place in every lane of the rank.
+func serve(w *rocktable.World, r *rocktable.Request, tokens float64) {
+	share := w.Shares.GetOrPut(shareKey(r))
+	weight := 1.0
+	if c := w.Callers.Get(r.Caller); c != nil && c.Config.Weight > 0 {
+		weight = c.Config.Weight
+	}
+	share.Served = max(0, share.Served+tokens/weight)
+	for _, line := range share.Lines {
+		if line.HeapAt > 0 {
+			key := rocktable.LaneKey{Rank: r.Rank, Pipeline: line.Pipeline}
+			byServed(w, key, w.Lanes.Get(key)).fix(r.Caller)
+		}
+	}
+}
+
+func shareKey(r *rocktable.Request) rocktable.ShareKey {
+	return rocktable.ShareKey{Rank: r.Rank, Caller: r.Caller}
+}
+
+func laneKey(r *rocktable.Request) rocktable.LaneKey {
+	return rocktable.LaneKey{Rank: r.Rank, Pipeline: r.Pipeline}
+}
--- /dev/null
+++ b/core/rockadmit/release.go
@@ -0,0 +1,46 @@
+package rockadmit
+
+import (
+	"slices"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// Release removes an attempt and gives its places on backend servers back.
+func Release(w *rocktable.World, a *rocktable.Attempt) {
+	for _, stage := range a.Path {
+		s := w.Servers.Get(stage.Server)
+		if s == nil {
+			continue
+		}
+		s.InFlight--
+		if s.Exclusive == a.Request {
+			s.Exclusive = 0
+		}
+	}
+	if r := w.Requests.Get(a.Request); r != nil && a.Alone {
+		Unreserve(w, r)
+		if s := w.Suspects.Get(r.Fingerprint); s != nil {
+			s.Running = false
+		}
+	}
+	w.Attempts.Delete(a.ID)
+}
+
+// Unreserve gives back the backend servers that were reserved for a suspect.
+func Unreserve(w *rocktable.World, r *rocktable.Request) {
+	p := w.Pipelines.Get(r.Pipeline)
+	if p == nil {
+		return
+	}
+	i := slices.Index(p.Alone, r.ID)
+	if i < 0 {
+		return
+	}
+	p.Alone = slices.Delete(p.Alone, i, i+1)
+	for _, s := range w.Servers.All() {
+		if s.Exclusive == r.ID {
+			s.Exclusive = 0
+		}
+	}
+}
--- a/core/rockoutcome/outcome.go
+++ b/core/rockoutcome/outcome.go
@@ -39,9 +39,10 @@
 
 func outcomeOf(w *rocktable.World, r *rocktable.Request, code rockreason.Code) rocktable.Outcome {
 	o := rocktable.Outcome{Attempts: r.Attempts, Reason: code}
+	first := time.Duration(0)
 	if !r.FirstToken.IsZero() {
-		o.FirstToken = r.FirstToken.Sub(r.Arrived).Milliseconds()
-		o.LargestGap = r.LargestGap.Milliseconds()
+		first = r.FirstToken.Sub(r.Arrived)
+		o.FirstToken, o.LargestGap = first.Milliseconds(), r.LargestGap.Milliseconds()
 	}
 	rank := w.Ranks.Get(r.Rank)
 	if rank == nil {
@@ -49,7 +50,9 @@
 	}
 	o.Rank = rank.Config.Name
 	o.TargetFirstToken, o.TargetGap = int64(rank.Config.FirstTokenMs), int64(rank.Config.GapMs)
-	o.Kept = code == "" && o.FirstToken <= o.TargetFirstToken && o.LargestGap <= o.TargetGap
+	// A model answer without the time of its first token can't have met a target; calls have none.
+	timed := !r.FirstToken.IsZero() || r.Call != nil
+	o.Kept = code == "" && timed && first <= rank.Config.FirstToken() && r.LargestGap <= rank.Config.Gap()
 	return o
 }
 
@@ -72,13 +75,12 @@
 
 func forget(w *rocktable.World, r *rocktable.Request) {
 	rockadmit.Remove(w, r)
+	if r.Alone {
+		rockadmit.Unreserve(w, r)
+	}
 	if a := w.Attempts.Get(r.Attempt); a != nil {
-		for _, stage := range a.Path {
-			if s := w.Servers.Get(stage.Server); s != nil {
-				s.InFlight--
-			}
-		}
-		w.Attempts.Delete(a.ID)
+		rockadmit.Release(w, a)
 	}
+	rockadmit.Settle(w, r)
 	w.Requests.Delete(r.ID)
 }
--- /dev/null
+++ b/core/rockretry/budget.go
@@ -0,0 +1,42 @@
+package rockretry
+
+import "sassafrasrock/core/rocktable"
+
+// RetryBudget fields hold what was earned since the start, without the allowance; a budget is spent when it falls to minus the allowance.
+const (
+	// earnedPerSuccess is the part of a retry that each successful request earns. It keeps the extra work in a brown-out under 10%.
+	earnedPerSuccess = 0.08
+	// callerAllowance and serverAllowance are the retries that are possible before any success.
+	callerAllowance = 3
+	serverAllowance = 5
+	// callerSavings and serverSavings limit what is saved, so that a crash of a busy server can be replayed but a long outage can't.
+	callerSavings = 50
+	serverSavings = 64
+)
+
+// earn adds a success to the budgets of the caller and of the backend servers on the path.
+func earn(w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt) {
+	if c := w.Callers.Get(r.Caller); c != nil {
+		c.RetryBudget = min(callerSavings, c.RetryBudget+earnedPerSuccess)
+	}
+	for _, stage := range a.Path {
+		if s := w.Servers.Get(stage.Server); s != nil {
+			s.RetryBudget = min(serverSavings, s.RetryBudget+earnedPerSuccess)
+		}
+	}
+}
+
+// spend takes one retry from the budgets of the caller and of the backend server at fault, and reports whether both had one.
+func spend(c *rocktable.Caller, s *rocktable.BackendServer) bool {
+	if c == nil || c.RetryBudget+callerAllowance < 1 {
+		return false
+	}
+	if s != nil && s.RetryBudget+serverAllowance < 1 {
+		return false
+	}
+	c.RetryBudget--
+	if s != nil {
+		s.RetryBudget--
+	}
+	return true
+}
--- /dev/null
+++ b/core/rockretry/limit.go
@@ -0,0 +1,65 @@
+package rockretry
+
+import (
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// slowFactor is the multiple of the target gap between tokens that counts as overload.
+	slowFactor = 2
+	// cutFactor is the part of a concurrency limit that is left after a decrease.
+	cutFactor = 0.7
+	// cutEvery is the shortest time between two decreases, so that one overload is counted once.
+	cutEvery = 250 * time.Millisecond
+	// minStep and minOpen are the shortest stall limits: a retry costs more than a short pause.
+	minStep = 2 * time.Second
+	minOpen = 5 * time.Second
+)
+
+// StepLimit returns the longest wait for one step of one stage in a rank.
+func StepLimit(c rocktable.RankConfig) time.Duration { return max(10*c.Gap(), minStep) }
+
+// OpenLimit returns the longest wait for the first token in a rank, and the longest wait of a requeued request for a place.
+func OpenLimit(c rocktable.RankConfig) time.Duration { return max(4*c.FirstToken(), minOpen) }
+
+// raiseLimit adds to the concurrency limit of a backend server, if it is in use, up to its slots.
+func raiseLimit(s *rocktable.BackendServer) {
+	if s.Limit == 0 {
+		return // never lowered
+	}
+	if float64(s.InFlight) < s.Limit/2 {
+		return
+	}
+	s.Limit = min(float64(max(1, s.Status.Slots)), s.Limit+1/s.Limit)
+}
+
+// lowerLimit multiplies the concurrency limit of a backend server after a refusal, a stall or slow steps.
+func lowerLimit(now time.Time, s *rocktable.BackendServer) {
+	if now.Sub(s.CutAt) < cutEvery {
+		return
+	}
+	if s.Limit == 0 {
+		s.Limit = float64(max(1, s.Status.Slots))
+	}
+	s.CutAt = now
+	// A limit far above the use would not bind after the decrease.
+	s.Limit = max(1, min(s.Limit, float64(s.InFlight+1))*cutFactor)
+}
+
+// busiest returns the backend server of a path with the most attempts for its slots; it is the likely cause of slow steps.
+func busiest(w *rocktable.World, path []rocktable.Stage) *rocktable.BackendServer {
+	var worst *rocktable.BackendServer
+	for _, stage := range path {
+		s := w.Servers.Get(stage.Server)
+		if s != nil && (worst == nil || load(s) > load(worst)) {
+			worst = s
+		}
+	}
+	return worst
+}
+
+func load(s *rocktable.BackendServer) float64 {
+	return float64(s.InFlight+s.PeerFlight) / float64(max(1, s.Status.Slots))
+}
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockcrash"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -22,65 +24,216 @@
 		takeProgress(now, w, p)
 	}
 	for _, e := range w.Inbox.Ended {
-		takeEnd(w, e)
+		takeEnd(now, w, e)
 	}
 	for _, gone := range w.Inbox.CallerGone {
-		if r := w.Requests.Get(gone.Request); r != nil {
-			w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Attempt: r.Attempt})
-			w.Answer(r.ID, rockreason.CallerLeft)
+		takeCallerGone(w, gone.Request)
+	}
+	for key, lane := range w.Lanes.All() {
+		if len(lane.Front) > 0 {
+			expireFront(now, w, key, lane)
 		}
 	}
 }
 
+func takeCallerGone(w *rocktable.World, id rocktable.RequestID) {
+	r := w.Requests.Get(id)
+	if r == nil || r.Call != nil {
+		return // rockclaim ends application calls
+	}
+	if a := w.Attempts.Get(r.Attempt); a != nil {
+		a.Canceled = true
+		w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Attempt: r.Attempt})
+	}
+	rockadmit.Remove(w, r)
+	w.Answer(r.ID, rockreason.CallerLeft)
+}
+
 func takeProgress(now time.Time, w *rocktable.World, p rocktable.Progress) {
 	a := w.Attempts.Get(p.Attempt)
 	if a == nil {
 		w.Count(rockreason.LateEvent)
 		return
 	}
+	a.Progress = now
+	takeTokens(w, a, p.Tokens, p.FirstToken, p.LargestGap)
+}
+
+// takeTokens adds what an attempt delivered. Values never fall, so that a late or repeated report changes nothing.
+func takeTokens(w *rocktable.World, a *rocktable.Attempt, tokens int, first time.Time, gap time.Duration) {
 	r := w.Requests.Get(a.Request)
-	r.Tokens += p.Tokens - a.Tokens
-	a.Tokens, a.Progress = p.Tokens, now
-	r.FirstToken, r.LargestGap = p.FirstToken, p.LargestGap
+	if r == nil {
+		return
+	}
+	if tokens > a.Tokens {
+		r.Tokens += tokens - a.Tokens
+		a.Tokens = tokens
+	}
+	if r.FirstToken.IsZero() {
+		r.FirstToken = first
+	}
+	r.LargestGap = max(r.LargestGap, gap)
 }
 
-func takeEnd(w *rocktable.World, e rocktable.Ended) {
+func takeEnd(now time.Time, w *rocktable.World, e rocktable.Ended) {
 	a := w.Attempts.Get(e.Attempt)
 	if a == nil {
 		w.Count(rockreason.LateEvent)
 		return
 	}
+	takeTokens(w, a, e.Tokens, e.FirstToken, e.LargestGap)
+	takeRoundTrips(w, e.RoundTrips)
 	r := w.Requests.Get(a.Request)
-	r.Tokens += e.Tokens - a.Tokens
-	r.FirstToken, r.LargestGap = e.FirstToken, e.LargestGap
-	release(w, a)
-	r.Attempt = 0
+	if r == nil {
+		rockadmit.Release(w, a)
+		return
+	}
 	if e.Reason == "" {
+		succeed(now, w, r, a, e)
+	}
+	rockadmit.Release(w, a)
+	r.Attempt = 0
+	switch {
+	case a.Canceled:
+		// Whoever canceled the attempt has decided about the request.
+	case e.Reason == "":
 		w.Answer(r.ID, "")
+	default:
+		fail(now, w, r, e)
+	}
+}
+
+func succeed(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.Ended) {
+	earn(w, r, a)
+	rank := w.Ranks.Get(r.Rank)
+	if rank == nil {
 		return
 	}
+	if r.Attempts == 1 && !e.FirstToken.IsZero() {
+		noteOpening(w.Pipelines.Get(r.Pipeline), e.FirstToken.Sub(a.Started))
+	}
+	slow := e.LargestGap > slowFactor*rank.Config.Gap()
+	if slow {
+		if s := busiest(w, a.Path); s != nil {
+			lowerLimit(now, s)
+		}
+		return
+	}
+	for _, stage := range a.Path {
+		if s := w.Servers.Get(stage.Server); s != nil {
+			raiseLimit(s)
+		}
+	}
+}
+
+// noteOpening smooths the time from the start of an attempt to its first token.
+func noteOpening(p *rocktable.Pipeline, d time.Duration) {
+	switch {
+	case p == nil:
+	case p.Opening == 0:
+		p.Opening = d
+	default:
+		p.Opening += (d - p.Opening) / 16
+	}
+}
+
+// fail decides what follows a failed attempt.
+func fail(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.Ended) {
 	w.Count(e.Reason)
-	if e.Reason != rockreason.StageRefused && e.Reason != rockreason.StageUnreachable {
-		r.MayHaveRun = true
+	r.RanBefore = r.RanBefore || !isNotRun(e)
+	r.MayHaveRun = r.RanBefore
+	s := w.Servers.Get(e.Server)
+	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
+		lowerLimit(now, s)
 	}
-	if r.Attempts >= maxAttempts {
-		w.Answer(r.ID, rockreason.BackendFailed)
+	if code := lastAnswer(now, w, r, e, s); code != "" {
+		w.Answer(r.ID, code)
 		return
 	}
-	r.State, r.Requeued = rocktable.RequestQueued, true
-	if e.Server != 0 {
+	r.Requeued = true
+	if e.Server != 0 && !avoids(r, e.Server) {
 		r.Avoid = append(r.Avoid, e.Server)
 	}
-	share := w.Shares.GetOrPut(rocktable.ShareKey{Rank: r.Rank, Caller: r.Caller})
-	share.Queue = append([]rocktable.RequestID{r.ID}, share.Queue...)
+	rockadmit.Requeue(now, w, r)
 }
 
-// release removes an attempt and gives its places on backend servers back.
-func release(w *rocktable.World, a *rocktable.Attempt) {
-	for _, stage := range a.Path {
-		if s := w.Servers.Get(stage.Server); s != nil {
-			s.InFlight--
+// isNotRun reports whether the attempt is known not to have run: the stage said that it did not start or was not reached, and no token came.
+func isNotRun(e rocktable.Ended) bool {
+	return e.Tokens == 0 && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageUnreachable)
+}
+
+// lastAnswer returns why the request is not retried, or an empty code if it is.
+func lastAnswer(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.Ended, s *rocktable.BackendServer) rockreason.Code {
+	reason, ok := rockreason.Find(e.Reason)
+	switch {
+	case ok && reason.Kind != rockreason.Retry:
+		return e.Reason
+	case rockcrash.IsQuarantined(now, w, r.Fingerprint):
+		return rockreason.BackendFailed
+	case r.Attempts >= maxAttempts, isLate(now, w, r):
+		if e.Reason == rockreason.StageStalled {
+			return rockreason.Stalled
+		}
+		return rockreason.BackendFailed
+	case e.Reason == rockreason.StageRefused && isNotRun(e):
+		// A refusal costs the backend server nothing, so that it needs no budget.
+		return ""
+	case !spend(w.Callers.Get(r.Caller), s):
+		return rockreason.RetryBudget
+	}
+	return ""
+}
+
+// isLate reports whether a request without a first token has passed its deadline.
+func isLate(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
+	rank := w.Ranks.Get(r.Rank)
+	return rank == nil || r.FirstToken.IsZero() && now.Sub(r.Arrived) > OpenLimit(rank.Config)
+}
+
+// expireFront ends requeued requests that waited for a place for longer than a stall limit.
+func expireFront(now time.Time, w *rocktable.World, key rocktable.LaneKey, lane *rocktable.Lane) {
+	rank := w.Ranks.Get(key.Rank)
+	if rank == nil {
+		return
+	}
+	limit := OpenLimit(rank.Config)
+	for i := len(lane.Front) - 1; i >= 0; i-- {
+		r := w.Requests.Get(lane.Front[i])
+		if !r.Requeued {
+			continue // a suspect that never ran; rockadmit sheds it
+		}
+		if end := r.QueuedAt.Add(limit); now.Before(end) {
+			w.WakeAt(end)
+			continue
+		}
+		rockadmit.Remove(w, r)
+		code := rockreason.Stalled
+		if !r.MayHaveRun {
+			code = rockreason.Shed
+		}
+		w.Answer(r.ID, code)
+	}
+}
+
+func avoids(r *rocktable.Request, id rocktable.BackendServerID) bool {
+	for _, avoid := range r.Avoid {
+		if avoid == id {
+			return true
+		}
+	}
+	return false
+}
+
+// takeRoundTrips smooths measured round trips into the rows of the backend servers.
+func takeRoundTrips(w *rocktable.World, trips []rocktable.RoundTrip) {
+	for _, t := range trips {
+		s := w.Servers.Get(t.Server)
+		switch {
+		case s == nil || t.Time <= 0:
+		case s.RoundTrip == 0:
+			s.RoundTrip = t.Time
+		default:
+			s.RoundTrip += (t.Time - s.RoundTrip) / 4
 		}
 	}
-	w.Attempts.Delete(a.ID)
 }
--- /dev/null
+++ b/core/rockroute/alone.go
@@ -0,0 +1,56 @@
+package rockroute
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// alonePart is the part of a pipeline's backend servers for each of which one suspect may run alone at the same time.
+const alonePart = 16
+
+// alonePath returns a path on which a suspect has every backend server for itself. It reserves the backend servers first; they finish their other work and get no more.
+func (f *Field) alonePath(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request) []rocktable.Stage {
+	reserved := slices.Contains(p.Alone, r.ID)
+	if !reserved && len(p.Alone) >= max(1, len(f.Servers)/alonePart) {
+		return nil
+	}
+	path := f.Path(now, w, r, p.Config.Layers, isReserved)
+	if path == nil {
+		path = f.Path(now, w, r, p.Config.Layers, isReservable)
+		if path == nil {
+			return nil
+		}
+		release(w, r)
+		for _, stage := range path {
+			w.Servers.Get(stage.Server).Exclusive = r.ID
+		}
+	}
+	if !reserved {
+		p.Alone = append(p.Alone, r.ID)
+	}
+	for _, stage := range path {
+		if s := w.Servers.Get(stage.Server); s.InFlight > 0 || s.PeerFlight > 0 {
+			return nil
+		}
+	}
+	return path
+}
+
+// release gives back backend servers that were reserved for an earlier path, because one of them left.
+func release(w *rocktable.World, r *rocktable.Request) {
+	for _, s := range w.Servers.All() {
+		if s.Exclusive == r.ID {
+			s.Exclusive = 0
+		}
+	}
+}
+
+func isReserved(_ *rocktable.World, s *rocktable.BackendServer, r *rocktable.Request) bool {
+	return s.Exclusive == r.ID
+}
+
+func isReservable(_ *rocktable.World, s *rocktable.BackendServer, r *rocktable.Request) bool {
+	return s.Exclusive == 0 && s.Status.Slots > 0
+}
--- /dev/null
+++ b/core/rockroute/failure_test.go
@@ -0,0 +1,203 @@
+package rockroute_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// Guards against retries that add load in a brown-out: a third of the backend servers fail half of their attempts.
+func TestRetryBudgetInBrownOut(t *testing.T) {
+	f := newFleet(t, 6, 20, 20)
+	whole := f.end
+	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+		for _, stage := range s.Path {
+			if stage.Server%3 == 0 && f.w.Rand.IntN(2) == 0 {
+				return rocktable.Ended{Attempt: s.Attempt, Reason: rockreason.StageDied, Server: stage.Server}
+			}
+		}
+		return whole(f, s)
+	}
+	n := 0
+	f.run(30*time.Second, func() { f.ask(n%20, 1); n++ })
+	f.run(10*time.Second, nil)
+	if extra := len(f.starts) - n; extra*10 > n {
+		t.Errorf("%d extra attempts for %d requests, want at most 10%%", extra, n)
+	}
+	if f.codes[rockreason.RetryBudget] == 0 {
+		t.Error("no request ended by the retry budget")
+	}
+}
+
+// Guards against a failed stage that ends a stream, and against a retry on the backend server that failed.
+func TestStreamIsReplayedElsewhere(t *testing.T) {
+	f := newFleet(t, 2, 4, 1)
+	whole := f.end
+	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+		if s.Epoch == 1 {
+			return rocktable.Ended{Attempt: s.Attempt, Reason: rockreason.StageDied, Server: s.Path[1].Server, Tokens: 20, FirstToken: f.now}
+		}
+		return whole(f, s)
+	}
+	id := f.ask(0, 0)
+	f.run(3*time.Second, nil)
+	f.wantCode(id, "")
+	if len(f.starts) != 2 || f.starts[1].Epoch != 2 {
+		t.Fatalf("starts = %+v, want two with epochs 1 and 2", f.starts)
+	}
+	if f.starts[0].Path[1].Server == f.starts[1].Path[1].Server {
+		t.Error("the replay uses the backend server that failed")
+	}
+	if got := f.answers[id].Outcome.Attempts; got != 2 {
+		t.Errorf("%d attempts in the outcome, want 2", got)
+	}
+}
+
+// Guards against the wrong last answer, and against "not run" for a request that may have run.
+func TestLastAnswers(t *testing.T) {
+	for _, test := range []struct {
+		reason     rockreason.Code
+		want       rockreason.Code
+		mayHaveRun bool
+	}{
+		{rockreason.StageStalled, rockreason.Stalled, true},
+		{rockreason.StageDied, rockreason.BackendFailed, true},
+		{rockreason.StoppedNow, rockreason.StoppedNow, true},
+		{rockreason.StageRefused, rockreason.BackendFailed, false},
+	} {
+		f := newFleet(t, 3, 4, 1)
+		f.w.Callers.Get(1).RetryBudget = 20
+		f.end = func(_ *fleet, s rocktable.Start) rocktable.Ended {
+			return rocktable.Ended{Attempt: s.Attempt, Reason: test.reason, Server: s.Path[0].Server}
+		}
+		id := f.ask(0, 0)
+		f.run(20*time.Second, nil)
+		f.wantCode(id, test.want)
+		if f.answers[id].MayHaveRun != test.mayHaveRun {
+			t.Errorf("%s: may have run %v, want %v", test.reason, f.answers[id].MayHaveRun, test.mayHaveRun)
+		}
+	}
+}
+
+// Guards against attempts that keep their places after the caller left, and against a late end that is taken for a new one.
+func TestCallerGone(t *testing.T) {
+	f := newFleet(t, 1, 1, 1)
+	running, waiting := f.ask(0, 0), f.ask(0, 0)
+	f.step()
+	f.w.Inbox.CallerGone = []rocktable.CallerGone{{Request: running}, {Request: waiting}}
+	f.step()
+	f.wantCode(running, rockreason.CallerLeft)
+	f.wantCode(waiting, rockreason.CallerLeft)
+	if len(f.w.Outbox.Cancels) != 1 || f.w.Servers.Get(1).InFlight != 0 {
+		t.Errorf("%d cancels and %d in flight, want 1 and 0", len(f.w.Outbox.Cancels), f.w.Servers.Get(1).InFlight)
+	}
+	f.w.Inbox.Ended = []rocktable.Ended{{Attempt: f.starts[0].Attempt}}
+	f.step()
+	if f.w.Counters[rockreason.LateEvent] != 1 {
+		t.Errorf("%d late events, want 1", f.w.Counters[rockreason.LateEvent])
+	}
+}
+
+const poison = 1 << 40
+
+// crasher makes each attempt of the poisonous content crash the middle stage with everything in flight there.
+type crasher struct {
+	crashes int
+	cut     bool // only the link is cut
+	probeAt time.Time
+	server  *rocktable.BackendServer
+}
+
+func (c *crasher) step(f *fleet) {
+	if c.server != nil && !f.now.Before(c.probeAt) {
+		c.server.StatusAt = f.now
+		if !c.cut {
+			c.server.Incarnation++
+		}
+		c.server = nil
+	}
+	for _, run := range f.running {
+		r := f.w.Requests.Get(run.start.Request)
+		if r == nil || r.Fingerprint != poison || f.now.Before(run.due.Add(-f.service/2)) {
+			continue
+		}
+		s := f.w.Servers.Get(run.start.Path[1].Server)
+		c.crashes++
+		c.endAll(f, s)
+		// A later probe finds the new process, or the old one behind a cut link.
+		c.server, c.probeAt = s, f.now.Add(400*time.Millisecond)
+		return
+	}
+}
+
+func (c *crasher) endAll(f *fleet, s *rocktable.BackendServer) {
+	f.running = slices.DeleteFunc(f.running, func(run running) bool {
+		hit := run.start.Path[1].Server == s.ID
+		if hit {
+			f.w.Inbox.Ended = append(f.w.Inbox.Ended, rocktable.Ended{Attempt: run.start.Attempt, Reason: rockreason.StageDied, Server: s.ID, Crashed: true})
+		}
+		return hit
+	})
+}
+
+// Guards against a request that crashes one backend server after the other, and against its neighbours' failure.
+func TestPoisonousRequestIsQuarantined(t *testing.T) {
+	f := newFleet(t, 4, 8, 4)
+	for _, c := range f.w.Callers.All() {
+		c.RetryBudget = 40
+	}
+	for _, s := range f.w.Servers.All() {
+		s.RetryBudget = 40
+	}
+	c := &crasher{}
+	n := 0
+	f.run(10*time.Second, func() {
+		if n++; n%10 == 0 {
+			f.ask(n/10%4, 1)
+		}
+		if n == 200 {
+			f.ask(0, 1)
+			f.w.Inbox.Arrivals[len(f.w.Inbox.Arrivals)-1].Request.Fingerprint = poison
+		}
+		c.step(f)
+	})
+	f.run(20*time.Second, func() { c.step(f) })
+	if c.crashes == 0 || c.crashes > 3 {
+		t.Errorf("%d crashes, want 1 to 3", c.crashes)
+	}
+	if f.codes[""] != 100 || f.codes[rockreason.BackendFailed] != 1 {
+		t.Errorf("answers by code %v, want 100 whole and one failed", f.codes)
+	}
+	id := f.ask(1, 1)
+	f.w.Inbox.Arrivals[0].Request.Fingerprint = poison
+	f.step()
+	f.wantCode(id, rockreason.Quarantined)
+	f.w.Inbox.Resets = []rocktable.Reset{{Fingerprint: poison}}
+	f.step()
+	c.cut = true
+	f.ask(1, 1)
+	f.w.Inbox.Arrivals[0].Request.Fingerprint = poison
+	f.step()
+	if len(f.running) != 1 {
+		t.Error("the request was not started after the reset of its quarantine")
+	}
+}
+
+// Guards against a cut link that makes suspects of the requests that used it.
+func TestCutLinkMakesNoSuspects(t *testing.T) {
+	f := newFleet(t, 2, 8, 1)
+	c := &crasher{cut: true}
+	f.ask(0, 1)
+	f.w.Inbox.Arrivals[0].Request.Fingerprint = poison
+	f.run(700*time.Millisecond, func() { c.step(f) })
+	if c.crashes != 1 || f.w.Suspects.Len() != 1 {
+		t.Fatalf("%d signs and %d suspects, want 1 and 1 that is not settled", c.crashes, f.w.Suspects.Len())
+	}
+	f.run(300*time.Millisecond, func() { c.step(f) })
+	if f.w.Suspects.Len() != 0 {
+		t.Errorf("%d suspects after the backend server answered with its old incarnation, want none", f.w.Suspects.Len())
+	}
+}
--- /dev/null
+++ b/core/rockroute/path_test.go
@@ -0,0 +1,128 @@
+package rockroute_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// Guards against layers that are run twice or not at all when ranges overlap; the invariant layers checks each path.
+func TestPathOverOverlappingRanges(t *testing.T) {
+	f := newFleet(t, 0, 0, 1)
+	f.addServer("a", 0, 5, 4)
+	f.addServer("b", 3, 8, 4)
+	f.addServer("c", 5, 8, 4)
+	f.ask(0, 0)
+	f.step()
+	if len(f.starts) != 1 || len(f.starts[0].Path) != 2 {
+		t.Fatalf("starts = %+v, want one over two stages", f.starts)
+	}
+	// Without a backend server that begins at layer 6, d can be used only from the middle of its range.
+	f = newFleet(t, 0, 0, 1)
+	f.addServer("a", 0, 5, 4)
+	d := f.addServer("d", 4, 8, 4)
+	d.Status.SubRanges = true
+	f.ask(0, 0)
+	f.step()
+	if len(f.starts) != 1 {
+		t.Fatalf("starts = %+v, want one", f.starts)
+	}
+}
+
+// Guards against hosts that all choose the same backend server because they have the same late report.
+func TestHostsSpreadWithLateReports(t *testing.T) {
+	used := map[rocktable.BackendServerID]int{}
+	for seed := range uint64(10) {
+		f := newFleet(t, 8, 20, 1)
+		rocktable.WithSeed(seed)(f.w)
+		f.w.Servers.Get(1).Status.Active = 0
+		for id, s := range f.w.Servers.All() {
+			if id != 1 {
+				s.Status.Active = 1
+			}
+		}
+		for range 8 {
+			f.ask(0, 0)
+		}
+		f.step()
+		for _, s := range f.starts {
+			for _, stage := range s.Path {
+				used[stage.Server]++
+			}
+		}
+	}
+	// 80 requests over 8 backend servers of each range are 10 for each.
+	for id, n := range used {
+		if n > 20 {
+			t.Errorf("backend server %d got %d of 80 requests, want at most 20", id, n)
+		}
+	}
+}
+
+// Guards against remote data centres and slow links that are used while near backend servers are idle, and against idle ones that are not used when the near ones are full.
+func TestNearestDataCentreFirst(t *testing.T) {
+	f := newFleet(t, 1, 2, 1)
+	other := f.w.InternDataCentre("ga-west-b", "ga-west").ID
+	for i := range 3 {
+		s := f.addServer([]string{"x", "y", "z"}[i], 3*i, 3*i+2, 2)
+		s.DataCentre, s.RoundTrip = other, time.Millisecond
+	}
+	for range 4 {
+		f.ask(0, 0)
+		f.step()
+	}
+	remote := make([]int, 4)
+	for i, s := range f.starts {
+		for _, stage := range s.Path {
+			if f.w.Servers.Get(stage.Server).DataCentre == other {
+				remote[i]++
+			}
+		}
+	}
+	if len(f.starts) != 4 || remote[0] != 0 || remote[3] != 3 {
+		t.Errorf("remote stages of %d starts: %v, want none first and three last", len(f.starts), remote)
+	}
+}
+
+// Guards against starts beyond the slots that this host and its peers use together, and against a limit that does not follow overload.
+func TestConcurrencyLimit(t *testing.T) {
+	f := newFleet(t, 1, 10, 1)
+	for _, s := range f.w.Servers.All() {
+		s.PeerFlight = 4
+	}
+	for range 20 {
+		f.ask(0, 2)
+	}
+	f.step()
+	if len(f.starts) != 6 {
+		t.Fatalf("%d starts, want 6 beside 4 of peers", len(f.starts))
+	}
+	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+		return rocktable.Ended{Attempt: s.Attempt, Reason: "stageRefused", Server: s.Path[0].Server}
+	}
+	f.run(1100*time.Millisecond, nil)
+	s := f.w.Servers.Get(f.starts[0].Path[0].Server)
+	if s.Limit <= 0 || s.Limit > 7 {
+		t.Errorf("limit %v after refusals, want a decrease from 10", s.Limit)
+	}
+}
+
+// Guards against a prompt prefix that is computed again although an idle backend server has it.
+func TestCachedPrefixIsPreferred(t *testing.T) {
+	f := newFleet(t, 6, 40, 1)
+	for range 10 {
+		id := f.ask(0, 0)
+		r := &f.w.Inbox.Arrivals[0].Request
+		r.Prompt, r.Prefix = 4000, []uint64{1, 2, 3, 4}
+		f.run(2*time.Second, nil)
+		f.wantCode(id, "")
+	}
+	for _, s := range f.starts[1:] {
+		for i, stage := range s.Path {
+			if stage.Server != f.starts[0].Path[i].Server {
+				t.Errorf("stage %d on backend server %d, want %d with the cached prefix", i, stage.Server, f.starts[0].Path[i].Server)
+			}
+		}
+	}
+}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -4,9 +4,19 @@
 	"time"
 
 	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockcrash"
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
+const (
+	// noPathWait is the time that requests wait for a path when no live backend servers cover every layer.
+	noPathWait = 2 * time.Second
+	// retryEvery is the time between searches for places when no event can have freed one.
+	retryEvery = 50 * time.Millisecond
+)
+
 // System starts waiting requests on paths.
 var System = rocktable.System{
 	Name: "rockroute",
@@ -15,69 +25,134 @@
 }
 
 func run(now time.Time, w *rocktable.World) {
-	skip := make(map[rocktable.RequestID]bool)
-	for r := rockadmit.Next(now, w, skip); r != nil; r = rockadmit.Next(now, w, skip) {
-		path := FindPath(now, w, r)
-		if path == nil {
-			skip[r.ID] = true
+	var fields map[modelKey]*Field
+	freed := mayHaveFreed(w)
+	for _, p := range w.Pipelines.All() {
+		if p.Waiting == 0 {
+			if p.Backlogged {
+				rockadmit.NewTurn(now, w, p).Close(now)
+			}
 			continue
 		}
-		rockadmit.Remove(w, r)
-		start(now, w, r, path)
+		if p.Backlogged && !freed && now.Before(p.TriedAt.Add(retryEvery)) {
+			w.WakeAt(p.TriedAt.Add(retryEvery))
+			continue
+		}
+		if fields == nil {
+			fields = newFields(w)
+		}
+		p.TriedAt = now
+		serve(now, w, p, fields[keyOf(p)])
 	}
 }
 
-// FindPath returns the cheapest path for the request, or nil if no free backend servers cover every layer.
-func FindPath(now time.Time, w *rocktable.World, r *rocktable.Request) []rocktable.Stage {
-	p := w.Pipelines.Get(r.Pipeline)
-	if p == nil {
-		return nil
+// mayHaveFreed reports whether an event of this tick can have freed a place or changed the paths.
+func mayHaveFreed(w *rocktable.World) bool {
+	in := &w.Inbox
+	return len(in.Ended) > 0 || len(in.Probes) > 0 || len(in.Peers) > 0 || len(in.HostLists) > 0 ||
+		len(in.CallerGone) > 0 || len(in.ConfigResults) > 0 || len(in.Drains) > 0 || len(in.Resets) > 0
+}
+
+// serve starts requests of a pipeline until no place or no request is left.
+func serve(now time.Time, w *rocktable.World, p *rocktable.Pipeline, f *Field) {
+	turn := rockadmit.NewTurn(now, w, p)
+	checked := false
+	for r := turn.Next(now, w); r != nil; r = turn.Next(now, w) {
+		path := find(now, w, f, p, r)
+		if path != nil {
+			p.NoPathSince = time.Time{}
+			turn.Take(now, w, r)
+			start(now, w, r, path)
+			continue
+		}
+		if !checked {
+			checked = true
+			notePath(now, p, f)
+		}
+		if !p.NoPathSince.IsZero() && !now.Before(p.NoPathSince.Add(noPathWait)) {
+			refuseWaiting(w, turn)
+			break
+		}
+		turn.Hold(r)
 	}
-	var path []rocktable.Stage
-	for layer := 0; layer < p.Config.Layers; {
-		s := pick(w, p, r, layer)
-		if s == nil {
-			return nil
+	turn.Close(now)
+	if p.Waiting == 0 {
+		return
+	}
+	if !p.NoPathSince.IsZero() {
+		w.WakeAt(latest(p.NoPathSince.Add(noPathWait), now.Add(retryEvery)))
+		return
+	}
+	for _, lane := range turn.Lanes {
+		if lane != nil && len(lane.Front) > 0 {
+			w.WakeAt(now.Add(retryEvery))
 		}
-		path = append(path, rocktable.Stage{Server: s.ID, Address: s.Address, FirstLayer: layer, LastLayer: s.Status.LastLayer})
-		layer = s.Status.LastLayer + 1
 	}
-	return path
 }
 
-// pick returns the backend server with the fewest attempts whose range begins at the layer.
-func pick(w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request, layer int) *rocktable.BackendServer {
-	var best *rocktable.BackendServer
-	for _, s := range w.Servers.All() {
-		fits := s.State == rocktable.StateLive && s.Role == rocktable.RoleModel && s.Status.Model == p.Config.Model &&
-			s.Status.FirstLayer == layer && s.InFlight < s.Status.Slots && !avoids(r, s.ID)
-		if fits && (best == nil || s.InFlight < best.InFlight) {
-			best = s
-		}
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return best
+	return b
 }
 
-func avoids(r *rocktable.Request, id rocktable.BackendServerID) bool {
-	for _, avoid := range r.Avoid {
-		if avoid == id {
-			return true
+// notePath tells no path from no free place.
+func notePath(now time.Time, p *rocktable.Pipeline, f *Field) {
+	switch {
+	case f.IsCovered(p.Config.Layers):
+		p.NoPathSince = time.Time{}
+	case p.NoPathSince.IsZero():
+		p.NoPathSince = now
+	}
+}
+
+// refuseWaiting refuses the waiting requests of a pipeline without a path. Requests that may have run stay, up to their stall limit.
+func refuseWaiting(w *rocktable.World, turn *rockadmit.Turn) {
+	for r := turn.Drop(w); r != nil; r = turn.Drop(w) {
+		w.Answer(r.ID, rockreason.NoPath)
+	}
+}
+
+func find(now time.Time, w *rocktable.World, f *Field, p *rocktable.Pipeline, r *rocktable.Request) []rocktable.Stage {
+	if f == nil {
+		return nil
+	}
+	if r.Alone {
+		if rockcrash.MustWait(w, r.Fingerprint) {
+			return nil
 		}
+		return f.alonePath(now, w, p, r)
 	}
-	return false
+	return f.Path(now, w, r, p.Config.Layers, isFree)
+}
+
+// FindPath returns the cheapest path for the request, or nil if no free backend servers cover every layer.
+func FindPath(now time.Time, w *rocktable.World, r *rocktable.Request) []rocktable.Stage {
+	p := w.Pipelines.Get(r.Pipeline)
+	if p == nil {
+		return nil
+	}
+	return find(now, w, newFields(w)[keyOf(p)], p, r)
 }
 
 func start(now time.Time, w *rocktable.World, r *rocktable.Request, path []rocktable.Stage) {
 	id := w.NextAttempt()
 	r.Epoch++
 	r.Attempts++
-	r.Attempt, r.State = id, rocktable.RequestRunning
+	r.Attempt, r.State, r.MayHaveRun = id, rocktable.RequestRunning, true
 	for _, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		s.InFlight++
 		s.SentSince++
 	}
-	w.Attempts.Put(id, rocktable.Attempt{ID: id, Request: r.ID, Epoch: r.Epoch, Path: path, Started: now, Progress: now})
+	if r.Alone {
+		if s := w.Suspects.Get(r.Fingerprint); s != nil {
+			s.Running = true
+		}
+	}
+	notePrefixes(w, r, path)
+	w.Attempts.Put(id, rocktable.Attempt{ID: id, Request: r.ID, Epoch: r.Epoch, Path: path, Started: now, Progress: now, Alone: r.Alone})
 	rank := w.Ranks.Get(r.Rank)
 	w.Outbox.Starts = append(w.Outbox.Starts, rocktable.Start{
 		Request:   r.ID,
@@ -87,7 +162,7 @@
 		Path:      path,
 		Priority:  r.Rank,
 		Alone:     r.Alone,
-		StepLimit: max(10*rank.Config.Gap(), 2*time.Second),
-		OpenLimit: max(4*rank.Config.FirstToken(), 5*time.Second),
+		StepLimit: rockretry.StepLimit(rank.Config),
+		OpenLimit: rockretry.OpenLimit(rank.Config),
 	})
 }
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -100,7 +100,7 @@
 	PeerSent   int          // starts by peers since the report, as they told
 	InFlight   int          // attempts of this host that use it now
 	PeerFlight int          // attempts of peers that use it now, as they told
-	Limit      float64      // concurrency limit of this host, in attempts
+	Limit      float64      // concurrency limit of this host, in attempts; 0 until the first decrease
 	RoundTrip  time.Duration
 	Exclusive  RequestID // suspect that must run alone here, or 0
 	CutAt      time.Time // last decrease of Limit
@@ -109,7 +109,7 @@
 	CrashIncarnation uint64       // incarnation that is thought to have crashed
 	CrashPrints      []CrashPrint // work that was in flight at that time
 
-	RetryBudget  float64 // retries that may still be sent here
+	RetryBudget  float64 // retries earned less retries caused; rockretry adds an allowance
 	Probing      bool    // this host is one of its probers
 	ProbeSent    bool    // a probe is out
 	NextProbe    time.Time
@@ -150,7 +150,7 @@
 	BucketAt    time.Time
 	Demand      float64 // tokens per second asked of this host, smoothed
 	PeerDemand  float64 // tokens per second asked of peers, as they told
-	RetryBudget float64 // retries that may still be sent for it
+	RetryBudget float64 // retries earned less retries used; rockretry adds an allowance
 	DemandAt    time.Time
 }
 
@@ -161,7 +161,6 @@
 	Queued  float64 // tokens of queued requests
 	HeavyAt int     // position in Rank.Heaviest plus one; 0 when absent
 	Lines   []Line
-	Queue   []RequestID
 }
 
 // Line is the queue of one caller in one lane.
