Bound the cost of a tick and check the decisions about requests

Cause: each end of an attempt searched places for every pipeline with waiting requests (0.30 ms per tick with 22 pipelines and 10,000 waiting), every tick scanned all servers for signs of crashes, and the check of attempts in flight built a map (0.15 ms with 2,400 attempts).

Change: only pipelines with a freed place, a report or an arrival search again, at the latest after 50 ms; signs of crashes are listed; the check uses a slice. New invariants: concurrency, alone and queues. A gap that grows past twice its target lowers a server's limit while the stream runs.

Result: go test -race passes in rockinvariant, rockroute and rocktick.

--- a/core/rockadmit/order.go
+++ b/core/rockadmit/order.go
@@ -178,7 +178,8 @@
 		p.BusyTime = p.BusyTime*keep + dt
 		p.BusyTokens = p.BusyTokens*keep + t.Started
 	}
-	p.BusyAt, p.Backlogged = now, p.Waiting > 0
+	// Without a path the rate says nothing either; suspects that wait for reserved servers are no backlog.
+	p.BusyAt, p.Backlogged = now, t.Blocked && p.NoPathSince.IsZero()
 }
 
 // Settle corrects the charge of a request to the tokens that it used.
--- a/core/rockadmit/release.go
+++ b/core/rockadmit/release.go
@@ -18,13 +18,21 @@
 			s.Exclusive = 0
 		}
 	}
-	if r := w.Requests.Get(a.Request); r != nil && a.Alone {
-		Unreserve(w, r)
-		if s := w.Suspects.Get(r.Fingerprint); s != nil {
-			s.Running = false
-		}
-	}
 	w.Attempts.Delete(a.ID)
+	r := w.Requests.Get(a.Request)
+	if r == nil {
+		return
+	}
+	if p := w.Pipelines.Get(r.Pipeline); p != nil {
+		p.Freed = true
+	}
+	if !a.Alone {
+		return
+	}
+	Unreserve(w, r)
+	if s := w.Suspects.Get(r.Fingerprint); s != nil {
+		s.Running = false
+	}
 }
 
 // Unreserve gives back the backend servers that were reserved for a suspect.
@@ -37,6 +45,7 @@
 	if i < 0 {
 		return
 	}
+	p.Freed = true
 	p.Alone = slices.Delete(p.Alone, i, i+1)
 	for _, s := range w.Servers.All() {
 		if s.Exclusive == r.ID {
--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -42,10 +42,8 @@
 			clearSuspect(now, w, s)
 		}
 	}
-	for _, s := range w.Servers.All() {
-		if !s.CrashAt.IsZero() {
-			settle(now, w, s)
-		}
+	if len(w.CrashSigns) > 0 {
+		settleAll(now, w)
 	}
 	for id, s := range w.Suspects.All() {
 		if !now.Before(s.Expires) && s.Unsettled == 0 && !s.Running {
@@ -85,6 +83,7 @@
 		return
 	}
 	s.CrashAt, s.CrashIncarnation = now, s.Incarnation
+	w.CrashSigns = append(w.CrashSigns, s.ID)
 	for _, stage := range failed.Path {
 		if stage.Server == s.ID && stage.Incarnation != 0 {
 			s.CrashIncarnation = stage.Incarnation
@@ -123,6 +122,22 @@
 	}
 }
 
+// settleAll settles the signs of crashes that can be settled, and keeps the others.
+func settleAll(now time.Time, w *rocktable.World) {
+	kept := w.CrashSigns[:0]
+	for _, id := range w.CrashSigns {
+		s := w.Servers.Get(id)
+		if s == nil {
+			continue
+		}
+		settle(now, w, s)
+		if !s.CrashAt.IsZero() {
+			kept = append(kept, id)
+		}
+	}
+	w.CrashSigns = kept
+}
+
 // settle decides whether a backend server crashed: its incarnation changed, or its probes fail.
 func settle(now time.Time, w *rocktable.World, s *rocktable.BackendServer) {
 	crashed := false
--- a/core/rockinvariant/invariant.go
+++ b/core/rockinvariant/invariant.go
@@ -40,6 +40,21 @@
 		Doc:   "The attempts counted on each backend server are the attempts whose paths use it.",
 		Check: checkInFlight,
 	},
+	{
+		Name:  "concurrency",
+		Doc:   "No start leaves a backend server with more attempts of this host than its slots.",
+		Check: checkConcurrency,
+	},
+	{
+		Name:  "alone",
+		Doc:   "A suspect that starts alone shares no backend server with another attempt of this host, and no quarantined content starts.",
+		Check: checkAlone,
+	},
+	{
+		Name:  "queues",
+		Doc:   "The waiting requests of each rank are those of its lanes, and a lane with waiting requests has a caller or a requeued request to start.",
+		Check: checkQueues,
+	},
 }
 
 func checkLayers(_ time.Time, w *rocktable.World) error {
@@ -114,15 +129,23 @@
 }
 
 func checkInFlight(_ time.Time, w *rocktable.World) error {
-	used := make(map[rocktable.BackendServerID]int)
+	// Ids of backend servers are small, and this check runs in every tick: a slice costs a tenth of a map.
+	used := make([]int, w.Servers.Len()+1)
 	for _, a := range w.Attempts.All() {
 		for _, stage := range a.Path {
+			if int(stage.Server) >= len(used) {
+				used = append(used, make([]int, int(stage.Server)+1-len(used))...)
+			}
 			used[stage.Server]++
 		}
 	}
 	for id, s := range w.Servers.All() {
-		if s.Role == rocktable.RoleModel && s.InFlight != used[id] {
-			return fmt.Errorf("backend server %s: %d attempts counted, %d found", s.Name, s.InFlight, used[id])
+		found := 0
+		if int(id) < len(used) {
+			found = used[id]
+		}
+		if s.Role == rocktable.RoleModel && s.InFlight != found {
+			return fmt.Errorf("backend server %s: %d attempts counted, %d found", s.Name, s.InFlight, found)
 		}
 	}
 	return nil
--- /dev/null
+++ b/core/rockinvariant/model.go
@@ -0,0 +1,76 @@
+package rockinvariant
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+func checkConcurrency(_ time.Time, w *rocktable.World) error {
+	for _, start := range w.Outbox.Starts {
+		for _, stage := range start.Path {
+			s := w.Servers.Get(stage.Server)
+			if s != nil && s.InFlight > s.Status.Slots {
+				return fmt.Errorf("attempt %d: backend server %s has %d attempts and %d slots", start.Attempt, s.Name, s.InFlight, s.Status.Slots)
+			}
+		}
+	}
+	return nil
+}
+
+func checkAlone(now time.Time, w *rocktable.World) error {
+	for _, start := range w.Outbox.Starts {
+		if err := checkStartAlone(now, w, start); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkStartAlone(now time.Time, w *rocktable.World, start rocktable.Start) error {
+	r := w.Requests.Get(start.Request)
+	if r == nil {
+		return nil // answered in the same tick
+	}
+	if s := w.Suspects.Get(r.Fingerprint); s != nil && s.Quarantined && now.Before(s.Expires) {
+		return fmt.Errorf("attempt %d: starts quarantined content %x", start.Attempt, r.Fingerprint)
+	}
+	for _, stage := range start.Path {
+		s := w.Servers.Get(stage.Server)
+		switch {
+		case s == nil:
+		case start.Alone && s.InFlight != 1:
+			return fmt.Errorf("attempt %d: runs alone on backend server %s, which has %d attempts", start.Attempt, s.Name, s.InFlight)
+		case s.Exclusive != start.Request && runs(w, s.Exclusive):
+			return fmt.Errorf("attempt %d: starts on backend server %s, where request %d runs alone", start.Attempt, s.Name, s.Exclusive)
+		}
+	}
+	return nil
+}
+
+// runs reports whether a request has an attempt. A reservation without one may be younger than a start of the same tick.
+func runs(w *rocktable.World, id rocktable.RequestID) bool {
+	r := w.Requests.Get(id)
+	return r != nil && r.Attempt != 0
+}
+
+func checkQueues(_ time.Time, w *rocktable.World) error {
+	// There are few ranks, and ids of ranks are their positions.
+	waiting := make([]int, w.Ranks.Len())
+	for key, lane := range w.Lanes.All() {
+		if int(key.Rank) >= len(waiting) {
+			continue // the rank left the configuration
+		}
+		waiting[key.Rank] += lane.Waiting
+		if (lane.Waiting > 0) != (len(lane.Callers)+len(lane.Front) > 0) {
+			return fmt.Errorf("lane of rank %d and pipeline %d: %d requests wait, with %d callers and %d requeued", key.Rank, key.Pipeline, lane.Waiting, len(lane.Callers), len(lane.Front))
+		}
+	}
+	for id, rank := range w.Ranks.All() {
+		if int(id) < len(waiting) && rank.Waiting != waiting[id] {
+			return fmt.Errorf("rank %s: %d requests counted as waiting, %d in lanes", rank.Config.Name, rank.Waiting, waiting[id])
+		}
+	}
+	return nil
+}
--- a/core/rockoutcome/outcome.go
+++ b/core/rockoutcome/outcome.go
@@ -8,6 +8,9 @@
 	"sassafrasrock/core/rocktable"
 )
 
+// defaultRetryAfter is told to callers of refusals that may be sent again and name no other time.
+const defaultRetryAfter = time.Second
+
 // System completes answers and keeps totals.
 var System = rocktable.System{
 	Name: "rockoutcome",
@@ -24,6 +27,9 @@
 			continue
 		}
 		a.Outcome, a.MayHaveRun = outcomeOf(w, r, a.Reason), r.MayHaveRun
+		if reason, ok := rockreason.Find(a.Reason); ok && reason.TryAgain && a.RetryAfter <= 0 {
+			a.RetryAfter = defaultRetryAfter
+		}
 		tally(w, r, a)
 		if a.Reason != "" {
 			w.Count(a.Reason)
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -56,9 +56,26 @@
 		return
 	}
 	a.Progress = now
+	noteSlow(now, w, a, p.LargestGap)
 	takeTokens(w, a, p.Tokens, p.FirstToken, p.LargestGap)
 }
 
+// noteSlow lowers the limit of the busiest backend server of a path whose largest gap has just grown past what counts as overload.
+func noteSlow(now time.Time, w *rocktable.World, a *rocktable.Attempt, gap time.Duration) {
+	r := w.Requests.Get(a.Request)
+	if r == nil || gap <= r.LargestGap || !isSlow(w, r, gap) {
+		return
+	}
+	if s := busiest(w, a.Path); s != nil {
+		lowerLimit(now, s)
+	}
+}
+
+func isSlow(w *rocktable.World, r *rocktable.Request, gap time.Duration) bool {
+	rank := w.Ranks.Get(r.Rank)
+	return rank != nil && gap > slowFactor*rank.Config.Gap()
+}
+
 // takeTokens adds what an attempt delivered. Values never fall, so that a late or repeated report changes nothing.
 func takeTokens(w *rocktable.World, a *rocktable.Attempt, tokens int, first time.Time, gap time.Duration) {
 	r := w.Requests.Get(a.Request)
@@ -81,6 +98,7 @@
 		w.Count(rockreason.LateEvent)
 		return
 	}
+	noteSlow(now, w, a, e.LargestGap)
 	takeTokens(w, a, e.Tokens, e.FirstToken, e.LargestGap)
 	takeRoundTrips(w, e.RoundTrips)
 	r := w.Requests.Get(a.Request)
@@ -89,7 +107,7 @@
 		return
 	}
 	if e.Reason == "" {
-		succeed(now, w, r, a, e)
+		succeed(w, r, a, e)
 	}
 	rockadmit.Release(w, a)
 	r.Attempt = 0
@@ -103,20 +121,12 @@
 	}
 }
 
-func succeed(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.Ended) {
+func succeed(w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.Ended) {
 	earn(w, r, a)
-	rank := w.Ranks.Get(r.Rank)
-	if rank == nil {
-		return
-	}
 	if r.Attempts == 1 && !e.FirstToken.IsZero() {
 		noteOpening(w.Pipelines.Get(r.Pipeline), e.FirstToken.Sub(a.Started))
 	}
-	slow := e.LargestGap > slowFactor*rank.Config.Gap()
-	if slow {
-		if s := busiest(w, a.Path); s != nil {
-			lowerLimit(now, s)
-		}
+	if isSlow(w, r, e.LargestGap) {
 		return
 	}
 	for _, stage := range a.Path {
--- a/core/rockroute/alone.go
+++ b/core/rockroute/alone.go
@@ -10,15 +10,18 @@
 // alonePart is the part of a pipeline's backend servers for each of which one suspect may run alone at the same time.
 const alonePart = 16
 
+// peerWait is the time that a suspect waits for the attempts of peers on its reserved backend servers. Peers do not know of the reservation, so that it can't wait for them for ever; the engine is told that the session runs alone.
+const peerWait = 2 * time.Second
+
 // alonePath returns a path on which a suspect has every backend server for itself. It reserves the backend servers first; they finish their other work and get no more.
 func (f *Field) alonePath(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request) []rocktable.Stage {
 	reserved := slices.Contains(p.Alone, r.ID)
 	if !reserved && len(p.Alone) >= max(1, len(f.Servers)/alonePart) {
 		return nil
 	}
-	path := f.Path(now, w, r, p.Config.Layers, isReserved)
+	path := f.Path(now, w, r, isReserved)
 	if path == nil {
-		path = f.Path(now, w, r, p.Config.Layers, isReservable)
+		path = f.Path(now, w, r, isReservable)
 		if path == nil {
 			return nil
 		}
@@ -30,8 +33,10 @@
 	if !reserved {
 		p.Alone = append(p.Alone, r.ID)
 	}
+	peersUntil := r.QueuedAt.Add(peerWait)
 	for _, stage := range path {
-		if s := w.Servers.Get(stage.Server); s.InFlight > 0 || s.PeerFlight > 0 {
+		s := w.Servers.Get(stage.Server)
+		if s.InFlight > 0 || s.PeerFlight > 0 && now.Before(peersUntil) {
 			return nil
 		}
 	}
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -11,16 +11,11 @@
 // nearEqual is the factor of the best cost up to which paths are chosen at random, so that hosts with the same late reports do not all choose the same backend server.
 const nearEqual = 1.1
 
-type modelKey struct{ model, version string }
-
-func keyOf(p *rocktable.Pipeline) modelKey {
-	return modelKey{model: p.Config.Model, version: p.Config.Version}
-}
-
-// Field holds the live backend servers of one model for the searches of one tick.
+// Field holds the live backend servers of one pipeline for the searches of one tick.
 type Field struct {
 	Servers []*rocktable.BackendServer
-	Bounds  []int // layer boundaries at which a stage may begin or end, ascending
+	Bounds  []int   // layer boundaries at which a stage may begin or end, ascending; the last is the end of the model
+	Begin   [][]int // positions in Servers that may begin a stage, by position in Bounds
 
 	costs []serverCost // of the current search, by position in Servers
 	best  []float64    // least cost from a boundary to the end, by position in Bounds
@@ -39,30 +34,36 @@
 	cost       float64
 }
 
-// newFields groups the live backend servers by the models of pipelines with waiting requests.
-func newFields(w *rocktable.World) map[modelKey]*Field {
-	fields := make(map[modelKey]*Field)
-	for _, p := range w.Pipelines.All() {
-		if p.Waiting > 0 {
-			fields[keyOf(p)] = &Field{}
-		}
+// carries reports whether a backend server holds layers of the pipeline's model.
+func carries(s *rocktable.BackendServer, p *rocktable.Pipeline) bool {
+	return s.Status.Model == p.Config.Model && s.Status.Version == p.Config.Version
+}
+
+// newFields returns the live backend servers of each pipeline.
+func newFields(w *rocktable.World, pipelines []*rocktable.Pipeline) []*Field {
+	fields := make([]*Field, len(pipelines))
+	for i := range fields {
+		fields[i] = &Field{Servers: make([]*rocktable.BackendServer, 0, w.Servers.Len()/len(pipelines))}
 	}
 	for _, s := range w.Servers.All() {
 		if s.State != rocktable.StateLive || s.Role != rocktable.RoleModel || s.Drained {
 			continue
 		}
-		if f := fields[modelKey{model: s.Status.Model, version: s.Status.Version}]; f != nil {
-			f.Servers = append(f.Servers, s)
+		for i, p := range pipelines {
+			if carries(s, p) {
+				fields[i].Servers = append(fields[i].Servers, s)
+			}
 		}
 	}
-	for _, f := range fields {
-		f.setBounds()
+	for i, f := range fields {
+		f.setBounds(pipelines[i].Config.Layers)
+		f.setBegin()
 	}
 	return fields
 }
 
 // setBounds collects the boundaries. A stage begins at the first layer of its backend server, unless the engine runs sub-ranges; it may end earlier than the server's range does.
-func (f *Field) setBounds() {
+func (f *Field) setBounds(layers int) {
 	subRanges := slices.ContainsFunc(f.Servers, func(s *rocktable.BackendServer) bool { return s.Status.SubRanges })
 	for _, s := range f.Servers {
 		f.Bounds = append(f.Bounds, s.Status.FirstLayer)
@@ -72,20 +73,27 @@
 	}
 	slices.Sort(f.Bounds)
 	f.Bounds = slices.Compact(f.Bounds)
-}
-
-// close makes the end of the model the last boundary.
-func (f *Field) close(layers int) {
 	i, _ := slices.BinarySearch(f.Bounds, layers)
 	f.Bounds = append(f.Bounds[:i], layers)
 }
 
-// IsCovered reports whether the live backend servers cover every layer, whatever their load.
-func (f *Field) IsCovered(layers int) bool {
-	if f == nil {
-		return false
+func (f *Field) setBegin() {
+	f.Begin = make([][]int, len(f.Bounds))
+	f.costs = make([]serverCost, 0, len(f.Servers))
+	f.Begin[0] = make([]int, 0, len(f.Servers))
+	for i, s := range f.Servers {
+		from, _ := slices.BinarySearch(f.Bounds, s.Status.FirstLayer)
+		for ; from < len(f.Bounds)-1 && f.Bounds[from] <= s.Status.LastLayer; from++ {
+			f.Begin[from] = append(f.Begin[from], i)
+			if !s.Status.SubRanges {
+				break
+			}
+		}
 	}
-	f.close(layers)
+}
+
+// IsCovered reports whether the live backend servers cover every layer, whatever their load.
+func (f *Field) IsCovered() bool {
 	f.costs = f.costs[:0]
 	for range f.Servers {
 		f.costs = append(f.costs, serverCost{usable: true, once: 1})
@@ -95,8 +103,7 @@
 }
 
 // Path returns a path over usable backend servers whose cost is near the least, or nil.
-func (f *Field) Path(now time.Time, w *rocktable.World, r *rocktable.Request, layers int, usable func(*rocktable.World, *rocktable.BackendServer, *rocktable.Request) bool) []rocktable.Stage {
-	f.close(layers)
+func (f *Field) Path(now time.Time, w *rocktable.World, r *rocktable.Request, usable func(*rocktable.World, *rocktable.BackendServer, *rocktable.Request) bool) []rocktable.Stage {
 	f.costs = f.costs[:0]
 	job := newJob(now, w, r)
 	for _, s := range f.Servers {
@@ -121,45 +128,34 @@
 func (f *Field) search() {
 	last := len(f.Bounds) - 1
 	f.best = slices.Grow(f.best[:0], last+1)[:last+1]
-	for i := range f.best {
-		f.best[i] = math.Inf(1)
-	}
 	f.best[last] = 0
-	starts := f.startsByBound()
 	for from := last - 1; from >= 0; from-- {
-		for _, i := range starts[from] {
-			f.eachEnd(i, from, func(to int, cost float64) {
-				f.best[from] = min(f.best[from], cost+f.best[to])
-			})
+		f.best[from] = math.Inf(1)
+		for _, i := range f.Begin[from] {
+			if f.costs[i].usable {
+				f.best[from] = min(f.best[from], f.leastFrom(i, from))
+			}
 		}
 	}
 }
 
-// startsByBound lists, for each boundary, the usable backend servers at which a stage may begin there.
-func (f *Field) startsByBound() [][]int {
-	starts := make([][]int, len(f.Bounds))
-	for i, s := range f.Servers {
-		if !f.costs[i].usable {
-			continue
-		}
-		from, _ := slices.BinarySearch(f.Bounds, s.Status.FirstLayer)
-		for ; from < len(f.Bounds)-1 && f.Bounds[from] <= s.Status.LastLayer; from++ {
-			starts[from] = append(starts[from], i)
-			if !s.Status.SubRanges {
-				break
-			}
-		}
+// leastFrom returns the least cost to the end of the model of a path whose next stage is on server i.
+func (f *Field) leastFrom(i, from int) float64 {
+	least := math.Inf(1)
+	for to := from + 1; f.canEnd(i, to); to++ {
+		least = min(least, f.stageCost(i, from, to)+f.best[to])
 	}
-	return starts
+	return least
 }
 
-// eachEnd calls visit for each boundary at which a stage of server i that begins at a boundary can end.
-func (f *Field) eachEnd(i, from int, visit func(to int, cost float64)) {
-	c := f.costs[i]
-	end := f.Servers[i].Status.LastLayer + 1
-	for to := from + 1; to < len(f.Bounds) && f.Bounds[to] <= end; to++ {
-		visit(to, c.once+c.perLayer*float64(f.Bounds[to]-f.Bounds[from]))
-	}
+// canEnd reports whether a stage on server i can end at a boundary.
+func (f *Field) canEnd(i, to int) bool {
+	return to < len(f.Bounds) && f.Bounds[to] <= f.Servers[i].Status.LastLayer+1
+}
+
+func (f *Field) stageCost(i, from, to int) float64 {
+	c := &f.costs[i]
+	return c.once + c.perLayer*float64(f.Bounds[to]-f.Bounds[from])
 }
 
 // walk follows random edges whose paths cost at most the limit; nil if it comes to a place where only backend servers that it already used go on.
@@ -169,15 +165,16 @@
 	spent := 0.0
 	for from := 0; from < len(f.Bounds)-1; {
 		f.edges = f.edges[:0]
-		for i, s := range f.Servers {
-			if !f.canBegin(i, from) || uses(path, s.ID) {
+		for _, i := range f.Begin[from] {
+			if !f.costs[i].usable || uses(path, f.Servers[i].ID) {
 				continue
 			}
-			f.eachEnd(i, from, func(to int, cost float64) {
+			for to := from + 1; f.canEnd(i, to); to++ {
+				cost := f.stageCost(i, from, to)
 				if spent+cost+f.best[to] <= limit*(1+slack) {
 					f.edges = append(f.edges, edge{server: i, to: to, cost: cost})
 				}
-			})
+			}
 		}
 		if len(f.edges) == 0 {
 			return nil
@@ -193,15 +190,6 @@
 	return path
 }
 
-func (f *Field) canBegin(i, from int) bool {
-	s := f.Servers[i]
-	if !f.costs[i].usable {
-		return false
-	}
-	layer := f.Bounds[from]
-	return layer == s.Status.FirstLayer || s.Status.SubRanges && s.Status.FirstLayer < layer && layer <= s.Status.LastLayer
-}
-
 func uses(path []rocktable.Stage, id rocktable.BackendServerID) bool {
 	return slices.ContainsFunc(path, func(stage rocktable.Stage) bool { return stage.Server == id })
 }
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -25,32 +25,48 @@
 }
 
 func run(now time.Time, w *rocktable.World) {
-	var fields map[modelKey]*Field
-	freed := mayHaveFreed(w)
+	noteProbes(w)
+	all := mayHaveFreed(w)
+	var due []*rocktable.Pipeline
 	for _, p := range w.Pipelines.All() {
-		if p.Waiting == 0 {
-			if p.Backlogged {
-				rockadmit.NewTurn(now, w, p).Close(now)
-			}
-			continue
-		}
-		if p.Backlogged && !freed && now.Before(p.TriedAt.Add(retryEvery)) {
+		arrived := len(w.Inbox.Arrivals) > 0 && !p.Backlogged
+		switch {
+		case p.Waiting == 0 && !p.Backlogged:
+		case !all && !p.Freed && !arrived && now.Before(p.TriedAt.Add(retryEvery)):
 			w.WakeAt(p.TriedAt.Add(retryEvery))
-			continue
-		}
-		if fields == nil {
-			fields = newFields(w)
+		default:
+			due = append(due, p)
 		}
-		p.TriedAt = now
-		serve(now, w, p, fields[keyOf(p)])
+	}
+	if len(due) == 0 {
+		return
+	}
+	fields := newFields(w, due)
+	for i, p := range due {
+		p.TriedAt, p.Freed = now, false
+		serve(now, w, p, fields[i])
 	}
 }
 
-// mayHaveFreed reports whether an event of this tick can have freed a place or changed the paths.
+// mayHaveFreed reports whether an event of this tick can have freed places or changed the paths of any pipeline.
 func mayHaveFreed(w *rocktable.World) bool {
 	in := &w.Inbox
-	return len(in.Ended) > 0 || len(in.Probes) > 0 || len(in.Peers) > 0 || len(in.HostLists) > 0 ||
-		len(in.CallerGone) > 0 || len(in.ConfigResults) > 0 || len(in.Drains) > 0 || len(in.Resets) > 0
+	return len(in.Peers) > 0 || len(in.HostLists) > 0 || len(in.ConfigResults) > 0 || len(in.Drains) > 0 || len(in.Resets) > 0
+}
+
+// noteProbes marks the pipelines whose backend servers reported.
+func noteProbes(w *rocktable.World) {
+	for _, probe := range w.Inbox.Probes {
+		s := w.Servers.Get(probe.Server)
+		if s == nil || s.Role != rocktable.RoleModel {
+			continue
+		}
+		for _, p := range w.Pipelines.All() {
+			if p.Backlogged && carries(s, p) {
+				p.Freed = true
+			}
+		}
+	}
 }
 
 // serve starts requests of a pipeline until no place or no request is left.
@@ -100,7 +116,7 @@
 // notePath tells no path from no free place.
 func notePath(now time.Time, p *rocktable.Pipeline, f *Field) {
 	switch {
-	case f.IsCovered(p.Config.Layers):
+	case f.IsCovered():
 		p.NoPathSince = time.Time{}
 	case p.NoPathSince.IsZero():
 		p.NoPathSince = now
@@ -115,16 +131,13 @@
 }
 
 func find(now time.Time, w *rocktable.World, f *Field, p *rocktable.Pipeline, r *rocktable.Request) []rocktable.Stage {
-	if f == nil {
-		return nil
-	}
 	if r.Alone {
 		if rockcrash.MustWait(w, r.Fingerprint) {
 			return nil
 		}
 		return f.alonePath(now, w, p, r)
 	}
-	return f.Path(now, w, r, p.Config.Layers, isFree)
+	return f.Path(now, w, r, isFree)
 }
 
 // FindPath returns the cheapest path for the request, or nil if no free backend servers cover every layer.
@@ -133,7 +146,7 @@
 	if p == nil {
 		return nil
 	}
-	return find(now, w, newFields(w)[keyOf(p)], p, r)
+	return find(now, w, newFields(w, []*rocktable.Pipeline{p})[0], p, r)
 }
 
 func start(now time.Time, w *rocktable.World, r *rocktable.Request, path []rocktable.Stage) {
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -321,10 +321,11 @@
 	ID          PipelineID
 	Config      PipelineConfig
 	Waiting     int           // queued requests of all ranks
+	Freed       bool          // a place may have become free since TriedAt
 	TriedAt     time.Time     // last search for places
 	NoPathSince time.Time     // since when no live backend servers cover every layer; zero if they do
 	Alone       []RequestID   // suspects that run alone or wait for reserved backend servers
-	Backlogged  bool          // requests were left waiting at the end of the last tick
+	Backlogged  bool          // requests found no free place in the last search
 	BusyAt      time.Time     // time of the last update of BusyTime
 	BusyTime    float64       // seconds with a backlog, decaying
 	BusyTokens  float64       // tokens started in BusyTime, decaying
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -78,7 +78,8 @@
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
 	Lease       Lease
 
-	PrefixOrder []uint64 // keys of Prefixes, oldest first
+	PrefixOrder []uint64          // keys of Prefixes, oldest first
+	CrashSigns  []BackendServerID // backend servers whose CrashAt is set
 
 	Config        ConfigRow
 	ConfigVersion uint64 // in force at this host; 0 before the first
