--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -15,6 +15,8 @@
 	coldTime = 0.5
 	// targetPart is the part of the first-token target that the expected time to the first token may take. In a flood the queue stays at this limit; at the whole target half of the admitted requests would miss it by the error of the estimate.
 	targetPart = 0.85
+	// maxFloors limits the part of the rate that the floors of lower ranks take in the estimate, for configurations whose floors sum up to more than the whole.
+	maxFloors = 0.9
 	// lateFactor is the multiple of the first-token target after which a waiting request is shed: its answer could not count any more.
 	lateFactor = 2
 )
@@ -148,7 +150,7 @@
 		}
 	}
 	ahead += aheadInRank(w, r, estimate)
-	rate := p.BusyTokens / p.BusyTime
+	rate := p.BusyTokens / p.BusyTime * (1 - floorsBelow(w, r))
 	wait := ahead / rate
 	// The floor bounds the wait of a lower rank: it gets at least this part of the rate.
 	if floor := w.Ranks.Get(r.Rank).Config.Floor; floor > 0 {
@@ -157,6 +159,20 @@
 	return time.Duration(min(wait, 1e6) * float64(time.Second))
 }
 
+// floorsBelow returns the part of the rate that goes to the floors of lower ranks with waiting work.
+func floorsBelow(w *rocktable.World, r *rocktable.Request) float64 {
+	sum := 0.0
+	for id, rank := range w.Ranks.All() {
+		if id <= r.Rank {
+			continue
+		}
+		if lane := w.Lanes.Get(rocktable.LaneKey{Rank: id, Pipeline: r.Pipeline}); lane != nil && lane.Waiting > 0 {
+			sum += rank.Config.Floor
+		}
+	}
+	return min(sum, maxFloors)
+}
+
 // aheadInRank returns the queued tokens of the rank that are served before a new request of the caller.
 // Callers take turns, so each other caller is served at most as much as this caller has waiting.
 func aheadInRank(w *rocktable.World, r *rocktable.Request, estimate float64) float64 {
--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -16,6 +16,8 @@
 	confirmWithin = 5 * time.Second
 	// reportLag is the age after which a report is known to have been made after the sign of a crash.
 	reportLag = 300 * time.Millisecond
+	// newsLag is the same for a report that came through peers.
+	newsLag = 3 * time.Second
 	// failedProbes is the number of failed probes in a row that confirms a crash.
 	failedProbes = 2
 	// aloneAfter is the number of crashes after which a request content runs alone. A single crash is most often a failure of the server, and its requests are replayed at once; the alone run is then the third and last crash that a request can cause.
@@ -144,7 +146,7 @@
 	switch {
 	case s.Incarnation != s.CrashIncarnation || s.FailedProbes >= failedProbes || s.State == rocktable.StateDown:
 		crashed = true
-	case s.StatusAt.Sub(s.CrashAt) >= reportLag:
+	case s.StatusAt.Sub(s.CrashAt) >= lagOf(s):
 		// It still runs: only the link was cut.
 	case now.Sub(s.CrashAt) >= confirmWithin:
 	default:
@@ -158,6 +160,13 @@
 	w.WakeAt(now) // requests that waited for this can go on
 }
 
+func lagOf(s *rocktable.BackendServer) time.Duration {
+	if s.Probing {
+		return reportLag
+	}
+	return newsLag
+}
+
 func settlePrint(now time.Time, w *rocktable.World, p rocktable.CrashPrint, crashed bool) {
 	s := w.Suspects.Get(p.Fingerprint)
 	if s == nil {
--- a/core/rockretry/budget.go
+++ b/core/rockretry/budget.go
@@ -6,7 +6,7 @@
 const (
 	// earnedPerSuccess is the part of a retry that each successful request earns. It keeps the extra work in a brown-out under 10%.
 	earnedPerSuccess = 0.08
-	// callerAllowance and serverAllowance are the retries that are possible before any success.
+	// callerAllowance and serverAllowance are the retries that are possible before any success. A backend server that reports more slots has one for each, so that the work of one crash can be replayed.
 	callerAllowance = 3
 	serverAllowance = 5
 	// callerSavings and serverSavings limit what is saved, so that a crash of a busy server can be replayed but a long outage can't.
@@ -31,7 +31,7 @@
 	if c == nil || c.RetryBudget+callerAllowance < 1 {
 		return false
 	}
-	if s != nil && s.RetryBudget+serverAllowance < 1 {
+	if s != nil && s.RetryBudget+float64(max(serverAllowance, s.Status.Slots)) < 1 {
 		return false
 	}
 	c.RetryBudget--
--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -149,9 +149,6 @@
 	for _, c := range f.w.Callers.All() {
 		c.RetryBudget = 40
 	}
-	for _, s := range f.w.Servers.All() {
-		s.RetryBudget = 40
-	}
 	c := &crasher{}
 	n := 0
 	f.run(10*time.Second, func() {
--- a/core/rockroute/fleet_test.go
+++ b/core/rockroute/fleet_test.go
@@ -75,7 +75,7 @@
 
 func (f *fleet) addServer(name string, first, last, slots int) *rocktable.BackendServer {
 	s := f.w.InternServer(name)
-	s.State, s.Incarnation, s.StatusAt = rocktable.StateLive, 1, f.now
+	s.State, s.Probing, s.Incarnation, s.StatusAt = rocktable.StateLive, true, 1, f.now
 	s.Status = rocktable.EngineStatus{Model: "m", Version: "1", FirstLayer: first, LastLayer: last, Slots: slots, TokensPerSecond: 100 * float64(slots)}
 	return s
 }
--- a/core/rockroute/path_test.go
+++ b/core/rockroute/path_test.go
@@ -106,6 +106,13 @@
 	if s.Limit <= 0 || s.Limit > 7 {
 		t.Errorf("limit %v after refusals, want a decrease from 10", s.Limit)
 	}
+	low := s.Limit
+	s.PeerFlight = 0
+	f.end = newFleet(t, 0, 0, 0).end
+	f.run(30*time.Second, func() { f.ask(0, 2) })
+	if s.Limit < low+2 || s.Limit > 10 {
+		t.Errorf("limit %v after 30 s of whole answers, want an increase from %v to at most 10 slots", s.Limit, low)
+	}
 }
 
 // Guards against a prompt prefix that is computed again although an idle backend server has it.
