Bound retries of a whole host and send less work to failing servers

Cause: with 200 callers a brown-out of 5 s caused 643 attempts for 500 requests, because the allowances of the callers add up; and paths ignored how often a backend server had failed.

Change: the host has a retry budget too.

--- a/core/rockretry/budget.go
+++ b/core/rockretry/budget.go
@@ -9,13 +9,17 @@
 	// callerAllowance and serverAllowance are the retries that are possible before any success. A backend server that reports more slots has one for each, so that the work of one crash can be replayed.
 	callerAllowance = 3
 	serverAllowance = 5
-	// callerSavings and serverSavings limit what is saved, so that a crash of a busy server can be replayed but a long outage can't.
+	// hostAllowance bounds the sum of the allowances: with thousands of callers they would be a burst of retries.
+	hostAllowance = 20
+	// callerSavings, serverSavings and hostSavings limit what is saved, so that a crash of a busy server can be replayed but a long outage can't.
 	callerSavings = 50
 	serverSavings = 64
+	hostSavings   = 200
 )
 
 // earn adds a success to the budgets of the caller and of the backend servers on the path.
 func earn(w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt) {
+	w.RetryBudget = min(hostSavings, w.RetryBudget+earnedPerSuccess)
 	if c := w.Callers.Get(r.Caller); c != nil {
 		c.RetryBudget = min(callerSavings, c.RetryBudget+earnedPerSuccess)
 	}
@@ -26,14 +30,18 @@
 	}
 }
 
-// spend takes one retry from the budgets of the caller and of the backend server at fault, and reports whether both had one.
-func spend(c *rocktable.Caller, s *rocktable.BackendServer) bool {
+// spend takes one retry from the budgets of the host, the caller and the backend server at fault, and reports whether all had one.
+func spend(w *rocktable.World, c *rocktable.Caller, s *rocktable.BackendServer) bool {
+	if w.RetryBudget+hostAllowance < 1 {
+		return false
+	}
 	if c == nil || c.RetryBudget+callerAllowance < 1 {
 		return false
 	}
 	if s != nil && s.RetryBudget+float64(max(serverAllowance, s.Status.Slots)) < 1 {
 		return false
 	}
+	w.RetryBudget--
 	c.RetryBudget--
 	if s != nil {
 		s.RetryBudget--
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -107,7 +107,7 @@
 		return
 	}
 	if e.Reason == "" {
-		succeed(w, r, a, e)
+		succeed(now, w, r, a, e)
 	}
 	rockadmit.Release(w, a)
 	r.Attempt = 0
@@ -121,16 +121,19 @@
 	}
 }
 
-func succeed(w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.Ended) {
+func succeed(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.Ended) {
 	earn(w, r, a)
 	if r.Attempts == 1 && !e.FirstToken.IsZero() {
 		noteOpening(w.Pipelines.Get(r.Pipeline), e.FirstToken.Sub(a.Started))
 	}
-	if isSlow(w, r, e.LargestGap) {
-		return
-	}
+	slow := isSlow(w, r, e.LargestGap)
 	for _, stage := range a.Path {
-		if s := w.Servers.Get(stage.Server); s != nil {
+		s := w.Servers.Get(stage.Server)
+		if s == nil {
+			continue
+		}
+		noteResult(now, s, 0)
+		if !slow {
 			raiseLimit(s)
 		}
 	}
@@ -153,6 +156,9 @@
 	r.RanBefore = r.RanBefore || !isNotRun(e)
 	r.MayHaveRun = r.RanBefore
 	s := w.Servers.Get(e.Server)
+	if s != nil && e.Reason != rockreason.StageRefused {
+		noteResult(now, s, 1)
+	}
 	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
 		lowerLimit(now, s)
 	}
@@ -188,7 +194,7 @@
 	case e.Reason == rockreason.StageRefused && isNotRun(e):
 		// A refusal costs the backend server nothing, so that it needs no budget.
 		return ""
-	case !spend(w.Callers.Get(r.Caller), s):
+	case !spend(w, w.Callers.Get(r.Caller), s):
 		return rockreason.RetryBudget
 	}
 	return ""
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -19,6 +20,8 @@
 	// otherDataCentre and otherRegion are factors of the cost outside this host's data centre, so that work leaves it only when it is much slower there.
 	otherDataCentre = 1.25
 	otherRegion     = 2
+	// maxFailures limits the part of failures in the cost. The cost is divided by the square of the part that succeeds: a failed attempt must be run again, and it spends retry budget too.
+	maxFailures = 0.9
 	// avoidCost is added, in seconds, for a backend server that failed the request: it is used only if nothing else covers the layers.
 	avoidCost = 10000
 	// hintServers limits the backend servers that one prefix hint holds, and maxHints the hints.
@@ -68,7 +71,8 @@
 	wait := work * max(0, load+1-slots) / slots
 	layers := float64(max(1, s.Status.LastLayer-s.Status.FirstLayer+1))
 	link := s.RoundTrip.Seconds() * (j.steps + 1)
-	factor := j.distance(s)
+	works := 1 - min(maxFailures, rockretry.FailuresOf(j.now, s))
+	factor := j.distance(s) / (works * works)
 	c := serverCost{usable: true, once: (wait + link) * factor, perLayer: work * busy / layers * factor}
 	if slices.Contains(j.r.Avoid, s.ID) {
 		c.once += avoidCost
--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -9,26 +9,42 @@
 	"sassafrasrock/core/rocktable"
 )
 
-// Guards against retries that add load in a brown-out: a third of the backend servers fail half of their attempts.
-func TestRetryBudgetInBrownOut(t *testing.T) {
-	f := newFleet(t, 6, 20, 20)
+// brownOut runs requests of many callers while some backend servers fail half of their attempts, and checks that retries add little load.
+func brownOut(t *testing.T, d time.Duration, fails func(rocktable.BackendServerID) bool) (*fleet, int) {
+	f := newFleet(t, 6, 40, 200) // the sound backend servers alone have places enough
 	whole := f.end
 	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
 		for _, stage := range s.Path {
-			if stage.Server%3 == 0 && f.w.Rand.IntN(2) == 0 {
+			if fails(stage.Server) && f.w.Rand.IntN(2) == 0 {
 				return rocktable.Ended{Attempt: s.Attempt, Reason: rockreason.StageDied, Server: stage.Server}
 			}
 		}
 		return whole(f, s)
 	}
 	n := 0
-	f.run(30*time.Second, func() { f.ask(n%20, 1); n++ })
+	f.run(d, func() { f.ask(n%200, 1); n++ })
 	f.run(10*time.Second, nil)
 	if extra := len(f.starts) - n; extra*10 > n {
 		t.Errorf("%d extra attempts for %d requests, want at most 10%%", extra, n)
 	}
-	if f.codes[rockreason.RetryBudget] == 0 {
-		t.Error("no request ended by the retry budget")
+	return f, n
+}
+
+// Guards against retries that add load in a brown-out: a third of the backend servers, all of one layer range, fail half of their attempts.
+func TestRetryBudgetInBrownOut(t *testing.T) {
+	for _, d := range []time.Duration{5 * time.Second, 30 * time.Second} {
+		f, _ := brownOut(t, d, func(id rocktable.BackendServerID) bool { return id%3 == 0 })
+		if f.codes[rockreason.RetryBudget] == 0 {
+			t.Error("no request ended by the retry budget")
+		}
+	}
+}
+
+// Guards against work for failing backend servers while others with the same layers are free.
+func TestFailingServersGetLessWork(t *testing.T) {
+	f, n := brownOut(t, 30*time.Second, func(id rocktable.BackendServerID) bool { return (id-1)/3%3 == 0 })
+	if f.codes[""]*100 < 95*n {
+		t.Errorf("%d of %d requests answered, want at least 95%%", f.codes[""], n)
 	}
 }
 
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -105,6 +105,9 @@
 	Exclusive  RequestID // suspect that must run alone here, or 0
 	CutAt      time.Time // last decrease of Limit
 
+	Failures   float64   // part of the recent attempts of this host that failed because of it
+	FailuresAt time.Time // last change of Failures
+
 	CrashAt          time.Time    // first sign of a crash that is not confirmed yet; zero if there is none
 	CrashIncarnation uint64       // incarnation that is thought to have crashed
 	CrashPrints      []CrashPrint // work that was in flight at that time
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -78,6 +78,7 @@
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
 	Lease       Lease
 
+	RetryBudget float64           // of this host: retries earned less retries used; rockretry adds an allowance
 	PrefixOrder []uint64          // keys of Prefixes, oldest first
 	CrashSigns  []BackendServerID // backend servers whose CrashAt is set
 
