--- /dev/null
+++ b/core/rockroute/field.go
@@ -0,0 +1,195 @@
+package rockroute
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// nearEqual is the factor of the best cost up to which paths are chosen at random, so that hosts with the same late reports do not all choose the same backend server.
+const nearEqual = 1.1
+
+// Field holds the live backend servers of one pipeline for the searches of one tick.
+type Field struct {
+	Servers []*rocktable.BackendServer
+	Bounds  []int   // layer boundaries at which a stage may begin or end, ascending; the last is the end of the model
+	Begin   [][]int // positions in Servers that may begin a stage, by position in Bounds
+
+	costs []serverCost // of the current search, by position in Servers
+	best  []float64    // least cost from a boundary to the end, by position in Bounds
+	edges []edge       // scratch of walk
+}
+
+// serverCost is the cost of a stage in seconds: once, and for each layer.
+type serverCost struct {
+	usable   bool
+	once     float64
+	perLayer float64
+}
+
+type edge struct {
+	server, to int
+	cost       float64
+}
+
+// carries reports whether a backend server holds layers of the pipeline's model.
+func carries(s *rocktable.BackendServer, p *rocktable.Pipeline) bool {
+	return s.Status.Model == p.Config.Model && s.Status.Version == p.Config.Version
+}
+
+// newFields returns the live backend servers of each pipeline.
+func newFields(w *rocktable.World, pipelines []*rocktable.Pipeline) []*Field {
+	fields := make([]*Field, len(pipelines))
+	for i := range fields {
+		fields[i] = &Field{Servers: make([]*rocktable.BackendServer, 0, w.Servers.Len()/len(pipelines))}
+	}
+	for _, s := range w.Servers.All() {
+		if s.State != rocktable.StateLive || s.Role != rocktable.RoleModel || s.Drained {
+			continue
+		}
+		for i, p := range pipelines {
+			if carries(s, p) {
+				fields[i].Servers = append(fields[i].Servers, s)
+			}
+		}
+	}
+	for i, f := range fields {
+		f.setBounds(pipelines[i].Config.Layers)
+		f.setBegin()
+	}
+	return fields
+}
+
+// setBounds collects the boundaries. A stage begins at the first layer of its backend server, unless the engine runs sub-ranges; it may end earlier than the server's range does.
+func (f *Field) setBounds(layers int) {
+	subRanges := slices.ContainsFunc(f.Servers, func(s *rocktable.BackendServer) bool { return s.Status.SubRanges })
+	for _, s := range f.Servers {
+		f.Bounds = append(f.Bounds, s.Status.FirstLayer)
+		if subRanges {
+			f.Bounds = append(f.Bounds, s.Status.LastLayer+1)
+		}
+	}
+	slices.Sort(f.Bounds)
+	f.Bounds = slices.Compact(f.Bounds)
+	i, _ := slices.BinarySearch(f.Bounds, layers)
+	f.Bounds = append(f.Bounds[:i], layers)
+}
+
+func (f *Field) setBegin() {
+	f.Begin = make([][]int, len(f.Bounds))
+	f.costs = make([]serverCost, 0, len(f.Servers))
+	f.Begin[0] = make([]int, 0, len(f.Servers))
+	for i, s := range f.Servers {
+		from, _ := slices.BinarySearch(f.Bounds, s.Status.FirstLayer)
+		for ; from < len(f.Bounds)-1 && f.Bounds[from] <= s.Status.LastLayer; from++ {
+			f.Begin[from] = append(f.Begin[from], i)
+			if !s.Status.SubRanges {
+				break
+			}
+		}
+	}
+}
+
+// IsCovered reports whether the live backend servers cover every layer, whatever their load.
+func (f *Field) IsCovered() bool {
+	f.costs = f.costs[:0]
+	for range f.Servers {
+		f.costs = append(f.costs, serverCost{usable: true, once: 1})
+	}
+	f.search()
+	return f.Bounds[0] == 0 && !math.IsInf(f.best[0], 1)
+}
+
+// Path returns a path over usable backend servers whose cost is near the least, or nil.
+func (f *Field) Path(now time.Time, w *rocktable.World, r *rocktable.Request, usable func(*rocktable.World, *rocktable.BackendServer, *rocktable.Request) bool) []rocktable.Stage {
+	f.costs = f.costs[:0]
+	job := newJob(now, w, r)
+	for _, s := range f.Servers {
+		if !usable(w, s, r) {
+			f.costs = append(f.costs, serverCost{})
+			continue
+		}
+		f.costs = append(f.costs, job.cost(s))
+	}
+	f.search()
+	if f.Bounds[0] != 0 || math.IsInf(f.best[0], 1) {
+		return nil
+	}
+	path := f.walk(w, nearEqual*f.best[0])
+	if path == nil {
+		path = f.walk(w, f.best[0])
+	}
+	return path
+}
+
+// search computes the least cost from each boundary to the end of the model.
+func (f *Field) search() {
+	last := len(f.Bounds) - 1
+	f.best = slices.Grow(f.best[:0], last+1)[:last+1]
+	f.best[last] = 0
+	for from := last - 1; from >= 0; from-- {
+		f.best[from] = math.Inf(1)
+		for _, i := range f.Begin[from] {
+			if f.costs[i].usable {
+				f.best[from] = min(f.best[from], f.leastFrom(i, from))
+			}
+		}
+	}
+}
+
+// leastFrom returns the least cost to the end of the model of a path whose next stage is on server i.
+func (f *Field) leastFrom(i, from int) float64 {
+	least := math.Inf(1)
+	for to := from + 1; f.canEnd(i, to); to++ {
+		least = min(least, f.stageCost(i, from, to)+f.best[to])
+	}
+	return least
+}
+
+// canEnd reports whether a stage on server i can end at a boundary.
+func (f *Field) canEnd(i, to int) bool {
+	return to < len(f.Bounds) && f.Bounds[to] <= f.Servers[i].Status.LastLayer+1
+}
+
+func (f *Field) stageCost(i, from, to int) float64 {
+	c := &f.costs[i]
+	return c.once + c.perLayer*float64(f.Bounds[to]-f.Bounds[from])
+}
+
+// walk follows random edges whose paths cost at most the limit; nil if it comes to a place where only backend servers that it already used go on.
+func (f *Field) walk(w *rocktable.World, limit float64) []rocktable.Stage {
+	const slack = 1e-9 // for sums in another order
+	var path []rocktable.Stage
+	spent := 0.0
+	for from := 0; from < len(f.Bounds)-1; {
+		f.edges = f.edges[:0]
+		for _, i := range f.Begin[from] {
+			if !f.costs[i].usable || uses(path, f.Servers[i].ID) {
+				continue
+			}
+			for to := from + 1; f.canEnd(i, to); to++ {
+				cost := f.stageCost(i, from, to)
+				if spent+cost+f.best[to] <= limit*(1+slack) {
+					f.edges = append(f.edges, edge{server: i, to: to, cost: cost})
+				}
+			}
+		}
+		if len(f.edges) == 0 {
+			return nil
+		}
+		e := f.edges[w.Rand.IntN(len(f.edges))]
+		s := f.Servers[e.server]
+		path = append(path, rocktable.Stage{
+			Server: s.ID, Address: s.Address, FirstLayer: f.Bounds[from], LastLayer: f.Bounds[e.to] - 1, Incarnation: s.Incarnation,
+		})
+		spent += e.cost
+		from = e.to
+	}
+	return path
+}
+
+func uses(path []rocktable.Stage, id rocktable.BackendServerID) bool {
+	return slices.ContainsFunc(path, func(stage rocktable.Stage) bool { return stage.Server == id })
+}
