Add the fields that membership, leases and claims need

Cause: the systems for membership, configuration, leases and claims keep state across ticks that the tables had no place for. Change: World.Claims, SeenClaims and Gossip; fields of Host, BackendServer, Lease, PendingChange, ConfigState; ConfigRow.Earlier with the last accepted change ids; address, data centre, region and role in ServerNews.

--- a/core/rocktable/config.go
+++ b/core/rocktable/config.go
@@ -70,6 +70,14 @@
 type ConfigRow struct {
 	ChangeID      string        `json:"changeId"`
 	Configuration Configuration `json:"configuration"`
+	// Earlier lists the last accepted changes, so that a lost answer can be settled after further changes.
+	Earlier []AcceptedChange `json:"earlier,omitempty"`
+}
+
+// AcceptedChange is a change that was in force once.
+type AcceptedChange struct {
+	ChangeID string `json:"changeId"`
+	Version  uint64 `json:"version"`
 }
 
 // LeaseRow is the lease of one data centre as stored in the table service.
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -61,6 +61,12 @@
 	Changed       uint64 // World.ChangeSeq of the last change that peers should learn
 	NextSend      time.Time
 	InFlight      int
+	Told          bool         // told its configuration version to this host directly
+	Relayed       int          // times that this host told its heartbeat number to others
+	SentAt        time.Time    // of this host's last message to it
+	ToldAt        time.Time    // of its last message to this host
+	Sent          []SentNews   // of its last message
+	Demand        []DemandNews // of its last message
 }
 
 // DataCentre is a data centre and its region.
@@ -110,6 +116,10 @@
 	NextProbe    time.Time
 	FailedProbes int
 	Changed      uint64 // World.ChangeSeq of the last change that peers should learn
+
+	ListedLeaving bool      // the platform's list last said that it is leaving
+	ToldLoad      int       // active and queued sessions when Changed last rose
+	DownSince     time.Time // zero unless it is down
 }
 
 // EngineStatus is the load and content that an engine reports.
@@ -291,6 +301,33 @@
 	SeenAt   time.Time
 	Next     time.Time
 	Pending  uint64 // operation in flight, or 0
+	Write    bool   // the operation in flight is a write
+	Wanted   LeaseRow
+	SentAt   time.Time // of the operation in flight
+	Beat     time.Time // next tick asked for; a tick much later tells of a pause
+	Released bool      // given up for the shutdown
+}
+
+// Claim is the claim row of an application call, from the first write to the record of its outcome; it outlives the Request.
+type Claim struct {
+	Request  RequestID
+	Key      string
+	State    ClaimState
+	Row      ClaimRow // as it is to be written
+	Version  uint64   // of the row in the table service, as far as it is known
+	Op       uint64   // operation in flight, or 0
+	OpAt     time.Time
+	Next     time.Time // next operation
+	Unclear  bool      // a write may still take effect
+	Deadline time.Time // for the claim; zero afterwards
+	AnswerBy time.Time // the caller gets the outcome by then, recorded or not
+}
+
+// SeenClaim remembers how long another attempt's claim has not changed, by the local clock.
+type SeenClaim struct {
+	Version uint64
+	SeenAt  time.Time
+	AskedAt time.Time
 }
 
 // Order is an instruction to an engine that is wanted or under way.
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -122,11 +122,15 @@
 
 // ServerNews is a change of a backend server row.
 type ServerNews struct {
-	Name      string
-	State     State
-	Drained   bool
-	StatusSeq uint64
-	Status    EngineStatus
+	Name       string
+	Address    string // empty where the receiver is expected to know it
+	DataCentre string
+	Region     string
+	Role       BackendRole
+	State      State
+	Drained    bool
+	StatusSeq  uint64
+	Status     EngineStatus
 }
 
 // SentNews tells how many attempts of the sender use a backend server now.
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -74,7 +74,10 @@
 	Orders      Table[BackendServerID, Order]
 	Tallies     Table[ShareKey, Tally]
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
+	Claims      Table[RequestID, Claim]
+	SeenClaims  Table[string, SeenClaim] // by claim key
 	Lease       Lease
+	Gossip      Gossip
 
 	Config        ConfigRow
 	ConfigVersion uint64 // in force at this host; 0 before the first
@@ -100,7 +103,9 @@
 type PendingChange struct {
 	Change   ConfigChange
 	Op       uint64
-	Reading  bool // the write's answer was lost; reading the row back
+	Reading  bool // the operation in flight reads the row
+	Unclear  bool // a write may have taken effect
+	SentAt   time.Time
 	Deadline time.Time
 	Next     time.Time
 }
@@ -109,8 +114,11 @@
 type ConfigState struct {
 	Op       uint64 // read in flight, or 0
 	Next     time.Time
-	Read     bool // the platform answered at least once
-	PeerRead bool // a peer told its version at least once
+	OpAt     time.Time
+	Failed   bool      // a read failed
+	AskedAt  time.Time // last request to a peer for the configuration
+	Read     bool      // the platform answered at least once
+	PeerRead bool      // a peer told its version at least once
 	Highest  uint64
 }
 
@@ -121,6 +129,27 @@
 	ReadAt  time.Time // last answer; zero before the first
 }
 
+// Gossip is the progress of messages to peers and of the choice of probers.
+type Gossip struct {
+	Floors      [4]uint64 // ChangeSeq at the last rounds; later changes are recent
+	Round       int
+	HostTurn    int
+	ServerTurn  int
+	OwnTurn     int
+	SuspectTurn int
+	Reassign    bool // hosts or backend servers changed; choose the probers again
+	Recount     bool // what peers told of their load changed
+	NextCheck   time.Time
+	Urgent      []UrgentNews
+	NextUrgent  time.Time
+}
+
+// UrgentNews names a departure that peers are to learn at once.
+type UrgentNews struct {
+	Host   HostID // or 0
+	Server BackendServerID
+}
+
 type names struct {
 	hosts       map[string]HostID
 	dataCentres map[string]DataCentreID
