Hold the lease of a data centre and bring engines in line

Cause: rocklease was empty, so no order was ever sent. Change: the lease row is acquired, renewed, judged by the local monotonic clock, given up after a pause and released at shutdown; placements become orders under the lease, and engines that ignore the fencing number get none in its last OrderTimeout.

--- a/core/rocklease/lease.go
+++ b/core/rocklease/lease.go
@@ -1,11 +1,26 @@
 package rocklease
 
 import (
+	"strconv"
 	"time"
 
+	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
 
+const (
+	// opLimit is the silence after which an operation on the table service counts as lost.
+	opLimit = 5 * time.Second
+	// retryAfter is the wait after an operation that did not reach the table service.
+	retryAfter = time.Second
+	// releaseLimit bounds the attempts to release the lease at shutdown; it expires by itself afterwards.
+	releaseLimit = 10 * time.Second
+	// beatsPerTTL is the number of ticks asked for in one TTL, to detect pauses.
+	beatsPerTTL = 15
+	// clockMargin is the share of the TTL by which the holder stops early, for clocks that run at different rates.
+	clockMargin = 10
+)
+
 // System holds the lease and sends orders to engines.
 var System = rocktable.System{
 	Name: "rocklease",
@@ -13,4 +28,227 @@
 	Run:  run,
 }
 
-func run(now time.Time, w *rocktable.World) {}
+// Key returns the key of the lease row of a data centre.
+func Key(dataCentre string) string { return "lease/" + dataCentre }
+
+func run(now time.Time, w *rocktable.World) {
+	l := &w.Lease
+	checkPause(now, w)
+	for _, r := range w.Inbox.LeaseResults {
+		if r.Op == l.Pending && r.Op != 0 {
+			takeResult(now, w, r)
+		}
+	}
+	if l.Pending != 0 && now.Sub(l.SentAt) >= opLimit {
+		l.Pending, l.Next = 0, now
+	}
+	if l.Held && !now.Before(l.Until) {
+		lose(w, "expired")
+	}
+	takeOrders(now, w)
+	if w.Draining {
+		release(now, w)
+		return
+	}
+	if w.ConfigVersion > 0 {
+		proceed(now, w)
+		reconcile(now, w)
+	}
+}
+
+// checkPause gives the lease up when this tick comes much later than asked for; it is read again before it is used.
+func checkPause(now time.Time, w *rocktable.World) {
+	l := &w.Lease
+	beat := w.Limits.LeaseTTL / beatsPerTTL
+	if l.Held && !l.Beat.IsZero() && now.Sub(l.Beat) > beat {
+		lose(w, "paused")
+		l.Pending, l.Next = 0, now
+	}
+	l.Beat = now.Add(beat)
+	if l.Held {
+		w.WakeAt(l.Beat)
+	}
+}
+
+func lose(w *rocktable.World, why string) {
+	w.Lease.Held = false
+	w.Count(rockreason.LeaseLost)
+	w.LogChange("lease", ownDataCentre(w), "held", why)
+}
+
+func ownDataCentre(w *rocktable.World) string {
+	return w.DataCentres.Get(w.SelfHost().DataCentre).Name
+}
+
+func holderName(w *rocktable.World) string {
+	return w.SelfHost().Name + "#" + strconv.FormatUint(w.Incarnation, 10)
+}
+
+// proceed sends the next operation on the lease row, if it is due.
+func proceed(now time.Time, w *rocktable.World) {
+	l := &w.Lease
+	if l.Pending != 0 {
+		w.WakeAt(l.SentAt.Add(opLimit))
+		return
+	}
+	if now.Before(l.Next) {
+		w.WakeAt(l.Next)
+		return
+	}
+	if l.Held {
+		write(now, w, renewal(w))
+		return
+	}
+	send(now, w, rocktable.TableOp[rocktable.LeaseRow]{})
+}
+
+func renewal(w *rocktable.World) rocktable.LeaseRow {
+	row := w.Lease.Seen
+	row.Renewal++
+	row.TTLMs = int(w.Limits.LeaseTTL.Milliseconds())
+	return row
+}
+
+func write(now time.Time, w *rocktable.World, row rocktable.LeaseRow) {
+	w.Lease.Wanted = row
+	send(now, w, rocktable.TableOp[rocktable.LeaseRow]{Write: true, Expected: w.Lease.Version, Row: row})
+}
+
+func send(now time.Time, w *rocktable.World, op rocktable.TableOp[rocktable.LeaseRow]) {
+	l := &w.Lease
+	op.Op, op.Key = w.NextOp(), Key(ownDataCentre(w))
+	l.Pending, l.Write, l.SentAt = op.Op, op.Write, now
+	l.Next = now.Add(w.Limits.LeaseTTL / 3)
+	w.WakeAt(l.SentAt.Add(opLimit))
+	w.Outbox.LeaseOps = append(w.Outbox.LeaseOps, op)
+}
+
+func takeResult(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.LeaseRow]) {
+	l := &w.Lease
+	sentAt, wrote := l.SentAt, l.Write
+	l.Pending = 0
+	switch r.Status {
+	case rocktable.TableUnavailable:
+		l.Next = now.Add(retryAfter)
+	case rocktable.TableUnclear:
+		// The row is read back; the lease lasts at most until its old end meanwhile.
+		l.Next = now
+		if wrote {
+			send(now, w, rocktable.TableOp[rocktable.LeaseRow]{})
+		}
+	case rocktable.TableConflict:
+		if l.Held {
+			lose(w, "taken")
+		}
+		l.Next = now
+		if r.Found {
+			see(now, w, r.Version, r.Row)
+		}
+	case rocktable.TableOK:
+		if wrote {
+			see(now, w, r.Version, l.Wanted)
+			hold(now, w, sentAt)
+			return
+		}
+		takeRow(now, w, r)
+	}
+}
+
+// see notes when a version of the row was seen first, by the local monotonic clock.
+func see(now time.Time, w *rocktable.World, version uint64, row rocktable.LeaseRow) {
+	l := &w.Lease
+	if version != l.Version || l.SeenAt.IsZero() {
+		l.Version, l.Seen, l.SeenAt = version, row, now
+	}
+}
+
+// takeRow decides on a row that was read: regain, take over, or wait.
+func takeRow(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.LeaseRow]) {
+	l := &w.Lease
+	if !r.Found {
+		see(now, w, 0, rocktable.LeaseRow{})
+		l.Version = 0
+		acquire(now, w)
+		return
+	}
+	see(now, w, r.Version, r.Row)
+	mine := r.Row.Holder == holderName(w) && !r.Row.Over
+	if !mine && l.Held {
+		lose(w, "taken")
+	}
+	if w.Draining {
+		return
+	}
+	if mine {
+		// A renewal tells whether the lease is still this host's; a read alone does not.
+		write(now, w, renewal(w))
+		return
+	}
+	ttl := max(time.Duration(r.Row.TTLMs)*time.Millisecond, w.Limits.LeaseTTL)
+	if r.Row.Over || now.Sub(l.SeenAt) >= ttl {
+		acquire(now, w)
+		return
+	}
+	l.Next = l.SeenAt.Add(ttl)
+	if every := now.Add(w.Limits.LeaseTTL / 3); every.Before(l.Next) {
+		l.Next = every
+	}
+}
+
+func acquire(now time.Time, w *rocktable.World) {
+	if w.Draining {
+		return
+	}
+	write(now, w, rocktable.LeaseRow{
+		Holder: holderName(w), Fencing: w.Lease.Seen.Fencing + 1, TTLMs: int(w.Limits.LeaseTTL.Milliseconds()),
+	})
+}
+
+// hold notes a successful write; the end counts from when the write was sent.
+func hold(now time.Time, w *rocktable.World, sentAt time.Time) {
+	l := &w.Lease
+	if l.Wanted.Over {
+		l.Held, l.Released = false, true
+		return
+	}
+	l.Until = sentAt.Add(w.Limits.LeaseTTL - w.Limits.LeaseTTL/clockMargin)
+	if !now.Before(l.Until) {
+		l.Next = now
+		return
+	}
+	if l.Fencing != l.Wanted.Fencing {
+		l.Fencing = l.Wanted.Fencing
+		// The last holder sent its last order before its lease ended; that order may still be under way.
+		l.UsableAt = now.Add(w.Limits.OrderTimeout)
+	}
+	if !l.Held {
+		l.Held = true
+		w.LogChange("lease", ownDataCentre(w), "none", "held")
+	}
+	w.WakeAt(l.Beat)
+}
+
+// release gives the lease up for the shutdown, after the orders under way have ended.
+func release(now time.Time, w *rocktable.World) {
+	l := &w.Lease
+	for _, o := range w.Orders.All() {
+		if o.Pending && now.Sub(w.DrainedAt) < releaseLimit {
+			return
+		}
+	}
+	if l.Released {
+		return
+	}
+	if now.Sub(w.DrainedAt) >= releaseLimit || !l.Held && l.Pending == 0 {
+		l.Held, l.Released = false, true
+		return
+	}
+	if l.Pending != 0 || now.Before(l.Next) && l.Wanted.Over {
+		return
+	}
+	row := l.Seen
+	row.Over = true
+	row.Renewal++
+	write(now, w, row)
+	l.Next = now.Add(retryAfter)
+}
