Settle configuration changes and take versions from peers

Cause: operators' changes were ignored, and a host was ready with any version. Change: a change reads the row, writes it by compare-and-set, and is settled by its change id in the row or in the list of earlier ones, within 10 s; versions come from peers on request; a new host is ready when it has the highest version known to the platform or, if that is out, to its peers; drained names are put in force and lifted. Result: the tests of the fleet pass under the race detector: race of two operators, lost answers and writes, an outage, a restart while the platform is out.

--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -1,15 +1,26 @@
 package rockconfig
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
+	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rocktable"
 )
 
 // RowKey is the key of the configuration row in the table service.
 const RowKey = "configuration"
 
+const (
+	// peersNeeded is the number of peers whose versions stand in for a platform that is out.
+	peersNeeded = 3
+	// askEvery is the time between requests to peers for the configuration.
+	askEvery = time.Second
+	// opLimit is the silence after which an operation on the table service counts as lost.
+	opLimit = 5 * time.Second
+)
+
 // System puts configuration versions in force.
 var System = rocktable.System{
 	Name: "rockconfig",
@@ -19,35 +30,131 @@
 
 func run(now time.Time, w *rocktable.World) {
 	for _, r := range w.Inbox.ConfigResults {
-		if r.Op == w.ConfigState.Op {
-			w.ConfigState.Op = 0
+		takeResult(now, w, r)
+	}
+	for _, m := range w.Inbox.Peers {
+		takePeer(now, w, m)
+	}
+	for _, c := range w.Inbox.ConfigChanges {
+		takeChange(now, w, c)
+	}
+	runChanges(now, w)
+	readRow(now, w)
+	w.Ready = !w.Draining && (w.Ready || isCurrent(w))
+}
+
+// isCurrent reports whether a host that has just started has the highest version known to the platform or its peers.
+func isCurrent(w *rocktable.World) bool {
+	st := &w.ConfigState
+	if w.ConfigVersion == 0 || w.ConfigVersion < st.Highest {
+		return false
+	}
+	return st.Read || st.Failed && peersTold(w)
+}
+
+// peersTold reports whether enough peers told their version to stand in for a platform that is out.
+func peersTold(w *rocktable.World) bool {
+	told, known := 0, 0
+	for _, h := range w.Hosts.All() {
+		if h.Self || h.State == rocktable.StateDown {
+			continue
+		}
+		known++
+		if h.Told {
+			told++
 		}
-		if r.Status == rocktable.TableOK && r.Found {
-			Accept(w, r.Version, r.Row)
+	}
+	return told >= max(1, min(peersNeeded, known))
+}
+
+func readRow(now time.Time, w *rocktable.World) {
+	st := &w.ConfigState
+	if st.Op != 0 && now.Sub(st.OpAt) >= opLimit {
+		st.Op, st.Failed = 0, true
+	}
+	if st.Op == 0 && !now.Before(st.Next) {
+		st.Op, st.OpAt = w.NextOp(), now
+		st.Next = now.Add(w.Limits.ConfigEvery)
+		w.Outbox.ConfigOps = append(w.Outbox.ConfigOps, rocktable.TableOp[rocktable.ConfigRow]{Op: st.Op, Key: RowKey})
+	}
+	w.WakeAt(st.Next)
+}
+
+func takeResult(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.ConfigRow]) {
+	if r.Op == w.ConfigState.Op {
+		w.ConfigState.Op = 0
+	}
+	isRow := r.Found && (r.Status == rocktable.TableOK || r.Status == rocktable.TableConflict)
+	if isRow && !r.Write {
+		Accept(now, w, r.Version, r.Row)
+	}
+	if !r.Write {
+		w.ConfigState.Read = w.ConfigState.Read || r.Status == rocktable.TableOK
+		w.ConfigState.Failed = w.ConfigState.Failed || r.Status != rocktable.TableOK
+	}
+	for _, p := range w.Changes.All() {
+		if p.Op == r.Op && r.Op != 0 {
+			p.Op = 0
+			takeChangeResult(now, w, p, r)
+			return
 		}
 	}
-	if w.ConfigState.Op == 0 && !now.Before(w.ConfigState.Next) {
-		w.ConfigState.Op = w.NextOp()
-		w.ConfigState.Next = now.Add(w.Limits.ConfigEvery)
-		w.Outbox.ConfigOps = append(w.Outbox.ConfigOps, rocktable.TableOp[rocktable.ConfigRow]{Op: w.ConfigState.Op, Key: RowKey})
+}
+
+// takePeer accepts a peer's configuration, asks for it, or sends this host's.
+func takePeer(now time.Time, w *rocktable.World, m rocktable.PeerMessage) {
+	st := &w.ConfigState
+	st.PeerRead = true
+	st.Highest = max(st.Highest, m.ConfigVersion)
+	if m.Configuration != nil {
+		Accept(now, w, m.ConfigVersion, *m.Configuration)
+	}
+	if m.WantConfiguration && w.ConfigVersion > 0 {
+		answer := rockmember.Header(w)
+		answer.Reply = true
+		row := w.Config
+		answer.Configuration = &row
+		rockmember.SendTo(w, m, answer)
+	}
+	// One request each second keeps a host from fetching the configuration from every peer at once.
+	if m.ConfigVersion > w.ConfigVersion && (st.AskedAt.IsZero() || now.Sub(st.AskedAt) >= askEvery) {
+		st.AskedAt = now
+		question := rockmember.Header(w)
+		question.WantConfiguration = true
+		rockmember.SendTo(w, m, question)
 	}
-	w.Ready = w.ConfigVersion > 0 && !w.Draining
-	w.WakeAt(w.ConfigState.Next)
 }
 
 // Accept puts a version in force if it is higher than the one in force, and reports whether it did.
-func Accept(w *rocktable.World, version uint64, row rocktable.ConfigRow) bool {
+func Accept(now time.Time, w *rocktable.World, version uint64, row rocktable.ConfigRow) bool {
 	if version <= w.ConfigVersion {
 		return false
 	}
 	w.LogChange("configuration", row.ChangeID, strconv.FormatUint(w.ConfigVersion, 10), strconv.FormatUint(version, 10))
+	last := w.Config.Configuration.Drained
 	w.Config, w.ConfigVersion = row, version
+	w.ConfigState.Highest = max(w.ConfigState.Highest, version)
 	w.SelfHost().ConfigVersion = version
 	w.SelfHost().Changed = w.Changed()
 	fill(w, row.Configuration)
+	drain(now, w, last, row.Configuration.Drained)
 	return true
 }
 
+// drain puts the difference between two lists of drained backend servers in force.
+func drain(now time.Time, w *rocktable.World, last, next []string) {
+	for _, name := range next {
+		if !slices.Contains(last, name) {
+			rockmember.Drain(now, w, w.InternServer(name))
+		}
+	}
+	for _, name := range last {
+		if !slices.Contains(next, name) {
+			rockmember.Lift(w, w.InternServer(name))
+		}
+	}
+}
+
 // fill brings the tables of ranks, callers, pipelines and services in line with the configuration.
 func fill(w *rocktable.World, cfg rocktable.Configuration) {
 	for i, c := range cfg.Ranks {
