Check claims, orders and departures at the end of each tick

Cause: the invariants on claims, leases and departures were checked in part only. Change: invariants claims, orders and departed.

--- a/core/rockinvariant/invariant.go
+++ b/core/rockinvariant/invariant.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -25,6 +26,21 @@
 		Doc:   "A non-idempotent call is handed to a backend server only under its claim, and only once.",
 		Check: checkAtMostOnce,
 	},
+	{
+		Name:  "claims",
+		Doc:   "A non-idempotent call is out at most once, and only while its claim is held or its outcome is being recorded.",
+		Check: checkClaims,
+	},
+	{
+		Name:  "orders",
+		Doc:   "An order is sent only under the lease, after the last holder's orders have ended and before the lease does.",
+		Check: checkOrders,
+	},
+	{
+		Name:  "departed",
+		Doc:   "A backend server whose departure has not ended is leaving, and a drained one is leaving.",
+		Check: checkDeparted,
+	},
 	{
 		Name:  "leaving",
 		Doc:   "No start uses a backend server that has been leaving for longer than the limit.",
@@ -84,6 +100,38 @@
 	return nil
 }
 
+func checkClaims(_ time.Time, w *rocktable.World) error {
+	for id, r := range w.Requests.All() {
+		if r.Call == nil || r.Call.Idempotent || r.Call.Runs == 0 {
+			continue
+		}
+		c := w.Claims.Get(id)
+		if r.Call.Runs > 1 || c == nil || c.State != rocktable.ClaimHeld && c.State != rocktable.ClaimRecording {
+			return fmt.Errorf("call %d: %d runs without a claim that is held", id, r.Call.Runs)
+		}
+	}
+	return nil
+}
+
+func checkOrders(now time.Time, w *rocktable.World) error {
+	l := &w.Lease
+	for _, o := range w.Outbox.Orders {
+		if !l.Held || o.Fencing != l.Fencing || now.Before(l.UsableAt) || !now.Before(o.Until) || o.Until.After(l.Until) {
+			return fmt.Errorf("backend server %d: order with fencing number %d outside of the lease", o.Server, o.Fencing)
+		}
+	}
+	return nil
+}
+
+func checkDeparted(_ time.Time, w *rocktable.World) error {
+	for _, s := range w.Servers.All() {
+		if (rockmember.IsDeparted(s) || s.Drained) != (s.State == rocktable.StateLeaving) {
+			return fmt.Errorf("backend server %s: state %s does not match its departure", s.Name, s.State)
+		}
+	}
+	return nil
+}
+
 func checkLeaving(now time.Time, w *rocktable.World) error {
 	late := func(id rocktable.BackendServerID) bool {
 		s := w.Servers.Get(id)
