--- /dev/null
+++ b/core/rockmember/claim_test.go
@@ -0,0 +1,192 @@
+package rockmember_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// finish ends a call that a host handed to a backend server.
+func (h *host) finish(c rocktable.CallStart, e rocktable.CallEnded) {
+	e.Request, e.Server = c.Request, c.Server
+	h.inbox.CallsEnded = append(h.inbox.CallsEnded, e)
+}
+
+func ledger(t *testing.T, hosts int) *fleet {
+	f := newFleet(t, 1, hosts, 0)
+	settled(t, f)
+	return f
+}
+
+// Guards against a call that runs twice because two hosts got it with the same key, or because answers of the table service were lost.
+func TestCallRunsOnce(t *testing.T) {
+	f := ledger(t, 2)
+	one, two := f.hosts[0], f.hosts[1]
+	f.claims.loseN, f.claims.dropN = 1, 1
+	f.call(one, 1, "key", 5)
+	f.call(two, 1, "key", 5)
+	f.run(time.Second)
+	if n := len(one.calls) + len(two.calls); n != 1 {
+		t.Fatalf("%d runs, want 1", n)
+	}
+	if len(one.calls) == 0 {
+		one, two = two, one
+	}
+	if code := two.reason(1); code != rockreason.InProgress {
+		t.Errorf("the second call ended with %q, want %q", code, rockreason.InProgress)
+	}
+	f.claims.loseN = 1
+	one.finish(one.calls[0], rocktable.CallEnded{Sent: true, Status: 201, Body: []byte("paid")})
+	f.run(time.Second)
+	f.call(two, 2, "key", 5)
+	f.call(two, 3, "key", 6)
+	f.run(time.Second)
+	for _, a := range []rocktable.Answer{one.answers[1], two.answers[2]} {
+		if a.Reason != "" || a.Recorded == nil || string(a.Recorded.Body) != "paid" {
+			t.Errorf("answer %+v, want the recorded outcome", a)
+		}
+	}
+	if code := two.reason(3); code != rockreason.KeyReused {
+		t.Errorf("another content with the key ended with %q, want %q", code, rockreason.KeyReused)
+	}
+	if n := len(one.calls) + len(two.calls); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+// Guards against a second run of a call whose outcome was lost with its connection.
+func TestUnknownOutcomeIsNotRepeated(t *testing.T) {
+	f := ledger(t, 2)
+	f.call(f.hosts[0], 1, "key", 5)
+	f.run(time.Second)
+	f.hosts[0].finish(f.hosts[0].calls[0], rocktable.CallEnded{Sent: true, Reason: rockreason.StageDied})
+	f.run(time.Second)
+	f.call(f.hosts[1], 1, "key", 5)
+	f.run(time.Second)
+	for _, h := range f.hosts {
+		if code := h.reason(1); code != rockreason.OutcomeUnknown {
+			t.Errorf("%s: the call ended with %q, want %q", h.name, code, rockreason.OutcomeUnknown)
+		}
+	}
+	if n := len(f.hosts[1].calls); n != 0 {
+		t.Errorf("the call ran %d times more", n)
+	}
+}
+
+// Guards against a call that is refused as not run and still holds its key, and one that gives up after the first server that is unreachable.
+func TestCallNotHandedOver(t *testing.T) {
+	f := ledger(t, 1)
+	h := f.hosts[0]
+	f.call(h, 1, "key", 5)
+	f.run(time.Second)
+	h.finish(h.calls[0], rocktable.CallEnded{Reason: rockreason.ServerUnreachable})
+	f.run(time.Second)
+	if len(h.calls) != 2 || h.calls[0].Server == h.calls[1].Server {
+		t.Fatalf("calls = %+v, want a second one on another backend server", h.calls)
+	}
+	f.claims.out = true
+	h.finish(h.calls[1], rocktable.CallEnded{Reason: rockreason.ServerUnreachable})
+	f.run(time.Second)
+	if code := h.reason(1); code != rockreason.NoServer {
+		t.Errorf("the call ended with %q, want %q", code, rockreason.NoServer)
+	}
+	f.claims.out = false
+	f.run(time.Second)
+	f.call(h, 2, "key", 5)
+	f.run(time.Second)
+	if len(h.calls) != 3 {
+		t.Errorf("%d runs after the claim was released, want 3", len(h.calls))
+	}
+}
+
+// Guards against a claim that takes effect after its call was refused as not run, and blocks the key.
+func TestClaimGivenUpIsReleased(t *testing.T) {
+	f := ledger(t, 1)
+	h := f.hosts[0]
+	f.claims.loseN = 1
+	f.call(h, 1, "key", 5)
+	f.until(time.Second, func() bool { return f.claims.loseN == 0 })
+	f.claims.out = true
+	f.run(6 * time.Second)
+	if code := h.reason(1); code != rockreason.PlatformOut {
+		t.Fatalf("the call ended with %q, want %q", code, rockreason.PlatformOut)
+	}
+	f.claims.out = false
+	f.run(time.Second)
+	f.call(h, 2, "key", 5)
+	f.run(time.Second)
+	if len(h.calls) != 1 {
+		t.Errorf("%d runs after the claim was released, want 1", len(h.calls))
+	}
+}
+
+// Guards against an outcome that is lost because the caller left or the platform was out, and a shutdown that ends before it is recorded.
+func TestOutcomeIsRecordedThroughOutage(t *testing.T) {
+	f := ledger(t, 2)
+	h := f.hosts[0]
+	f.call(h, 1, "key", 5)
+	f.run(time.Second)
+	h.inbox.CallerGone = []rocktable.CallerGone{{Request: 1}}
+	h.inbox.Shutdowns = []rocktable.Shutdown{{}}
+	f.claims.out = true
+	f.run(time.Second)
+	h.finish(h.calls[0], rocktable.CallEnded{Sent: true, Status: 200, Body: []byte("paid")})
+	f.run(15 * time.Second)
+	if h.done {
+		t.Fatal("the shutdown ended before the outcome was recorded")
+	}
+	f.claims.out = false
+	if !f.until(3*time.Second, func() bool { return h.done }) {
+		t.Fatal("the shutdown does not end after the outcome was recorded")
+	}
+	f.call(f.hosts[1], 1, "key", 5)
+	f.run(time.Second)
+	if a := f.hosts[1].answers[1]; a.Recorded == nil || string(a.Recorded.Body) != "paid" {
+		t.Errorf("answer %+v, want the recorded outcome", a)
+	}
+}
+
+// Guards against a claim of a failed host that is run again, or stays in progress for ever.
+func TestClaimOfFailedHost(t *testing.T) {
+	f := ledger(t, 2)
+	f.call(f.hosts[0], 1, "key", 5)
+	f.run(time.Second)
+	f.hosts[0].stopped = true
+	f.call(f.hosts[1], 1, "key", 5)
+	f.run(time.Second)
+	f.run(11 * time.Minute)
+	f.call(f.hosts[1], 2, "key", 5)
+	f.run(time.Second)
+	if a, b := f.hosts[1].reason(1), f.hosts[1].reason(2); a != rockreason.InProgress || b != rockreason.OutcomeUnknown {
+		t.Errorf("resends ended with %q and %q, want %q and %q", a, b, rockreason.InProgress, rockreason.OutcomeUnknown)
+	}
+	if n := len(f.hosts[1].calls); n != 0 {
+		t.Errorf("the call ran %d times more", n)
+	}
+}
+
+// Guards against non-idempotent calls that run without a claim, and reads that wait for one, while the platform is out.
+func TestCallsWhilePlatformIsOut(t *testing.T) {
+	f := ledger(t, 1)
+	h := f.hosts[0]
+	f.claims.out = true
+	f.call(h, 1, "key", 5)
+	f.call(h, 2, "", 5)
+	f.call(h, 3, "", 5)
+	h.inbox.Arrivals[2].Request.Call.Method = "GET"
+	f.run(time.Second)
+	if a, b := h.reason(1), h.reason(2); a != rockreason.PlatformOut || b != rockreason.MissingKey {
+		t.Errorf("calls ended with %q and %q, want %q and %q", a, b, rockreason.PlatformOut, rockreason.MissingKey)
+	}
+	for range 3 {
+		if n := len(h.calls); n > 0 {
+			h.finish(h.calls[n-1], rocktable.CallEnded{Sent: true, Reason: rockreason.StageDied})
+		}
+		f.run(time.Second)
+	}
+	if code := h.reason(3); len(h.calls) != 2 || code != rockreason.BackendFailed {
+		t.Errorf("%d runs of the read, ended with %q; want one on each backend server, then %q", len(h.calls), code, rockreason.BackendFailed)
+	}
+}
--- /dev/null
+++ b/core/rockmember/config_test.go
@@ -0,0 +1,123 @@
+package rockmember_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// change returns a change of the fleet's first configuration.
+func (f *fleet) change(id string, expected uint64, drained ...string) rocktable.ConfigChange {
+	cfg := f.config.rows["configuration"].Row.Configuration
+	cfg.Drained = drained
+	return rocktable.ConfigChange{Change: id, ExpectedVersion: expected, Configuration: cfg}
+}
+
+func (h *host) put(c rocktable.ConfigChange) {
+	h.inbox.ConfigChanges = append(h.inbox.ConfigChanges, c)
+}
+
+// end returns how a change ended at a host; it fails unless it ended there once.
+func (h *host) end(t *testing.T, id string) rocktable.ConfigEnd {
+	t.Helper()
+	var found []rocktable.ConfigEnd
+	for _, e := range h.ends {
+		if e.Change == id {
+			found = append(found, e)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("change %s ended %d times at %s, want once", id, len(found), h.name)
+	}
+	return found[0]
+}
+
+// Guards against two operators whose changes are both accepted, and against a version that is not in force everywhere.
+func TestConfigurationRace(t *testing.T) {
+	f := newFleet(t, 2, 3, 1)
+	settled(t, f)
+	f.hosts[0].put(f.change("a", 1, "runner-0-0"))
+	f.hosts[5].put(f.change("b", 1))
+	f.run(2 * time.Second)
+	a, b := f.hosts[0].end(t, "a"), f.hosts[5].end(t, "b")
+	if a.Reason != "" || a.Version != 2 || b.Reason != rockreason.ConfigConflict || b.Version != 2 {
+		t.Errorf("ends are %+v and %+v, want one accepted and one conflict", a, b)
+	}
+	inForce := func() bool { return f.all(func(h *host) bool { return h.w.ConfigVersion == 2 }) }
+	if !f.until(6*time.Second, inForce) {
+		t.Error("the accepted version is not in force everywhere within 8 s")
+	}
+	if s := f.hosts[4].state("runner-0-0"); s != rocktable.StateLeaving {
+		t.Errorf("the drained backend server is %s, want leaving", s)
+	}
+	f.hosts[1].put(f.change("c", 2))
+	if !f.until(10*time.Second, isSettled(f)) {
+		t.Error("a name taken off the drained list is still out of use")
+	}
+}
+
+// Guards against a change that takes effect twice, or is reported as refused, when the answer to its write is lost.
+func TestConfigurationLostAnswer(t *testing.T) {
+	f := newFleet(t, 1, 2, 1)
+	settled(t, f)
+	f.config.loseN = 1
+	f.hosts[0].put(f.change("lost", 1))
+	f.run(2 * time.Second)
+	if e := f.hosts[0].end(t, "lost"); e.Reason != "" || e.Version != 2 {
+		t.Errorf("lost answer: %+v, want accepted as version 2", e)
+	}
+	f.config.dropN = 1
+	f.hosts[0].put(f.change("dropped", 2))
+	f.run(2 * time.Second)
+	if e := f.hosts[0].end(t, "dropped"); e.Reason != "" || e.Version != 3 {
+		t.Errorf("lost write: %+v, want accepted as version 3", e)
+	}
+	// The same change sent again, to another host and after a further one, is not written again.
+	f.hosts[1].put(f.change("lost", 1))
+	f.run(2 * time.Second)
+	if e := f.hosts[1].end(t, "lost"); e.Reason != "" || e.Version != 2 || f.config.version != 3 {
+		t.Errorf("repeated change: %+v with %d versions, want version 2 of 3", e, f.config.version)
+	}
+}
+
+// Guards against a change that hangs, or is reported as not run although it may take effect, while the platform is out.
+func TestConfigurationUnsettled(t *testing.T) {
+	f := newFleet(t, 1, 1, 1)
+	settled(t, f)
+	f.config.loseN = 1
+	f.hosts[0].put(f.change("half", 1))
+	f.until(time.Second, func() bool { return f.config.loseN == 0 })
+	f.config.out = true
+	f.run(12 * time.Second)
+	if e := f.hosts[0].end(t, "half"); e.Reason != rockreason.ConfigUnsettled {
+		t.Errorf("the change ended with %q, want %q", e.Reason, rockreason.ConfigUnsettled)
+	}
+	f.hosts[0].put(f.change("out", 1))
+	f.run(12 * time.Second)
+	if e := f.hosts[0].end(t, "out"); e.Reason != rockreason.PlatformOut {
+		t.Errorf("the change ended with %q, want %q", e.Reason, rockreason.PlatformOut)
+	}
+}
+
+// Guards against a host that serves with an old configuration after a restart while the platform is out, and one that never gets ready.
+func TestRestartWhilePlatformIsOut(t *testing.T) {
+	f := newFleet(t, 1, 4, 2)
+	settled(t, f)
+	f.hosts[0].put(f.change("a", 1))
+	f.run(6 * time.Second)
+	f.config.out, f.listOut = true, true
+	one := f.hosts[0]
+	f.addHost(one.name, one.dc, 2)
+	f.run(200 * time.Millisecond)
+	if one.w.Ready {
+		t.Fatal("the host is ready before it has the configuration")
+	}
+	if !f.until(10*time.Second, func() bool { return one.w.Ready && one.w.ConfigVersion == 2 }) {
+		t.Fatalf("the host is not ready with version 2 after 10 s: version %d", one.w.ConfigVersion)
+	}
+	if !f.until(20*time.Second, isSettled(f)) {
+		t.Error("the host does not learn the backend servers from its peers")
+	}
+}
--- /dev/null
+++ b/core/rockmember/lease_test.go
@@ -0,0 +1,106 @@
+package rockmember_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// placed returns a fleet whose configuration places a pipeline on two runners.
+func placed(t *testing.T, hosts int) *fleet {
+	f := newFleet(t, 1, hosts, 2)
+	c := f.change("placed", 1)
+	c.Configuration.Pipelines = []rocktable.PipelineConfig{{
+		Name: "p", Model: "m", Version: "1", Layers: 8,
+		Placements: []rocktable.Placement{{Server: "runner-0-0", LastLayer: 3}, {Server: "runner-0-1", FirstLayer: 4, LastLayer: 7}},
+	}}
+	settled(t, f)
+	f.hosts[0].put(c)
+	f.run(8 * time.Second)
+	return f
+}
+
+func (f *fleet) holder() *host {
+	for _, h := range f.hosts {
+		if !h.stopped && !h.paused && h.w.Lease.Held {
+			return h
+		}
+	}
+	return nil
+}
+
+// Guards against engines that stay out of line with the placements, and against orders that repeat once they are in line.
+func TestOrdersBringEnginesInLine(t *testing.T) {
+	f := placed(t, 3)
+	f.run(10 * time.Second)
+	if e := f.engines["runner-0-1"]; e.Model != "m" || e.FirstLayer != 4 || e.LastLayer != 7 {
+		t.Errorf("engine is %+v, want layers 4 to 7 of m", e)
+	}
+	f.run(time.Minute)
+	if len(f.ordered) != 2 {
+		t.Errorf("orders = %v, want one for each engine", f.ordered)
+	}
+	if n := f.lease.rows["lease/dc-0"].Row.Fencing; n != 1 {
+		t.Errorf("fencing number = %d after a minute with one holder, want 1", n)
+	}
+}
+
+// Guards against orders of a holder that was paused past the end of its lease, and against two holders with one fencing number.
+func TestPausedHolderSendsNothing(t *testing.T) {
+	f := placed(t, 3)
+	f.run(10 * time.Second)
+	old := f.holder()
+	old.paused = true
+	f.engines["runner-0-0"].Model = "other"
+	if !f.until(time.Minute, func() bool { return f.holder() != nil }) {
+		t.Fatal("no host takes the lease over")
+	}
+	next := f.holder()
+	if next.w.Lease.Fencing != old.w.Lease.Fencing+1 {
+		t.Errorf("fencing number %d after %d, want one more", next.w.Lease.Fencing, old.w.Lease.Fencing)
+	}
+	f.engines["runner-0-0"].Model = "other"
+	sent := len(old.orders)
+	old.paused = false
+	f.run(20 * time.Second)
+	if old.w.Lease.Held || len(old.orders) != sent {
+		t.Errorf("the paused holder sent %d orders after its pause, want none", len(old.orders)-sent)
+	}
+	if f.engines["runner-0-0"].Model != "m" {
+		t.Error("the new holder did not bring the engine in line")
+	}
+}
+
+// Guards against a lease that is used after a short pause without reading it again.
+func TestShortPauseReadsAgain(t *testing.T) {
+	f := placed(t, 2)
+	f.run(10 * time.Second)
+	h := f.holder()
+	h.paused = true
+	f.run(4 * time.Second)
+	h.paused = false
+	f.run(step)
+	if h.w.Lease.Held {
+		t.Error("the lease is held right after a pause, before it was read")
+	}
+	f.run(2 * time.Second)
+	if !h.w.Lease.Held || h.w.Lease.Fencing != 1 {
+		t.Errorf("the lease after it was read again is %+v, want held with the same number", h.w.Lease)
+	}
+}
+
+// Guards against a lease that is kept past its end, or taken by a second host, while the platform is out.
+func TestLeaseEndsWhilePlatformIsOut(t *testing.T) {
+	f := placed(t, 3)
+	f.run(10 * time.Second)
+	f.lease.out = true
+	f.run(20 * time.Second)
+	if f.holder() != nil {
+		t.Error("a host holds the lease after the platform was out for longer than the TTL")
+	}
+	f.lease.out, f.lease.loseN = false, 2
+	if !f.until(40*time.Second, func() bool { return f.holder() != nil }) {
+		t.Error("no host holds the lease 40 s after the platform is back")
+	}
+}
--- /dev/null
+++ b/core/rockmember/member_test.go
@@ -0,0 +1,229 @@
+package rockmember_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+func isSettled(f *fleet) func() bool {
+	return func() bool {
+		return f.all(func(h *host) bool {
+			for name := range f.engines {
+				if h.state(name) != rocktable.StateLive {
+					return false
+				}
+			}
+			return h.w.Ready
+		})
+	}
+}
+
+func settled(t *testing.T, f *fleet) {
+	t.Helper()
+	if !f.until(20*time.Second, isSettled(f)) {
+		t.Fatal("the hosts do not know all backend servers as live within 20 s")
+	}
+}
+
+// Guards against probing by every host and against backend servers that no host probes.
+func TestProbersAreFewAndTakeOver(t *testing.T) {
+	f := newFleet(t, 2, 6, 10)
+	settled(t, f)
+	f.run(10 * time.Second)
+	probers := func(server string) int {
+		n := 0
+		for _, h := range f.hosts {
+			if s := h.w.ServerNamed(server); !h.stopped && s.Probing {
+				n++
+			}
+		}
+		return n
+	}
+	for name := range f.engines {
+		if n := probers(name); n != 3 {
+			t.Errorf("%s has %d probers, want 3", name, n)
+		}
+	}
+	for _, h := range f.hosts[:3] {
+		h.stopped = true
+	}
+	f.run(20 * time.Second)
+	for name := range f.engines {
+		if n := probers(name); n != 3 {
+			t.Errorf("%s has %d probers after three hosts failed, want 3", name, n)
+		}
+	}
+}
+
+// Guards against new work on a leaving backend server because the platform's list lags, and against an old report that undoes the departure.
+func TestLeavingSpreadsWithin3sAndStays(t *testing.T) {
+	f := newFleet(t, 3, 8, 6)
+	settled(t, f)
+	f.engines["runner-1-2"].State = "leaving"
+	isLeaving := func(h *host) bool { return h.state("runner-1-2") == rocktable.StateLeaving }
+	if !f.until(3*time.Second, func() bool { return f.all(isLeaving) }) {
+		t.Fatal("not every host knows within 3 s that the backend server is leaving")
+	}
+	for range 200 {
+		f.run(step)
+		if !f.all(isLeaving) {
+			t.Fatal("a host took an old report over the departure")
+		}
+	}
+	f.engines["runner-1-2"].State, f.engines["runner-1-2"].Incarnation = "live", 2
+	if !f.until(5*time.Second, isSettled(f)) {
+		t.Error("the new incarnation is not live everywhere within 5 s")
+	}
+}
+
+// Guards against a drain that stays at one host, is ended by a report, or cannot be lifted.
+func TestDrainAndLift(t *testing.T) {
+	f := newFleet(t, 2, 4, 4)
+	settled(t, f)
+	isLeaving := func(h *host) bool { return h.state("runner-0-1") == rocktable.StateLeaving }
+	f.hosts[6].inbox.Drains = []rocktable.Drain{{Server: "runner-0-1"}}
+	if !f.until(3*time.Second, func() bool { return f.all(isLeaving) }) {
+		t.Fatal("the drain is not known everywhere within 3 s")
+	}
+	f.engines["runner-0-1"].Incarnation = 2
+	f.run(10 * time.Second)
+	if !f.all(isLeaving) {
+		t.Error("a restart ended the operator's drain")
+	}
+	f.hosts[2].inbox.Drains = []rocktable.Drain{{Server: "runner-0-1", Lift: true}}
+	if !f.until(3*time.Second, isSettled(f)) {
+		t.Error("the lift is not in force everywhere within 3 s")
+	}
+}
+
+// Guards against a list entry that vanishes and takes a backend server out of use, and against a late entry that ends a newer state.
+func TestListHoles(t *testing.T) {
+	f := newFleet(t, 1, 3, 3)
+	settled(t, f)
+	whole := f.list
+	f.list = f.list[2:]
+	f.run(20 * time.Second)
+	if !isSettled(f)() {
+		t.Error("backend servers that answer are out of use because the list lacks them")
+	}
+	f.list = whole
+	f.entry("runner-0-0").State = "leaving"
+	f.run(3 * time.Second)
+	f.engines["runner-0-0"].Incarnation = 2
+	f.run(10 * time.Second)
+	if !isSettled(f)() {
+		t.Error("the old list entry outweighs the new incarnation")
+	}
+}
+
+// Guards against a host that forgets its backend servers when it is cut off, and against views that do not converge after healing.
+func TestPartitionHeals(t *testing.T) {
+	f := newFleet(t, 2, 4, 4)
+	settled(t, f)
+	f.cut = func(a, b *host) bool { return a.dc != b.dc }
+	f.listOut, f.config.out = true, true
+	f.run(40 * time.Second)
+	one := f.hosts[0]
+	if far := one.w.HostNamed("entry-1-0"); far.State != rocktable.StateDown {
+		t.Errorf("a host behind the partition is %s, want down", far.State)
+	}
+	if !isSettled(f)() {
+		t.Error("hosts forgot backend servers in the partition")
+	}
+	f.engines["runner-1-0"].State = "leaving"
+	f.run(3 * time.Second)
+	f.cut = func(_, _ *host) bool { return false }
+	converged := func() bool {
+		return f.all(func(h *host) bool {
+			for _, other := range f.hosts {
+				if h.w.HostNamed(other.name).State != rocktable.StateLive {
+					return false
+				}
+			}
+			return h.state("runner-1-0") == rocktable.StateLeaving
+		})
+	}
+	if !f.until(20*time.Second, converged) {
+		t.Error("the views do not converge within 20 s after the partition healed")
+	}
+}
+
+// Guards against hosts that are taken for down while they live, because relayed heartbeats are too old.
+func TestNoFalseDown(t *testing.T) {
+	f := newFleet(t, 3, 16, 1)
+	f.run(10 * time.Second)
+	for range 400 {
+		f.run(step)
+		for _, h := range f.hosts {
+			for _, other := range h.w.Hosts.All() {
+				if other.State == rocktable.StateDown {
+					t.Fatalf("%s takes %s for down, silent for %s", h.name, other.Name, f.now.Sub(other.HeardAt))
+				}
+			}
+		}
+	}
+}
+
+// Guards against load of peers that is counted twice or kept after they fail.
+func TestPeerLoad(t *testing.T) {
+	f := newFleet(t, 1, 2, 1)
+	settled(t, f)
+	one, two := f.hosts[0], f.hosts[1]
+	two.w.CallerNamed("guild").Demand = 50
+	two.w.ServerNamed("app-1").InFlight = 3
+	f.run(3 * time.Second)
+	if n := one.w.ServerNamed("app-1").PeerFlight; n != 3 {
+		t.Errorf("calls of peers = %d, want 3", n)
+	}
+	if d := one.w.CallerNamed("guild").PeerDemand; d != 50 {
+		t.Errorf("demand at peers = %g, want 50", d)
+	}
+	two.stopped = true
+	f.run(10 * time.Second)
+	if n := one.w.ServerNamed("app-1").PeerFlight; n != 0 {
+		t.Errorf("calls of a failed peer = %d, want 0", n)
+	}
+}
+
+// Guards against suspects that stay at one host.
+func TestSuspectsSpread(t *testing.T) {
+	f := newFleet(t, 2, 3, 1)
+	settled(t, f)
+	w := f.hosts[0].w
+	w.Suspects.Put(7, rocktable.Suspect{Fingerprint: 7, Crashes: 2, Quarantined: true, Expires: f.now.Add(time.Hour), Changed: w.Changed()})
+	isKnown := func(h *host) bool { s := h.w.Suspects.Get(7); return s != nil && s.Quarantined && s.Crashes == 2 }
+	if !f.until(5*time.Second, func() bool { return f.all(isKnown) }) {
+		t.Error("the quarantine is not known everywhere within 5 s")
+	}
+}
+
+// Guards against a shutdown that peers learn late, and one that ends before the lease is released.
+func TestShutdown(t *testing.T) {
+	f := newFleet(t, 1, 4, 2)
+	settled(t, f)
+	f.run(5 * time.Second)
+	var holder *host
+	for _, h := range f.hosts {
+		if h.w.Lease.Held {
+			holder = h
+		}
+	}
+	if holder == nil {
+		t.Fatal("no host holds the lease")
+	}
+	holder.inbox.Shutdowns = []rocktable.Shutdown{{}}
+	told := func() bool {
+		return f.all(func(h *host) bool { return h.w.HostNamed(holder.name).State == rocktable.StateLeaving })
+	}
+	if !f.until(time.Second, told) {
+		t.Error("peers do not know of the shutdown within 1 s")
+	}
+	if !f.until(3*time.Second, func() bool { return holder.done }) {
+		t.Fatal("the shutdown does not end")
+	}
+	if row := f.lease.rows["lease/dc-0"].Row; !row.Over && row.Fencing == 1 {
+		t.Errorf("the lease row is %+v after the shutdown, want it released or taken over", row)
+	}
+}
