Refuse configurations from peers with numbers out of range

Cause: an undefined or negative number in a peer's configuration would have reached the control state; the round trip of the fuzz target compares such numbers as unequal. Change: rates must be finite and not negative, counts not negative.

--- a/io/rockpeer/configuration.go
+++ b/io/rockpeer/configuration.go
@@ -25,6 +25,36 @@
 	}
 }
 
+// isConfiguration reports whether no number is negative, infinite or undefined; operators' changes were validated in full.
+func isConfiguration(p *sassafrasrockv1.Configuration) bool {
+	for _, c := range p.Pipelines {
+		if c.Layers < 0 {
+			return false
+		}
+		for _, placement := range c.Placements {
+			if placement.FirstLayer < 0 || placement.LastLayer < 0 {
+				return false
+			}
+		}
+	}
+	for _, c := range p.Ranks {
+		if c.FirstTokenMs < 0 || c.GapMs < 0 || c.MaxQueue < 0 || !isRate(c.Worth) || !isRate(c.Floor) {
+			return false
+		}
+	}
+	for _, c := range p.Callers {
+		if !isRate(c.Weight) || !isRate(c.TokensPerSecond) || !isRate(c.Burst) {
+			return false
+		}
+	}
+	for _, c := range p.Services {
+		if c.TimeoutMs < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func pipelineToProto(c rocktable.PipelineConfig) *sassafrasrockv1.Pipeline {
 	return &sassafrasrockv1.Pipeline{
 		Name: c.Name, Model: c.Model, Version: c.Version, Layers: int32(c.Layers),
--- a/io/rockpeer/frame_test.go
+++ b/io/rockpeer/frame_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -94,6 +95,10 @@
 		"state":        {protoFrame(&sassafrasrockv1.PeerMessage{Protocol: 1, Sender: "a", DataCentre: "b", State: 4}), ErrFrameBroken},
 		"state 256":    {protoFrame(&sassafrasrockv1.PeerMessage{Protocol: 1, Sender: "a", DataCentre: "b", State: 257}), ErrFrameBroken},
 		"demand below": {protoFrame(&sassafrasrockv1.PeerMessage{Protocol: 1, Sender: "a", DataCentre: "b", Demand: []*sassafrasrockv1.DemandNews{{Rate: -1}}}), ErrFrameBroken},
+		"worth": {protoFrame(&sassafrasrockv1.PeerMessage{
+			Protocol: 1, Sender: "a", DataCentre: "b",
+			Configuration: &sassafrasrockv1.Configuration{Ranks: []*sassafrasrockv1.Rank{{Worth: math.NaN()}}},
+		}), ErrFrameBroken},
 	}
 	for name, test := range tests {
 		if _, err := ReadFrame(bytes.NewReader(test.frame)); !errors.Is(err, test.want) {
--- a/io/rockpeer/message.go
+++ b/io/rockpeer/message.go
@@ -90,12 +90,15 @@
 			return eris.Wrapf(ErrFrameBroken, "demand of %q", n.Caller)
 		}
 	}
+	if p.Configuration != nil && !isConfiguration(p.Configuration) {
+		return eris.Wrapf(ErrFrameBroken, "configuration %s has a number out of range", p.ChangeId)
+	}
 	return nil
 }
 
 func isState(state uint32) bool { return state <= uint32(rocktable.StateDown) }
 
-func isRate(rate float32) bool { return rate >= 0 && !math.IsInf(float64(rate), 0) }
+func isRate[F float32 | float64](rate F) bool { return rate >= 0 && !math.IsInf(float64(rate), 0) }
 
 func convert[From, To any](from []From, f func(From) To) []To {
 	if len(from) == 0 {
