--- a/cmd/sassafrasrock-standin/main.go
+++ b/cmd/sassafrasrock-standin/main.go
@@ -3,23 +3,9 @@
 package main
 
 import (
-	"context"
-	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/alecthomas/kong"
-
-	"sassafrasrock/io/rockstandin"
+	"sassafrasrock/io/rockdemo"
 )
 
-func main() {
-	var args struct {
-		Settings string `arg:"" type:"existingfile" help:"Settings file, JSON with comments."`
-	}
-	parser := kong.Parse(&args, kong.Description("Plays the outside systems of sassafrasrock, on loopback."))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	parser.FatalIfErrorf(rockstandin.RunFile(ctx, args.Settings, slog.Default()))
-}
+func main() { os.Exit(rockdemo.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/io/rockcommand/command.go
+++ b/io/rockcommand/command.go
@@ -90,6 +90,7 @@
 	Explain  explainCommand  `cmd:"" help:"Explain a code, or list all codes."`
 	Outcomes outcomesCommand `cmd:"" help:"Add up the outcomes by caller and rank over all servers given."`
 	Load     loadCommand     `cmd:"" help:"Send load to callers' addresses and measure the answers."`
+	Trust    trustCommand    `cmd:"" help:"Write a throw-away trust root and certificates for hosts, for tests and demonstrations."`
 }
 
 // invocation is one run of the command line.
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -1,6 +1,7 @@
 package rockdaemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -132,7 +133,7 @@
 	// The start time makes incarnations of one host rise; they are compared with no other host's.
 	incarnation := uint64(now.UnixMilli())
 	w := rocktable.NewWorld(now,
-		rocktable.Host{Name: d.settings.Host, Address: d.PeersAddress},
+		rocktable.Host{Name: d.settings.Host, Address: cmp.Or(d.settings.PeersAdvertised, d.PeersAddress)},
 		rocktable.DataCentre{Name: d.settings.DataCentre, Region: d.settings.Region},
 		incarnation, rocktable.WithLimits(d.settings.Limits.Table()), rocktable.WithSeeds(d.settings.SeedPeers...))
 	d.control = rockcontrol.New(w, rockcontrol.WithCarrier(d.carry), rockcontrol.WithLogger(d.log))
--- /dev/null
+++ b/io/rockdemo/call.go
@@ -0,0 +1,140 @@
+package rockdemo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasrock/io/rockload"
+	"sassafrasrock/io/rockstandin"
+)
+
+const (
+	callTimeout  = 10 * time.Second
+	callAttempts = 20
+	callPause    = 300 * time.Millisecond
+)
+
+// caller sends application calls, each twice with one key and to two hosts.
+type caller struct {
+	plan    rockload.Plan
+	control string
+	whole   int // answers
+	once    int // keys that ran exactly once
+}
+
+func (c *caller) run(ctx context.Context, n int) error {
+	bodies := make([]string, n)
+	for i := range n {
+		for resend := range 2 {
+			target := c.plan.Targets[(i+resend)%len(c.plan.Targets)]
+			body, err := c.send(ctx, target, i)
+			if err != nil {
+				return err
+			}
+			if resend == 0 {
+				bodies[i] = body
+			}
+			if body == bodies[i] {
+				c.whole++
+			}
+		}
+	}
+	return c.countRuns(ctx, n)
+}
+
+func key(i int) string { return fmt.Sprintf("demo-%d", i) }
+
+// send repeats a call while it is refused as not run, as a caller would, and returns the body of its answer.
+func (c *caller) send(ctx context.Context, target string, i int) (string, error) {
+	var last string
+	for range callAttempts {
+		status, body, err := c.post(ctx, target, i)
+		if err != nil {
+			return "", err
+		}
+		if status < 300 {
+			return body, nil
+		}
+		last = fmt.Sprintf("status %d: %s", status, body)
+		if status != http.StatusServiceUnavailable && status != http.StatusConflict {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return "", ctx.Err()
+		case <-time.After(callPause):
+		}
+	}
+	return "", eris.Wrapf(ErrNotWhole, "call %s: %s", key(i), last)
+}
+
+func (c *caller) post(ctx context.Context, target string, i int) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body := fmt.Sprintf(`{"number":%d}`, i)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/services/squares/squares", bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.plan.Mix[0].Token)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Idempotency-Key", key(i))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(answer), err
+}
+
+// countRuns asks the stand-in how often each key ran.
+func (c *caller) countRuns(ctx context.Context, n int) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.control+"/v1/counts", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var counts rockstandin.Counts
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		return err
+	}
+	for i := range n {
+		if counts.Runs[key(i)] == 1 {
+			c.once++
+		}
+	}
+	return nil
+}
+
+func postJSON(ctx context.Context, url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= 300 {
+		answer, _ := io.ReadAll(response.Body)
+		return eris.Errorf("status %d: %s", response.StatusCode, answer)
+	}
+	return nil
+}
--- a/io/rockhttp/message.go
+++ b/io/rockhttp/message.go
@@ -104,8 +104,8 @@
 	return strings.ToValidUTF8(s[:limit], "") + "..."
 }
 
-// promptOf returns the conversation as text, one "role: content" per message.
-func promptOf(messages []ChatMessage) string {
+// Prompt returns the conversation as the text that engines get, one "role: content" per message.
+func Prompt(messages []ChatMessage) string {
 	var b strings.Builder
 	for _, m := range messages {
 		b.WriteString(m.Role)
--- a/io/rockhttp/message_test.go
+++ b/io/rockhttp/message_test.go
@@ -23,7 +23,7 @@
 		if body.Model == "" || *body.MaxTokens < 1 || *body.MaxTokens > MaxMaxTokens {
 			t.Errorf("accepted %+v", body)
 		}
-		lines := strings.Split(strings.TrimSuffix(promptOf(body.Messages), "\n"), "\n")
+		lines := strings.Split(strings.TrimSuffix(Prompt(body.Messages), "\n"), "\n")
 		begun := 0
 		for _, line := range lines {
 			if !strings.HasPrefix(line, " ") {
--- a/io/rockload/generator.go
+++ b/io/rockload/generator.go
@@ -18,8 +18,8 @@
 // Generator runs a plan once.
 type Generator struct {
 	Plan     Plan
-	Check    func(prompt, answer string) error // of each complete answer; nil for none
-	Progress io.Writer                         // terminal for the progress line; nil for none
+	Check    func(s Share, prompt, answer string) error // of each complete answer; nil for none
+	Progress io.Writer                                  // terminal for the progress line; nil for none
 
 	client   *http.Client
 	now      func() time.Time
--- a/io/rockload/load_test.go
+++ b/io/rockload/load_test.go
@@ -57,7 +57,7 @@
 		defer s.Close()
 		plan.Targets = append(plan.Targets, s.URL)
 	}
-	generator := &rockload.Generator{Plan: plan, Check: func(prompt, answer string) error {
+	generator := &rockload.Generator{Plan: plan, Check: func(_ rockload.Share, prompt, answer string) error {
 		if answer == "wrong" || answer != strings.ReplaceAll(prompt, " ", "") {
 			return errors.New("not the prompt")
 		}
--- a/io/rockload/request.go
+++ b/io/rockload/request.go
@@ -85,7 +85,7 @@
 	}
 	result.Err = result.readStream(response.Body, scheduled, g.now)
 	if result.Err == nil && g.Check != nil {
-		result.Wrong = g.Check(a.Prompt, result.Answer)
+		result.Wrong = g.Check(g.Plan.Mix[a.Share], a.Prompt, result.Answer)
 	}
 	return result
 }
--- /dev/null
+++ b/io/rockpeer/pem.go
@@ -0,0 +1,45 @@
+package rockpeer
+
+import (
+	"crypto/x509"
+	"encoding/pem"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+// RootFile is the name of the trust root in the folder that WriteFiles fills.
+const RootFile = "ca.crt"
+
+// WriteFiles writes the trust root, and a certificate and key for each host, as PEM files NAME.crt and NAME.key.
+func (r *Root) WriteFiles(dir string, hosts ...string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return eris.Wrap(err, "making the folder of the certificates")
+	}
+	if err := writePEM(filepath.Join(dir, RootFile), "CERTIFICATE", r.certificate.Raw); err != nil {
+		return err
+	}
+	for _, host := range hosts {
+		trust, err := r.Issue(host)
+		if err != nil {
+			return err
+		}
+		key, err := x509.MarshalPKCS8PrivateKey(trust.Certificate.PrivateKey)
+		if err != nil {
+			return eris.Wrapf(err, "encoding the key of %s", host)
+		}
+		if err := writePEM(filepath.Join(dir, host+".crt"), "CERTIFICATE", trust.Certificate.Certificate[0]); err != nil {
+			return err
+		}
+		if err := writePEM(filepath.Join(dir, host+".key"), "PRIVATE KEY", key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writePEM(name, kind string, der []byte) error {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	return eris.Wrapf(os.WriteFile(name, data, 0o600), "writing %s", name)
+}
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -20,7 +20,8 @@
 	Region              string    `json:"region" validate:"required,max=64"`
 	CallersAddress      string    `json:"callersAddress" validate:"required,listen"`
 	OperatorsAddress    string    `json:"operatorsAddress" validate:"required,listen"`
-	PeersAddress        string    `json:"peersAddress" validate:"required,listen"` // UDP
+	PeersAddress        string    `json:"peersAddress" validate:"required,listen"`                       // UDP
+	PeersAdvertised     string    `json:"peersAdvertisedAddress,omitempty" validate:"omitempty,address"` // told to other hosts; empty means peersAddress
 	PlatformURL         string    `json:"platformUrl" validate:"required,http_url"`
 	PeerTLS             TLSFiles  `json:"peerTls"`
 	OperatorTLS         *TLSFiles `json:"operatorTls,omitempty"`                                                 // nil means plain HTTP
@@ -89,6 +90,9 @@
 	if d.OperatorTLS == nil && d.OperatorTokenSHA256 == "" && !isLoopback(d.OperatorsAddress) {
 		c.reject("operatorsAddress", strconv.Quote(d.OperatorsAddress), "a loopback address, or operatorTls or operatorTokenSha256 must be set")
 	}
+	if host, _, err := net.SplitHostPort(d.PeersAddress); err == nil && d.PeersAdvertised == "" && (host == "" || net.ParseIP(host).IsUnspecified()) {
+		c.reject("peersAddress", strconv.Quote(d.PeersAddress), "an address that other hosts can reach, or peersAdvertisedAddress must be set")
+	}
 	if d.OperatorTokenSHA256 != strings.ToLower(d.OperatorTokenSHA256) {
 		c.reject("operatorTokenSha256", strconv.Quote(d.OperatorTokenSHA256), "lower-case hexadecimal digits")
 	}
--- a/io/rocktraffic/attempt.go
+++ b/io/rocktraffic/attempt.go
@@ -18,6 +18,7 @@
 type attempt struct {
 	c         *chat
 	start     rocktable.Start
+	replay    []uint32 // tokens that earlier attempts delivered
 	sessions  []*rockengine.Session
 	positions []int // that each stage's KV cache holds
 	reported  time.Time
@@ -36,10 +37,10 @@
 	if !ok {
 		return
 	}
-	a := &attempt{c: c, start: start}
+	a := &attempt{c: c, start: start, replay: replay}
 	fail := a.open(ctx)
 	if fail == nil {
-		fail = a.steps(ctx, replay)
+		fail = a.steps(ctx)
 	}
 	a.close()
 	if c.ctx.Err() != nil {
@@ -73,7 +74,7 @@
 	s, err := a.c.t.Engine.Open(ctx, stage.Address, rockengine.OpenRequest{
 		Request: a.c.name(), Epoch: a.start.Epoch, Model: p.Model, Version: p.Version,
 		FirstLayer: stage.FirstLayer, LastLayer: stage.LastLayer, Priority: int(a.start.Priority),
-		Fingerprint: Fingerprint(a.c.req.Prompt), Alone: a.start.Alone, MaxTokens: a.c.req.MaxTokens,
+		Fingerprint: Fingerprint(a.c.req.Prompt), Alone: a.start.Alone, MaxTokens: a.c.req.MaxTokens - len(a.replay),
 	})
 	switch {
 	case err == nil:
@@ -87,8 +88,8 @@
 }
 
 // steps runs the prefill and then one step for each further token.
-func (a *attempt) steps(ctx context.Context, replay []uint32) *failure {
-	tokens := replay
+func (a *attempt) steps(ctx context.Context) *failure {
+	tokens := a.replay
 	for index := 0; ; index++ {
 		reply, fail := a.step(ctx, index, tokens)
 		if fail != nil {
