--- a/core/rockmember/lease_test.go
+++ b/core/rockmember/lease_test.go
@@ -107,3 +107,20 @@
 		t.Error("no host holds the lease 40 s after the platform is back")
 	}
 }
+
+// Guards against an order that an engine without a fencing check still carries out when the lease has ended.
+func TestNoLateOrderWithoutFencingCheck(t *testing.T) {
+	f := placed(t, 2)
+	f.engines["runner-0-1"].ChecksFencing = true
+	f.run(10 * time.Second)
+	h := f.holder()
+	f.lease.out = true
+	late := func() bool { return h.w.Lease.Until.Sub(f.now) < h.w.Limits.OrderTimeout-time.Second }
+	f.until(20*time.Second, late)
+	f.engines["runner-0-0"].Model, f.engines["runner-0-1"].Model = "other", "other"
+	sent := len(h.orders)
+	f.run(3 * time.Second)
+	if orders := h.orders[sent:]; len(orders) != 1 || orders[0].Address != "runner-0-1" {
+		t.Errorf("orders near the end of the lease = %+v, want one to the engine that checks the number", orders)
+	}
+}
--- a/core/rockmember/member_test.go
+++ b/core/rockmember/member_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// Guards against a drain that is forgotten because other hosts learned of the departure from the list.
+func TestDrainDuringDeparture(t *testing.T) {
+	f := newFleet(t, 1, 4, 2)
+	settled(t, f)
+	f.cut = func(_, _ *host) bool { return true }
+	f.hosts[0].inbox.Drains = []rocktable.Drain{{Server: "runner-0-1"}}
+	f.entry("runner-0-1").State = "leaving"
+	f.run(5 * time.Second)
+	f.cut = func(_, _ *host) bool { return false }
+	isDrained := func(h *host) bool { return h.w.ServerNamed("runner-0-1").Drained }
+	if !f.until(10*time.Second, func() bool { return f.all(isDrained) }) {
+		t.Error("the drain is not known everywhere within 10 s")
+	}
+}
+
 // Guards against a list entry that vanishes and takes a backend server out of use, and against a late entry that ends a newer state.
 func TestListHoles(t *testing.T) {
 	f := newFleet(t, 1, 3, 3)
--- a/core/rockmember/news.go
+++ b/core/rockmember/news.go
@@ -98,9 +98,7 @@
 		w.Gossip.Reassign = true
 	}
 	if n.StatusSeq <= s.StatusSeq {
-		if turnOf(n.StatusSeq) < turnOf(s.StatusSeq) {
-			w.Count(rockreason.StaleNews)
-		}
+		takeStaleServer(w, s, n)
 		return
 	}
 	turned := turnOf(n.StatusSeq) != turnOf(s.StatusSeq)
@@ -114,11 +112,25 @@
 	}
 }
 
+// takeStaleServer takes from an older report only the drain of the same departure: probers number reports
+// independently, so the news of a drain may have a lower number than a report of a host that has not heard of it.
+func takeStaleServer(w *rocktable.World, s *rocktable.BackendServer, n rocktable.ServerNews) {
+	switch {
+	case turnOf(n.StatusSeq) < turnOf(s.StatusSeq):
+		w.Count(rockreason.StaleNews)
+	case n.Drained && !s.Drained && IsDeparted(s):
+		s.Drained = true
+		s.Changed = w.Changed()
+		tellAtOnce(w, s)
+	case s.Drained && !n.Drained:
+		s.Changed = w.Changed()
+	}
+}
+
 func takeServerState(now time.Time, w *rocktable.World, s *rocktable.BackendServer, n rocktable.ServerNews, turned bool) {
 	switch {
 	case s.Drained && !n.Drained && !turned:
-		// The sender has not heard of the drain; a report above its number tells it.
-		s.StatusSeq++
+		// The sender has not heard of the drain.
 		s.Changed = w.Changed()
 	case s.Drained != n.Drained:
 		s.Drained = n.Drained
