Read the configuration row less often where there are many hosts

Cause: 340 hosts that each read a row of some hundred kilobytes every 5 s would take most of what the platform can send. Change: the time between reads grows by ConfigEvery for each 40 live hosts.

--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -15,6 +15,8 @@
 const (
 	// peersNeeded is the number of peers whose versions stand in for a platform that is out.
 	peersNeeded = 3
+	// hostsPerRead is the number of live hosts for each ConfigEvery between reads.
+	hostsPerRead = 40
 	// askEvery is the time between requests to peers for the configuration.
 	askEvery = time.Second
 	// opLimit is the silence after which an operation on the table service counts as lost.
@@ -74,12 +76,24 @@
 	}
 	if st.Op == 0 && !now.Before(st.Next) {
 		st.Op, st.OpAt = w.NextOp(), now
-		st.Next = now.Add(w.Limits.ConfigEvery)
+		st.Next = now.Add(readEvery(w))
 		w.Outbox.ConfigOps = append(w.Outbox.ConfigOps, rocktable.TableOp[rocktable.ConfigRow]{Op: st.Op, Key: RowKey})
 	}
 	w.WakeAt(st.Next)
 }
 
+// readEvery returns the time between reads of the row. It grows with the number of live hosts, because any of them
+// tells the others of a new version, and the row of a large installation is some hundred kilobytes long.
+func readEvery(w *rocktable.World) time.Duration {
+	live := 0
+	for _, h := range w.Hosts.All() {
+		if h.State == rocktable.StateLive {
+			live++
+		}
+	}
+	return w.Limits.ConfigEvery * time.Duration(1+live/hostsPerRead)
+}
+
 func takeResult(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.ConfigRow]) {
 	if r.Op == w.ConfigState.Op {
 		w.ConfigState.Op = 0
