Send no packets to search the path's MTU

Cause: in a trial a frame of 800 bytes cost 1139 bytes in packets, the search for the path's MTU included. Change: the search is off; a gossip message fits one packet of the initial size.

--- a/io/rockpeer/peer.go
+++ b/io/rockpeer/peer.go
@@ -114,6 +114,7 @@
 		HandshakeIdleTimeout:           handshakeLimit,
 		MaxIdleTimeout:                 idleLimit,
 		KeepAlivePeriod:                keepAlive,
+		DisablePathMTUDiscovery:        true, // a message fits one packet, and the search sends packets of its own
 		MaxIncomingStreams:             -1,
 		MaxIncomingUniStreams:          maxStreams,
 		InitialStreamReceiveWindow:     16 << 10,
