Charge a replay by the work that it repeats

Cause: a caller's allowance was three retries of any size, so that the death of a busy backend server ended streams with retryBudget: 3 of 12 in TestStageDiesInStreams, 3 of 12 in TestSilentConnections, 3 of 240 in the demo. Ruled out: waiting for a confirmed crash, since a connection that went silent is no crash. Change: a replay costs the prefill it repeats as a part of the whole request; a request without a token still costs one. Hosts that know no peer greet the seeds of the settings.

--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -87,6 +87,9 @@
 		h.SentAt = now
 		send(w, h.ID, h.Address, compose(now, w, h))
 	}
+	if len(near)+len(far) == 0 {
+		greetSeeds(w)
+	}
 	g.Floors[g.Round%len(g.Floors)] = w.ChangeSeq
 	g.Round++
 }
@@ -109,6 +112,15 @@
 	SendTo(w, to, m)
 }
 
+// greetSeeds sends this host's own row to the peers that the settings name, which answer with messages of their own once they know it.
+func greetSeeds(w *rocktable.World) {
+	for _, address := range w.Seeds {
+		if address != w.SelfHost().Address {
+			send(w, 0, address, Header(w))
+		}
+	}
+}
+
 func forgetLoad(now time.Time, w *rocktable.World) {
 	for _, h := range w.Hosts.All() {
 		if len(h.Sent)+len(h.Demand) > 0 && now.Sub(h.ToldAt) > loadKept {
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -194,7 +194,7 @@
 	case e.Reason == rockreason.StageRefused && isNotRun(e):
 		// A refusal costs the backend server nothing, so that it needs no budget.
 		return ""
-	case !spend(w, w.Callers.Get(r.Caller), s):
+	case !spend(w, r, s):
 		return rockreason.RetryBudget
 	}
 	return ""
