Take a listed departure of a host only when the entry changes

Cause: a host that was started again stayed leaving as long as the lagging list had its old entry; the extended TestListHoles failed before. Change: the entry counts when it changes to leaving, as for backend servers. Result: the tests of core pass under the race detector.

--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -81,9 +81,11 @@
 		h.Address, h.DataCentre = e.Address, dc
 		w.Gossip.Reassign = true
 	}
-	if e.State == "leaving" && h.State == rocktable.StateLive {
+	leaving := e.State == "leaving"
+	if leaving && !h.ListedLeaving && h.State == rocktable.StateLive {
 		leaveHost(w, h)
 	}
+	h.ListedLeaving = leaving
 }
 
 func takeListedServer(now time.Time, w *rocktable.World, e rocktable.ListedHost, dc rocktable.DataCentreID) {
--- a/core/rockmember/member_test.go
+++ b/core/rockmember/member_test.go
@@ -132,6 +132,17 @@
 	if !isSettled(f)() {
 		t.Error("the old list entry outweighs the new incarnation")
 	}
+	f.entry("entry-0-1").State = "leaving"
+	f.run(3 * time.Second)
+	peer := func() rocktable.State { return f.hosts[0].w.HostNamed("entry-0-1").State }
+	if s := peer(); s != rocktable.StateLeaving {
+		t.Errorf("a host that is listed as leaving is %s, want leaving", s)
+	}
+	f.addHost("entry-0-1", "dc-0", 2)
+	f.run(10 * time.Second)
+	if s := peer(); s != rocktable.StateLive {
+		t.Errorf("a host that was started again is %s, want live", s)
+	}
 }
 
 // Guards against a host that forgets its backend servers when it is cut off, and against views that do not converge after healing.
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -61,6 +61,7 @@
 	Changed       uint64 // World.ChangeSeq of the last change that peers should learn
 	NextSend      time.Time
 	InFlight      int
+	ListedLeaving bool         // the platform's list last said that it is leaving
 	Told          bool         // told its configuration version to this host directly
 	Relayed       int          // times that this host told its heartbeat number to others
 	SentAt        time.Time    // of this host's last message to it
