Let an operator's lift end every departure

Cause: a lift ended drains only, so a departure that the platform listed by mistake stayed until the backend server restarted. Change: an explicit lift ends any departure; a name taken off the configuration's list ends a drain only. Result: the extended TestListHoles and all tests of core pass under the race detector.

--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -163,8 +163,10 @@
 		}
 	}
 	for _, name := range last {
-		if !slices.Contains(next, name) {
-			rockmember.Lift(w, w.InternServer(name))
+		s := w.InternServer(name)
+		// A backend server that left for another reason meanwhile stays out of use.
+		if !slices.Contains(next, name) && s.Drained {
+			rockmember.Lift(w, s)
 		}
 	}
 }
--- a/core/rockmember/leave.go
+++ b/core/rockmember/leave.go
@@ -35,7 +35,7 @@
 	tellAtOnce(w, s)
 }
 
-// Drain records an operator's order that a backend server gets no new work; only Lift ends it.
+// Drain records an operator's order that a backend server gets no new work; only Lift ends it, a restart does not.
 func Drain(now time.Time, w *rocktable.World, s *rocktable.BackendServer) {
 	if s.Drained {
 		return
@@ -50,9 +50,9 @@
 	tellAtOnce(w, s)
 }
 
-// Lift ends an operator's drain; the next reports tell whether the backend server is live.
+// Lift ends a departure by an operator's order; it begins again if the next report says that the backend server is leaving.
 func Lift(w *rocktable.World, s *rocktable.BackendServer) {
-	if s.Drained {
+	if IsDeparted(s) {
 		arrive(w, s)
 	}
 }
--- a/core/rockmember/member_test.go
+++ b/core/rockmember/member_test.go
@@ -127,6 +127,17 @@
 	f.list = whole
 	f.entry("runner-0-0").State = "leaving"
 	f.run(3 * time.Second)
+	f.hosts[1].inbox.Drains = []rocktable.Drain{{Server: "runner-0-0", Lift: true}}
+	if !f.until(3*time.Second, isSettled(f)) {
+		t.Error("an operator's lift does not end a departure that the list told")
+	}
+	f.entry("runner-0-0").State = "live"
+	f.run(3 * time.Second)
+	f.entry("runner-0-0").State = "leaving"
+	f.run(3 * time.Second)
+	if s := f.hosts[1].state("runner-0-0"); s != rocktable.StateLeaving {
+		t.Errorf("a backend server that is listed as leaving again is %s, want leaving", s)
+	}
 	f.engines["runner-0-0"].Incarnation = 2
 	f.run(10 * time.Second)
 	if !isSettled(f)() {
