Convert peer messages in one place and send all fields of backend servers

Cause: io/rockpeer and io/rockschema both converted peer messages; the encoding dropped the address, data centre, region and role of backend servers and the earlier configuration changes, so that a host that starts while the platform is out could not learn where backend servers are. TestPeerMessageKeepsEveryField failed for these fields. Change: the fields are in the schema; io/rockpeer uses io/rockschema, whose checks are now the stricter ones of io/rockpeer. An unknown state is refused instead of being read as unknown: it can only come from another protocol version, and the test asks for the refusal. Result: the test passes; all tests pass.

--- a/io/rockpeer/frame.go
+++ b/io/rockpeer/frame.go
@@ -2,21 +2,21 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockschema"
 	sassafrasrockv1 "sassafrasrock/schema/gen/sassafrasrock/v1"
 )
 
 const (
 	// MaxFrame is the longest body of a frame, in bytes.
-	MaxFrame = 1 << 20
-	// protocolVersion is the only version of the protocol so far.
-	protocolVersion = 1
-	lengthBytes     = 4
+	MaxFrame    = 1 << 20
+	lengthBytes = 4
 )
 
 var (
@@ -30,7 +30,7 @@
 
 // EncodeFrame returns the frame of a message: the length as 4 bytes, big-endian, and the message.
 func EncodeFrame(m rocktable.PeerMessage) ([]byte, error) {
-	frame, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, lengthBytes, lengthBytes+1024), toProto(m))
+	frame, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, lengthBytes, lengthBytes+1024), rockschema.PeerToProto(m))
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding a peer message")
 	}
@@ -69,8 +69,12 @@
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return rocktable.PeerMessage{}, eris.Wrapf(ErrFrameBroken, "%v", err)
 	}
-	if m.Protocol != protocolVersion {
-		return rocktable.PeerMessage{}, eris.Wrapf(ErrFrameVersion, "version %d", m.Protocol)
+	message, err := rockschema.PeerFromProto(&m)
+	switch {
+	case errors.Is(err, rockschema.ErrProtocol):
+		return rocktable.PeerMessage{}, eris.Wrap(ErrFrameVersion, err.Error())
+	case err != nil:
+		return rocktable.PeerMessage{}, eris.Wrap(ErrFrameBroken, err.Error())
 	}
-	return fromProto(&m)
+	return message, nil
 }
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -1,7 +1,6 @@
 package rockschema
 
 import (
-	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +41,7 @@
 	}
 	if p.Configuration != nil {
 		m.ChangeId = p.Configuration.ChangeID
+		m.Earlier = each(p.Configuration.Earlier, acceptedToProto)
 		m.Configuration = ConfigurationToProto(p.Configuration.Configuration)
 	}
 	return m
@@ -52,10 +52,7 @@
 	if m.GetProtocol() != PeerProtocol {
 		return rocktable.PeerMessage{}, eris.Wrapf(ErrProtocol, "version %d", m.GetProtocol())
 	}
-	if m.GetSender() == "" {
-		return rocktable.PeerMessage{}, eris.Wrap(ErrPeerMessage, "the sender has no name")
-	}
-	if err := checkRates(m); err != nil {
+	if err := checkPeer(m); err != nil {
 		return rocktable.PeerMessage{}, err
 	}
 	p := rocktable.PeerMessage{
@@ -65,7 +62,7 @@
 		Region:            m.GetRegion(),
 		Incarnation:       m.GetIncarnation(),
 		Heartbeat:         m.GetHeartbeat(),
-		State:             stateFromProto(m.GetState()),
+		State:             rocktable.State(m.GetState()),
 		InFlight:          int(m.GetInFlight()),
 		ConfigVersion:     m.GetConfigVersion(),
 		WantConfiguration: m.GetWantConfiguration(),
@@ -79,37 +76,19 @@
 	if m.GetConfiguration() != nil {
 		p.Configuration = &rocktable.ConfigRow{
 			ChangeID:      m.GetChangeId(),
+			Earlier:       each(m.GetEarlier(), acceptedFromProto),
 			Configuration: ConfigurationFromProto(m.GetConfiguration()),
 		}
 	}
 	return p, nil
 }
 
-// checkRates refuses rates that would spread through sums: one NaN makes every limit derived from it NaN.
-func checkRates(m *v1.PeerMessage) error {
-	for _, d := range m.GetDemand() {
-		if !isRate(d.GetRate()) {
-			return eris.Wrapf(ErrPeerMessage, "demand of caller %q is %v", d.GetCaller(), d.GetRate())
-		}
-	}
-	for _, s := range m.GetServers() {
-		if rate := s.GetStatus().GetTokensPerSecond(); !isRate(rate) {
-			return eris.Wrapf(ErrPeerMessage, "speed of backend server %q is %v", s.GetName(), rate)
-		}
-	}
-	return nil
-}
-
-func isRate(rate float32) bool {
-	return rate >= 0 && !math.IsInf(float64(rate), 0)
+func acceptedToProto(c rocktable.AcceptedChange) *v1.AcceptedChange {
+	return &v1.AcceptedChange{ChangeId: c.ChangeID, Version: c.Version}
 }
 
-// stateFromProto maps a state that a later version may add to unknown, because State.String has no name for it.
-func stateFromProto(state uint32) rocktable.State {
-	if state > uint32(rocktable.StateDown) {
-		return rocktable.StateUnknown
-	}
-	return rocktable.State(state)
+func acceptedFromProto(m *v1.AcceptedChange) rocktable.AcceptedChange {
+	return rocktable.AcceptedChange{ChangeID: m.GetChangeId(), Version: m.GetVersion()}
 }
 
 func hostNewsToProto(n rocktable.HostNews) *v1.HostNews {
@@ -133,7 +112,7 @@
 		Region:        m.GetRegion(),
 		Incarnation:   m.GetIncarnation(),
 		Heartbeat:     m.GetHeartbeat(),
-		State:         stateFromProto(m.GetState()),
+		State:         rocktable.State(m.GetState()),
 		ConfigVersion: m.GetConfigVersion(),
 	}
 }
@@ -145,6 +124,11 @@
 		Drained:   n.Drained,
 		StatusSeq: n.StatusSeq,
 		Status:    engineStatusToProto(n.Status),
+
+		Address:    n.Address,
+		DataCentre: n.DataCentre,
+		Region:     n.Region,
+		Role:       uint32(n.Role),
 	}
 }
 
@@ -156,10 +140,15 @@
 	}
 	return rocktable.ServerNews{
 		Name:      m.GetName(),
-		State:     stateFromProto(m.GetState()),
+		State:     rocktable.State(m.GetState()),
 		Drained:   m.GetDrained(),
 		StatusSeq: m.GetStatusSeq(),
 		Status:    status,
+
+		Address:    m.GetAddress(),
+		DataCentre: m.GetDataCentre(),
+		Region:     m.GetRegion(),
+		Role:       rocktable.BackendRole(m.GetRole()),
 	}
 }
 
@@ -182,6 +171,7 @@
 		State:           s.State,
 		Fencing:         s.Fencing,
 		ChecksFencing:   s.ChecksFencing,
+		SubRanges:       s.SubRanges,
 	}
 }
 
@@ -200,6 +190,7 @@
 		State:           m.GetState(),
 		Fencing:         m.GetFencing(),
 		ChecksFencing:   m.GetChecksFencing(),
+		SubRanges:       m.GetSubRanges(),
 	}
 }
 
--- a/io/rockschema/schema_test.go
+++ b/io/rockschema/schema_test.go
@@ -36,7 +36,8 @@
 	case reflect.Float64:
 		v.SetFloat(float64(*next))
 	case reflect.Uint8:
-		v.SetUint(uint64(rocktable.StateLeaving))
+		// The highest value that every enumeration of the messages has.
+		v.SetUint(uint64(rocktable.RoleApplication))
 	case reflect.Uint64:
 		v.SetUint(uint64(*next))
 	case reflect.Int64:
@@ -78,20 +79,20 @@
 		want error
 	}{
 		"version": {&v1.PeerMessage{Protocol: 2, Sender: "entry-1"}, rockschema.ErrProtocol},
-		"sender":  {&v1.PeerMessage{Protocol: 1}, rockschema.ErrPeerMessage},
-		"demand":  {&v1.PeerMessage{Protocol: 1, Sender: "entry-1", Demand: []*v1.DemandNews{{Rate: nan}}}, rockschema.ErrPeerMessage},
-		"speed": {&v1.PeerMessage{Protocol: 1, Sender: "entry-1", Servers: []*v1.ServerNews{
-			{Status: &v1.EngineStatus{TokensPerSecond: -1}},
+		"sender":  {&v1.PeerMessage{Protocol: 1, DataCentre: "yoff"}, rockschema.ErrPeerMessage},
+		"state":   {&v1.PeerMessage{Protocol: 1, Sender: "entry-1", DataCentre: "yoff", State: 200}, rockschema.ErrPeerMessage},
+		"role": {&v1.PeerMessage{Protocol: 1, Sender: "entry-1", DataCentre: "yoff", Servers: []*v1.ServerNews{
+			{Name: "runner-1", Role: 2},
+		}}, rockschema.ErrPeerMessage},
+		"demand": {&v1.PeerMessage{Protocol: 1, Sender: "entry-1", DataCentre: "yoff", Demand: []*v1.DemandNews{{Rate: nan}}}, rockschema.ErrPeerMessage},
+		"speed": {&v1.PeerMessage{Protocol: 1, Sender: "entry-1", DataCentre: "yoff", Servers: []*v1.ServerNews{
+			{Name: "runner-1", Status: &v1.EngineStatus{TokensPerSecond: -1}},
 		}}, rockschema.ErrPeerMessage},
 	} {
 		if _, err := rockschema.PeerFromProto(c.m); !errors.Is(err, c.want) {
 			t.Errorf("%s: error = %v, want %v", name, err, c.want)
 		}
 	}
-	p, err := rockschema.PeerFromProto(&v1.PeerMessage{Protocol: 1, Sender: "entry-1", State: 200})
-	if err != nil || p.State != rocktable.StateUnknown {
-		t.Errorf("state 200 gives %v and error %v, want unknown and none", p.State, err)
-	}
 }
 
 // Guards against layers counted as covered by servers that cannot serve them, and against hosts missed by apply.
