--- /dev/null
+++ b/io/rockexperiment/experiment_test.go
@@ -0,0 +1,21 @@
+package rockexperiment
+
+import "testing"
+
+// Guards against a missed target that is reported as met.
+func TestJudge(t *testing.T) {
+	for _, test := range []struct {
+		record Record
+		met    bool
+	}{
+		{Record{Relation: AtLeast, Policy: 0.89, Target: 0.9}, false},
+		{Record{Relation: AtLeast, Policy: 0.9, Target: 0.9}, true},
+		{Record{Relation: AtMost, Policy: 2.1, Target: 2}, false},
+		{Record{Relation: AtMost, Policy: 2, Target: 2}, true},
+		{Record{Policy: 5}, true},
+	} {
+		if got := test.record.Judge().Met; got != test.met {
+			t.Errorf("%+v: met = %t, want %t", test.record, got, test.met)
+		}
+	}
+}
