Tally application calls apart from ranks, and copy the status at most every 100 ms

Cause: calls have no rank and were tallied as urgent requests (122 instead of 95 in the demo's outcomes); each GET /v1/outcomes made the control thread copy its whole state. Change: NoRank for calls, a line of their own in outcomes; the copy is kept for 100 ms.

--- a/core/rockoutcome/outcome.go
+++ b/core/rockoutcome/outcome.go
@@ -56,9 +56,8 @@
 	}
 	o.Rank = rank.Config.Name
 	o.TargetFirstToken, o.TargetGap = int64(rank.Config.FirstTokenMs), int64(rank.Config.GapMs)
-	// A model answer without the time of its first token can't have met a target; calls have none.
-	timed := !r.FirstToken.IsZero() || r.Call != nil
-	o.Kept = code == "" && timed && first <= rank.Config.FirstToken() && r.LargestGap <= rank.Config.Gap()
+	// An answer without the time of its first token can't have met a target.
+	o.Kept = code == "" && !r.FirstToken.IsZero() && first <= rank.Config.FirstToken() && r.LargestGap <= rank.Config.Gap()
 	return o
 }
 
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -17,6 +17,9 @@
 // RankID is the position of a rank in the configuration; rank 0 is the most urgent.
 type RankID int32
 
+// NoRank is the rank of application calls, which are not queued by rank.
+const NoRank RankID = -1
+
 // PipelineID identifies a pipeline within one World.
 type PipelineID int32
 
--- a/io/rockcommand/outcomes.go
+++ b/io/rockcommand/outcomes.go
@@ -81,7 +81,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "CALLER\tRANK\tANSWERED\tKEPT\tREFUSED\tFAILED\tTOKENS")
 	for _, row := range r.Totals {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", row.Caller, row.Rank, row.Answered, row.Kept, row.Refused, row.Failed, row.Tokens)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", row.Caller, cmp.Or(row.Rank, "(calls)"), row.Answered, row.Kept, row.Refused, row.Failed, row.Tokens)
 	}
 	_ = t.Flush()
 	fmt.Fprintf(w, "sums over %d hosts\n", len(r.Hosts))
--- a/io/rockcontrol/control.go
+++ b/io/rockcontrol/control.go
@@ -24,6 +24,9 @@
 	log    *slog.Logger
 	warned map[string]bool
 
+	status   *rocktable.Status // last copy
+	statusAt time.Time
+
 	lastRequest atomic.Uint64
 	snapshot    atomic.Pointer[rocktable.Snapshot]
 	wake        chan struct{}
@@ -35,6 +38,9 @@
 	changes map[string][]chan rocktable.ConfigEnd
 }
 
+// statusEvery is the least time between two copies of the control state: callers may ask for their totals as often as they like.
+const statusEvery = 100 * time.Millisecond
+
 // Option changes a Control while it is made.
 type Option func(*Control)
 
@@ -97,7 +103,7 @@
 // Snapshot returns the snapshot of the last tick that changed it.
 func (c *Control) Snapshot() *rocktable.Snapshot { return c.snapshot.Load() }
 
-// Status returns a copy of the control state, or the context's error or ErrStopped.
+// Status returns a copy of the control state that is at most 100 ms old, or the context's error or ErrStopped.
 func (c *Control) Status(ctx context.Context) (*rocktable.Status, error) {
 	answer := make(chan *rocktable.Status, 1)
 	c.mu.Lock()
@@ -166,16 +172,20 @@
 	}
 	c.report(result)
 	c.endChanges(result.Outbox.ConfigEnds)
-	if len(asked) > 0 {
-		status := c.w.TakeStatus()
-		for _, answer := range asked {
-			answer <- status
-		}
-	}
+	c.answerStatus(now, asked)
 	c.carry(now, result.Outbox)
 	return result.Wake
 }
 
+func (c *Control) answerStatus(now time.Time, asked []chan *rocktable.Status) {
+	if len(asked) > 0 && (c.status == nil || now.Sub(c.statusAt) >= statusEvery) {
+		c.status, c.statusAt = c.w.TakeStatus(), now
+	}
+	for _, answer := range asked {
+		answer <- c.status
+	}
+}
+
 func (c *Control) report(result rocktick.Result) {
 	for _, change := range result.Outbox.Changes {
 		c.log.Info("state changed", "what", change.What, "name", change.Name, "from", change.From, "to", change.To)
--- a/io/rockhttp/status.go
+++ b/io/rockhttp/status.go
@@ -14,11 +14,12 @@
 	Caller string         `json:"caller"`
 	Host   string         `json:"host"`
 	Ranks  []RankOutcomes `json:"ranks"` // in order of urgency
+	Calls  RankOutcomes   `json:"calls"` // application calls, which have no target
 }
 
-// RankOutcomes counts the caller's requests of one rank.
+// RankOutcomes counts the caller's requests of one rank, or its application calls.
 type RankOutcomes struct {
-	Rank     string `json:"rank"`
+	Rank     string `json:"rank,omitempty"`
 	Answered int    `json:"answered"` // whole answers
 	Kept     int    `json:"kept"`     // whole answers within the target
 	Refused  int    `json:"refused"`  // not run
@@ -38,14 +39,17 @@
 func outcomesOf(v view, status *rocktable.Status) OutcomesBody {
 	body := OutcomesBody{Caller: status.Callers[v.caller], Host: status.Host, Ranks: []RankOutcomes{}}
 	for _, rank := range v.snapshot.Config.Ranks {
-		t := status.Tallies[rocktable.ShareKey{Rank: v.snapshot.Ranks[rank.Name], Caller: v.caller}]
-		body.Ranks = append(body.Ranks, RankOutcomes{
-			Rank: rank.Name, Answered: t.Answered, Kept: t.Kept, Refused: t.Refused, Failed: t.Failed, Tokens: t.Tokens,
-		})
+		body.Ranks = append(body.Ranks, outcomesIn(v, status, v.snapshot.Ranks[rank.Name], rank.Name))
 	}
+	body.Calls = outcomesIn(v, status, rocktable.NoRank, "")
 	return body
 }
 
+func outcomesIn(v view, status *rocktable.Status, id rocktable.RankID, name string) RankOutcomes {
+	t := status.Tallies[rocktable.ShareKey{Rank: id, Caller: v.caller}]
+	return RankOutcomes{Rank: name, Answered: t.Answered, Kept: t.Kept, Refused: t.Refused, Failed: t.Failed, Tokens: t.Tokens}
+}
+
 // Readiness is the answer to GET /readyz.
 type Readiness struct {
 	Ready         bool   `json:"ready"`
--- a/io/rockschema/status.go
+++ b/io/rockschema/status.go
@@ -157,6 +157,9 @@
 }
 
 func rankName(ranks []rocktable.RankConfig, id rocktable.RankID) string {
+	if id == rocktable.NoRank {
+		return ""
+	}
 	if int(id) < 0 || int(id) >= len(ranks) {
 		return fmt.Sprintf("rank %d", id)
 	}
