Sharpen the tests of herds and of charges for replays

Cause: the test of late reports sent eight requests from each host, which spread over the servers even with a fixed choice of the best path; no test noticed a replay that is charged twice.

Change: 40 hosts send two requests each; the replay test checks the tokens charged.

--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -70,6 +70,10 @@
 	if got := f.answers[id].Outcome.Attempts; got != 2 {
 		t.Errorf("%d attempts in the outcome, want 2", got)
 	}
+	// The caller pays for the prompt and for 20 + 50 tokens, not for the failure.
+	if got := f.w.Shares.Get(rocktable.ShareKey{Caller: 1}).Served; got != 120 {
+		t.Errorf("%v tokens charged, want 120", got)
+	}
 }
 
 // Guards against the wrong last answer, and against "not run" for a request that may have run.
--- a/core/rockroute/path_test.go
+++ b/core/rockroute/path_test.go
@@ -33,7 +33,7 @@
 // Guards against hosts that all choose the same backend server because they have the same late report.
 func TestHostsSpreadWithLateReports(t *testing.T) {
 	used := map[rocktable.BackendServerID]int{}
-	for seed := range uint64(10) {
+	for seed := range uint64(40) {
 		f := newFleet(t, 8, 20, 1)
 		rocktable.WithSeed(seed)(f.w)
 		f.w.Servers.Get(1).Status.Active = 0
@@ -42,7 +42,7 @@
 				s.Status.Active = 1
 			}
 		}
-		for range 8 {
+		for range 2 {
 			f.ask(0, 0)
 		}
 		f.step()
@@ -52,7 +52,7 @@
 			}
 		}
 	}
-	// 80 requests over 8 backend servers of each range are 10 for each.
+	// 80 requests of 40 hosts over 8 backend servers of each range are 10 for each.
 	for id, n := range used {
 		if n > 20 {
 			t.Errorf("backend server %d got %d of 80 requests, want at most 20", id, n)
