Tell peers only demand that lasts, of callers with a limit

Cause: a caller's demand was told as of its last request, so that a host kept its part of the caller's limit long after the caller had gone elsewhere. Change: gossip sends the demand as it has fallen off by now, and only of callers with a limit, since nothing else is divided by it.

--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -35,6 +36,8 @@
 	ownServers     = 2
 	sentRows       = 6
 	demandRows     = 3
+	// leastDemand is the demand in tokens per second below which a caller's limit is divided as if it asked nothing.
+	leastDemand = 0.1
 	// Heartbeats relayed to a peer of the data centre, and to one of another data centre,
 	// for which the own data centre's are news.
 	relayedNear    = 9
@@ -239,6 +242,7 @@
 	}
 	addOwn(w, d)
 	addLoad(w, d)
+	addDemand(now, w, d)
 	addTurns(w, d, w.Servers.Len(), false)
 	return d.PeerMessage
 }
@@ -346,16 +350,23 @@
 			d.Sent = append(d.Sent, rocktable.SentNews{Server: s.Name, InFlight: s.InFlight})
 		}
 	}
-	var asking []*rocktable.Caller
+}
+
+// addDemand adds the largest demands of callers that have a limit, which is divided among hosts by demand.
+func addDemand(now time.Time, w *rocktable.World, d *draft) {
+	var asking []rocktable.DemandNews
 	for _, c := range w.Callers.All() {
-		if c.Demand > 0 {
-			asking = append(asking, c)
+		if c.Config.TokensPerSecond <= 0 || c.Demand <= 0 {
+			continue
+		}
+		if rate := rockadmit.DemandAt(now, c); rate >= leastDemand {
+			asking = append(asking, rocktable.DemandNews{Caller: c.Config.Name, Rate: rate})
 		}
 	}
-	slices.SortFunc(asking, func(a, b *rocktable.Caller) int { return cmp.Compare(b.Demand, a.Demand) })
-	for _, c := range asking[:min(len(asking), demandRows)] {
-		if d.take(9 + len(c.Config.Name)) {
-			d.Demand = append(d.Demand, rocktable.DemandNews{Caller: c.Config.Name, Rate: c.Demand})
+	slices.SortFunc(asking, func(a, b rocktable.DemandNews) int { return cmp.Compare(b.Rate, a.Rate) })
+	for _, n := range asking[:min(len(asking), demandRows)] {
+		if d.take(9 + len(n.Caller)) {
+			d.Demand = append(d.Demand, n)
 		}
 	}
 }
