Keep waiting work with its rank when ranks move

Cause: ids of ranks are their positions; a rank inserted before others gave their waiting requests and totals to another rank. Change: a changed configuration moves rows and requests by the rank's name, and ends the waiting work of a rank that is gone. Result: TestRanksKeepTheirWork failed before (4 of 8 requests in the wrong rank) and passes.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -62,11 +62,8 @@
 		default:
 			continue
 		}
-		if r.MayHaveRun {
-			code = rockreason.BackendFailed
-		}
 		Remove(w, r)
-		w.Answer(id, code)
+		w.Answer(id, goneAnswer(r, code))
 	}
 }
 
--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rocktable"
 )
@@ -150,6 +151,7 @@
 	w.ConfigState.Highest = max(w.ConfigState.Highest, version)
 	w.SelfHost().ConfigVersion = version
 	w.SelfHost().Changed = w.Changed()
+	moveRanks(w, row.Configuration.Ranks)
 	fill(w, row.Configuration)
 	drain(now, w, last, row.Configuration.Drained)
 	return true
@@ -178,16 +180,27 @@
 		row := w.Ranks.GetOrPut(id)
 		row.ID, row.Config = id, c
 	}
-	for id := range w.Ranks.All() {
-		if int(id) >= len(cfg.Ranks) {
-			w.Ranks.Delete(id)
-		}
-	}
 	keepCallers(w, cfg.Callers)
 	keepPipelines(w, cfg.Pipelines)
 	keepServices(w, cfg.Services)
 }
 
+// moveRanks keeps the rows and the work of each rank with its name when positions change.
+func moveRanks(w *rocktable.World, next []rocktable.RankConfig) {
+	moves := make(map[rocktable.RankID]rocktable.RankID, len(next))
+	isMoved := false
+	for id, rank := range w.Ranks.All() {
+		i := slices.IndexFunc(next, func(c rocktable.RankConfig) bool { return c.Name == rank.Config.Name })
+		if i >= 0 {
+			moves[id] = rocktable.RankID(i)
+		}
+		isMoved = isMoved || i != int(id)
+	}
+	if isMoved {
+		rockadmit.MoveRanks(w, moves)
+	}
+}
+
 func keepCallers(w *rocktable.World, configs []rocktable.CallerConfig) {
 	kept := make(map[rocktable.CallerID]bool, len(configs))
 	for _, c := range configs {
--- /dev/null
+++ b/core/rocktick/ranks_test.go
@@ -0,0 +1,64 @@
+package rocktick_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// configure puts the next version in force with these ranks.
+func configure(t *testing.T, now time.Time, w *rocktable.World, names ...string) rocktable.Outbox {
+	t.Helper()
+	cfg := w.Config.Configuration
+	cfg.Ranks = nil
+	for _, name := range names {
+		cfg.Ranks = append(cfg.Ranks, rocktable.RankConfig{Name: name, FirstTokenMs: 60000, GapMs: 1000, Worth: 1})
+	}
+	w.Inbox.ConfigResults = append(w.Inbox.ConfigResults, rocktable.TableResult[rocktable.ConfigRow]{
+		Status: rocktable.TableOK, Found: true, Version: w.ConfigVersion + 1,
+		Row: rocktable.ConfigRow{ChangeID: "ranks", Configuration: cfg},
+	})
+	return run(t, now, w).Outbox
+}
+
+// Guards against waiting work and totals that change their rank when ranks are inserted, swapped or removed.
+func TestRanksKeepTheirWork(t *testing.T) {
+	w := newWorld()
+	serve(t, w)
+	configure(t, start, w, "urgent", "background")
+	arrive := func(id rocktable.RequestID, rank rocktable.RankID) {
+		w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
+			ID: id, Caller: w.CallerNamed("guild").ID, Rank: rank, Pipeline: w.InternPipeline("captions").ID, Arrived: start, Prompt: 10, MaxTokens: 5,
+		}})
+	}
+	// The backend servers have 4 places, so that the other requests wait.
+	for id := rocktable.RequestID(1); id <= 8; id++ {
+		arrive(id, rocktable.RankID(id%2))
+	}
+	run(t, start, w)
+	configure(t, start, w, "interactive", "background", "urgent")
+	for id := rocktable.RequestID(1); id <= 8; id++ {
+		want := []string{"urgent", "background"}[id%2]
+		if got := w.Ranks.Get(w.Requests.Get(id).Rank).Config.Name; got != want {
+			t.Errorf("request %d is in rank %q, want %q", id, got, want)
+		}
+	}
+	out := configure(t, start, w, "urgent")
+	refused := 0
+	for _, a := range out.Answers {
+		if a.Reason != rockreason.UnknownRank {
+			t.Errorf("request %d ended with %q, want %q", a.Request, a.Reason, rockreason.UnknownRank)
+		}
+		refused++
+	}
+	for _, r := range w.Requests.All() {
+		if r.Waiting && w.Ranks.Get(r.Rank) == nil {
+			t.Errorf("request %d waits in a rank that is gone", r.ID)
+		}
+	}
+	if refused == 0 {
+		t.Error("no waiting request of the removed rank was refused")
+	}
+}
