--- /dev/null
+++ b/io/rockprocess/fleet_test.go
@@ -0,0 +1,265 @@
+package rockprocess
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockoperator"
+	"sassafrasrock/io/rockpeer"
+	"sassafrasrock/io/rocksettings"
+	"sassafrasrock/io/rockstandin"
+	v1 "sassafrasrock/schema/gen/sassafrasrock/v1"
+)
+
+const (
+	model  = "windsock-9"
+	layers = 9
+	token  = "process-token"
+)
+
+// fleet is a stand-in and daemons of one data centre, each a process of its own.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	client   *http.Client
+	standin  *process
+	control  string // address of the stand-in
+	platform string // address
+	hosts    []*host
+}
+
+// host is one daemon; a restart keeps its settings and addresses.
+type host struct {
+	*process
+	settings rocksettings.Daemon
+}
+
+// plan is what a fleet starts with.
+type plan struct {
+	hosts   int
+	standin rockstandin.Settings
+	limits  rocksettings.Limits
+	config  rocktable.Configuration
+}
+
+// newPlan returns n hosts before two backend servers for each of three layer ranges and two application servers.
+func newPlan(n int) *plan {
+	digest := sha256.Sum256([]byte(token))
+	p := &plan{
+		hosts: n,
+		standin: rockstandin.Settings{
+			Kinds:    []rockstandin.KindSettings{{Name: "fast", StepMs: 1}, {Name: "slow", StepMs: 2}},
+			Engine:   rockstandin.EngineTimes{RestartMs: 500},
+			Platform: rockstandin.PlatformSettings{WriteMs: 2},
+			Applications: []rockstandin.ApplicationSettings{
+				{Name: "app-1", DataCentre: "yoff", Region: "dakar"}, {Name: "app-2", DataCentre: "yoff", Region: "dakar"},
+			},
+		},
+		limits: rocksettings.Limits{HostListEveryMs: 200, ConfigEveryMs: 500, ProbeEveryMs: 100, GossipEveryMs: 200, HostTimeoutMs: 2000},
+		config: rocktable.Configuration{
+			Pipelines: []rocktable.PipelineConfig{{Name: "captions", Model: model, Version: "1", Layers: layers}},
+			Ranks: []rocktable.RankConfig{
+				{Name: "urgent", FirstTokenMs: 5000, GapMs: 2000, Worth: 10, Floor: 0.2},
+				{Name: "background", FirstTokenMs: 60000, GapMs: 10000, Worth: 1, Floor: 0.1},
+			},
+			Callers:  []rocktable.CallerConfig{{Name: "guild", TokenSHA256: hex.EncodeToString(digest[:])}},
+			Services: []rocktable.ServiceConfig{{Name: "squares", Servers: []string{"app-1", "app-2"}, TimeoutMs: 5000}},
+		},
+	}
+	for i := range 6 {
+		p.standin.Engines = append(p.standin.Engines, rockstandin.EngineSettings{
+			Name: fmt.Sprintf("runner-%d", i+1), DataCentre: "yoff", Region: "dakar", Kind: []string{"fast", "slow"}[i/3],
+			Model: model, Version: "1", FirstLayer: i % 3 * 3, LastLayer: i%3*3 + 2, Layers: layers, Slots: 64, ChecksFencing: true,
+		})
+	}
+	return p
+}
+
+// start starts the processes of a plan and waits until every host serves.
+func (p *plan) start(t *testing.T) *fleet {
+	t.Helper()
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	t.Cleanup(transport.CloseIdleConnections)
+	f := &fleet{t: t, dir: t.TempDir(), client: &http.Client{Transport: transport}}
+	f.standin = start(t, "stand-in", "sassafrasrock-standin", "run", f.write("standin.json", p.standin))
+	f.control, f.platform = f.standin.address("control"), f.standin.address("platform")
+	root, err := rockpeer.NewThrowAwayRoot(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	trust := filepath.Join(f.dir, "trust")
+	names := []string{"test"}
+	for i := range p.hosts {
+		names = append(names, fmt.Sprintf("entry-%d", i+1))
+	}
+	if err := root.WriteFiles(trust, names...); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names[1:] {
+		f.addHost(name, trust, p.limits)
+	}
+	// A restarted host finds each of the others.
+	for _, h := range f.hosts {
+		h.settings.SeedPeers = nil
+		for _, other := range f.hosts {
+			if other != h {
+				h.settings.SeedPeers = append(h.settings.SeedPeers, other.settings.PeersAddress)
+			}
+		}
+	}
+	if code, out := f.apply(f.hosts[0], p.config); code != 0 {
+		t.Fatalf("apply ended with %d: %s", code, out)
+	}
+	servers := len(p.standin.Engines) + len(p.standin.Applications)
+	eventually(t, "every host serves", func() bool {
+		return !slices.ContainsFunc(f.hosts, func(h *host) bool { return !f.serves(h, servers) })
+	})
+	return f
+}
+
+func (f *fleet) addHost(name, trust string, limits rocksettings.Limits) {
+	f.t.Helper()
+	h := &host{settings: rocksettings.Daemon{
+		Host: name, DataCentre: "yoff", Region: "dakar", PlatformURL: "http://" + f.platform,
+		CallersAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0",
+		PeerTLS: rocksettings.TLSFiles{
+			CertFile: filepath.Join(trust, name+".crt"), KeyFile: filepath.Join(trust, name+".key"), CAFile: filepath.Join(trust, rockpeer.RootFile),
+		},
+		Limits: limits,
+	}}
+	for _, other := range f.hosts {
+		h.settings.SeedPeers = append(h.settings.SeedPeers, other.settings.PeersAddress)
+	}
+	f.launch(h)
+	h.settings.CallersAddress, h.settings.OperatorsAddress, h.settings.PeersAddress = h.address("callers"), h.address("operators"), h.address("peers")
+	f.hosts = append(f.hosts, h)
+}
+
+// launch starts the daemon of a host, again if it has ended.
+func (f *fleet) launch(h *host) {
+	f.t.Helper()
+	h.process = start(f.t, h.settings.Host, "sassafrasrockd", f.write(h.settings.Host+".json", h.settings))
+}
+
+func (f *fleet) write(name string, v any) string {
+	f.t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// serves reports whether a host is ready, has the newest configuration and knows the live hosts and backend servers.
+func (f *fleet) serves(h *host, servers int) bool {
+	s, err := f.status(h)
+	if err != nil || !s.GetReady() || s.GetConfigVersion() == 0 {
+		return false
+	}
+	live := 0
+	for _, server := range s.GetBackendServers() {
+		if server.GetState() == rocktable.StateLive.String() {
+			live++
+		}
+	}
+	hosts := 0
+	for _, other := range s.GetHosts() {
+		if other.GetState() == rocktable.StateLive.String() {
+			hosts++
+		}
+	}
+	return live >= servers && hosts >= len(f.hosts)
+}
+
+func (f *fleet) status(h *host) (*v1.GetStatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return rockoperator.NewClient(h.settings.OperatorsAddress, rockoperator.ClientSettings{}).GetStatus(ctx)
+}
+
+// apply runs the operators' command line and returns its exit code and output.
+func (f *fleet) apply(h *host, cfg rocktable.Configuration, flags ...string) (int, string) {
+	f.t.Helper()
+	file, err := os.CreateTemp(f.dir, "configuration")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer file.Close()
+	if err := json.NewEncoder(file).Encode(cfg); err != nil {
+		f.t.Fatal(err)
+	}
+	args := append([]string{"--server", h.settings.OperatorsAddress, "apply", file.Name()}, flags...)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, filepath.Join(binaries, "sassafrasrock"), args...).CombinedOutput()
+	if exit := new(exec.ExitError); errors.As(err, &exit) {
+		return exit.ExitCode(), string(out)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return 0, string(out)
+}
+
+func (f *fleet) counts() rockstandin.Counts {
+	f.t.Helper()
+	var counts rockstandin.Counts
+	f.get("http://"+f.control+"/v1/counts", &counts)
+	return counts
+}
+
+// get decodes the JSON of an address and returns the status.
+func (f *fleet) get(address string, v any) int {
+	f.t.Helper()
+	response, err := f.client.Get(address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(v); err != nil {
+		f.t.Fatalf("%s: %v", address, err)
+	}
+	return response.StatusCode
+}
+
+// counter returns a counter of a host as published at /debug/vars.
+func (f *fleet) counter(h *host, code rockreason.Code) int {
+	f.t.Helper()
+	var vars struct {
+		Hosts map[string]struct {
+			Reasons map[rockreason.Code]int `json:"reasons"`
+		} `json:"sassafrasrock"`
+	}
+	f.get("http://"+h.settings.OperatorsAddress+"/debug/vars", &vars)
+	return vars.Hosts[h.settings.Host].Reasons[code]
+}
+
+// noViolation fails the test if a host that runs counted the violation of an invariant.
+func (f *fleet) noViolation() {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		if !h.isRunning() {
+			continue
+		}
+		if n := f.counter(h, rockreason.InvariantViolated); n > 0 {
+			f.t.Errorf("%s counted %d violations of invariants", h.settings.Host, n)
+		}
+	}
+}
