Keep a second order from an engine that may still run the first

Cause: the daemon gave an order up when its lease's last time for new orders came, although the engine goes on with it; an order whose answer was lost was repeated after 2 s, less than the longest order of 5 s. An engine that ignores fencing numbers then got two orders at once, also without any pause of the holder.

Change: an order that was sent has its whole time, and after a lost answer the next order to that engine waits until the last one must be over (Order.Over). The last time for sending is as before, so an order still ends with the lease at engines that ignore numbers.

A second fault in the same place: a placement that changed while an order was under way was noted as if the order carried it, and waited for the settling time of 10 s after it. It is now noted when it is sent.

Ruled out for the second: a lost lease, and slow spread of the configuration; the host had the version at once and held the lease.

After: all pass; rockmember, rocktick and rockdaemon pass with the race detector.

--- a/core/rocklease/order.go
+++ b/core/rocklease/order.go
@@ -38,6 +38,8 @@
 			}
 		default:
 			fail(now, o)
+			// The engine may still carry the order out, and one that ignores fencing numbers would take a second one meanwhile.
+			o.Over = o.SentAt.Add(w.Limits.OrderTimeout)
 		}
 	}
 	for _, o := range w.Orders.All() {
@@ -57,7 +59,7 @@
 func reconcile(now time.Time, w *rocktable.World) {
 	wanted := placements(w)
 	for id, o := range w.Orders.All() {
-		if _, ok := wanted[id]; !ok && !o.Pending {
+		if _, ok := wanted[id]; !ok && !o.Pending && !now.Before(o.Over) {
 			w.Orders.Delete(id)
 		}
 	}
@@ -119,14 +121,18 @@
 		return false
 	}
 	o := w.Orders.GetOrPut(s.ID)
+	if o.Pending {
+		return false
+	}
 	if o.Wanted != p {
 		o.Wanted, o.Failed, o.Next = p, 0, now
 	}
-	if o.Pending {
-		return false
+	next := o.Next
+	if next.Before(o.Over) {
+		next = o.Over
 	}
-	if now.Before(o.Next) {
-		w.WakeAt(o.Next)
+	if now.Before(next) {
+		w.WakeAt(next)
 		return false
 	}
 	o.Server, o.Fencing, o.SentAt, o.Pending = s.ID, l.Fencing, now, true
--- a/core/rockmember/fleet_test.go
+++ b/core/rockmember/fleet_test.go
@@ -83,6 +83,8 @@
 	engines map[string]*rocktable.EngineStatus
 	cut     func(a, b *host) bool
 	ordered []string // orders that engines took: name/fencing
+	deaf    bool     // engines take orders and their answers are lost
+	busy    bool     // engines take orders and do not end them
 }
 
 // newFleet returns a fleet of dcs data centres with hosts and model runners in each.
@@ -209,6 +211,12 @@
 	h.orders = append(h.orders, out.Orders...)
 	for _, o := range out.Orders {
 		f.ordered = append(f.ordered, fmt.Sprintf("%s/%d", o.Address, o.Fencing))
+		if f.deaf {
+			in.OrdersEnded = append(in.OrdersEnded, rocktable.OrderEnded{Server: o.Server, Fencing: o.Fencing})
+		}
+		if f.deaf || f.busy {
+			continue
+		}
 		e := f.engines[o.Address]
 		e.Model, e.Version, e.FirstLayer, e.LastLayer = o.Order.Model, o.Order.Version, o.Order.FirstLayer, o.Order.LastLayer
 		in.OrdersEnded = append(in.OrdersEnded, rocktable.OrderEnded{Server: o.Server, Fencing: o.Fencing, OK: true})
--- a/core/rockmember/lease_test.go
+++ b/core/rockmember/lease_test.go
@@ -124,3 +124,56 @@
 		t.Errorf("orders near the end of the lease = %+v, want one to the engine that checks the number", orders)
 	}
 }
+
+// Guards against an order to an engine that may still carry the last one out, because that one's answer was lost.
+func TestLostOrderAnswer(t *testing.T) {
+	f := placed(t, 1)
+	f.run(10 * time.Second)
+	h := f.hosts[0]
+	f.deaf = true
+	f.engines["runner-0-0"].Model = "other"
+	sent := len(h.orders)
+	if !f.until(20*time.Second, func() bool { return len(h.orders) > sent }) {
+		t.Fatal("no order")
+	}
+	c := f.change("version2", h.w.ConfigVersion)
+	c.Configuration.Pipelines = []rocktable.PipelineConfig{c.Configuration.Pipelines[0]}
+	c.Configuration.Pipelines[0].Placements = c.Configuration.Pipelines[0].Placements[:1]
+	c.Configuration.Pipelines[0].Version = "2"
+	h.put(c) // another placement does not end the order that is under way
+	f.run(h.w.Limits.OrderTimeout - time.Second)
+	if n := len(h.orders) - sent; n != 1 {
+		t.Errorf("%d orders within the time of the longest order, want 1", n)
+	}
+	if !f.until(5*time.Second, func() bool { return len(h.orders) > sent+1 }) {
+		t.Error("the lost order is not repeated")
+	}
+}
+
+// Guards against a placement that waits for the settling time of the order that was under way when it came.
+func TestPlacementChangesUnderOrder(t *testing.T) {
+	f := placed(t, 1)
+	f.run(15 * time.Second)
+	h := f.hosts[0]
+	version := func(v string) {
+		c := f.change("version"+v, h.w.ConfigVersion)
+		c.Configuration.Pipelines = []rocktable.PipelineConfig{c.Configuration.Pipelines[0]}
+		c.Configuration.Pipelines[0].Version = v
+		h.put(c)
+	}
+	f.busy = true
+	sent := len(h.orders)
+	version("2")
+	if !f.until(5*time.Second, func() bool { return len(h.orders) == sent+2 }) {
+		t.Fatal("no orders")
+	}
+	version("3")
+	f.run(time.Second)
+	f.busy = false
+	for _, o := range h.orders[sent:] {
+		h.inbox.OrdersEnded = append(h.inbox.OrdersEnded, rocktable.OrderEnded{Server: o.Server, Fencing: o.Fencing, OK: true})
+	}
+	if !f.until(2*time.Second, func() bool { return f.engines["runner-0-0"].Version == "3" && f.engines["runner-0-1"].Version == "3" }) {
+		t.Error("the engines do not get the new placement within 2 s after the last order has ended")
+	}
+}
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -407,6 +407,7 @@
 	Pending bool
 	Failed  int
 	Next    time.Time
+	Over    time.Time // until then the engine may carry out an order whose answer was lost
 }
 
 // Tally counts outcomes of one caller in one rank.
--- a/io/rockdaemon/carry.go
+++ b/io/rockdaemon/carry.go
@@ -105,11 +105,12 @@
 	}
 }
 
-// order sends an order, unless the lease under which it was decided is nearly over by now.
+// order sends an order, unless the lease under which it was decided is nearly over by now. Once sent it has its whole time,
+// because an engine goes on with an order whose sender has given up.
 func (d *Daemon) order(o rocktable.OrderSend) {
 	end := rocktable.OrderEnded{Server: o.Server, Fencing: o.Fencing}
 	if time.Now().Before(o.Until) {
-		ctx, cancel := context.WithDeadline(context.Background(), o.Until)
+		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.Table().OrderTimeout)
 		defer cancel()
 		reply, err := d.engine.Order(ctx, o.Address, rockengine.OrderRequest{
 			Order: "load", Model: o.Order.Model, Version: o.Order.Version,
