--- a/io/rockprocess/process_test.go
+++ b/io/rockprocess/process_test.go
@@ -11,6 +11,11 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The programs are imported so that a change of them ends the caching of test results.
+	_ "sassafrasrock/io/rockcommand"
+	_ "sassafrasrock/io/rockdaemon"
+	_ "sassafrasrock/io/rockdemo"
 )
 
 // binaries is the folder with the programs, built once.
