--- a/io/rockprocess/fleet_test.go
+++ b/io/rockprocess/fleet_test.go
@@ -1,6 +1,7 @@
 package rockprocess
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -263,3 +264,19 @@
 		}
 	}
 }
+
+func (f *fleet) fault(fault rockstandin.Fault) {
+	f.t.Helper()
+	body, err := json.Marshal(fault)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := f.client.Post("http://"+f.control+"/v1/faults", "application/json", bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		f.t.Fatalf("fault %+v: status %d", fault, response.StatusCode)
+	}
+}
