Answer requests that a second signal cuts off before closing

Cause: after a second SIGTERM the daemon closed the callers' connections as soon as the control thread had ended, in a race with the handlers that were about to write the reason stoppedNow. Some callers saw a broken connection instead, which docs/operating.md rules out.

Ruled out: the traffic goroutines, which return stoppedNow as soon as the control thread has ended; the first callers of the same run got it.

Change: the daemon waits up to 300 ms for handlers to write before it closes the connections.

TestSecondSignal sends two signals under six streams that would last minutes.

--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -29,6 +29,9 @@
 // answerTimeout limits the wait for callers to take their last answers during a graceful shutdown.
 const answerTimeout = 30 * time.Second
 
+// reasonTimeout limits the wait for requests that are cut off to be answered with the reason; a stop at once must not take longer.
+const reasonTimeout = 300 * time.Millisecond
+
 // Daemon is one host of the system.
 type Daemon struct {
 	CallersAddress   string // as bound
@@ -184,6 +187,7 @@
 	}
 	stop()
 	parts.Wait()
+	d.answerReasons()
 	err = errors.Join(err, ignoreClosed(d.callers.Close()))
 	d.log.Info("daemon stopped", "host", d.settings.Host)
 	return err
@@ -211,6 +215,15 @@
 	}
 }
 
+// answerReasons gives requests that the end of the control thread cut off the time to be answered with that reason.
+func (d *Daemon) answerReasons() {
+	ctx, cancel := context.WithTimeout(context.Background(), reasonTimeout)
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.Warn("callers were cut off", "error", err)
+	}
+}
+
 func (d *Daemon) newOperators(access rockoperator.Access) *rockoperator.Server {
 	return &rockoperator.Server{
 		Access:   access,
--- a/io/rockprocess/process_test.go
+++ b/io/rockprocess/process_test.go
@@ -143,3 +143,14 @@
 		}
 	}
 }
+
+// exit waits until the process has ended and returns its exit code, or -1 if a signal ended it.
+func (p *process) exit() int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		p.t.Fatalf("%s has not ended within %s", p.name, patience)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
