Let an engine's session go on over another stream

Cause: a session ended with its stream, so that a lost connection to a healthy engine lost the KV cache and the whole request was replayed. Change: OpenRequest has resume; the engine keeps a session whose connection was lost, with its slot, for resumeMs, moves it to the stream that resumes it, and answers a step that has run from the stored answer. A stream that the router closed ends its session at once. The status tells whether an engine can resume, and peers pass it on. The client opens resumed sessions on a new connection that all sessions of the lost one share. The stand-in has the fault reset, and lostAnswer for steps of engines.

--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -183,6 +183,7 @@
 		s := f.Servers[e.server]
 		path = append(path, rocktable.Stage{
 			Server: s.ID, Address: s.Address, FirstLayer: f.Bounds[from], LastLayer: f.Bounds[e.to] - 1, Incarnation: s.Incarnation,
+			Resume: s.Status.Resume,
 		})
 		spent += e.cost
 		from = e.to
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -157,6 +157,7 @@
 	Fencing         uint64  `json:"fencing"`
 	ChecksFencing   bool    `json:"checksFencing"`
 	SubRanges       bool    `json:"subRanges"` // a session may begin after FirstLayer
+	Resume          bool    `json:"resume"`    // a session whose stream was lost can be resumed
 }
 
 // Caller is an organisation that sends requests.
@@ -305,6 +306,7 @@
 	LastLayer  int // inclusive
 
 	Incarnation uint64 // of the backend server when the path was chosen
+	Resume      bool   // the backend server can resume a session whose stream was lost
 }
 
 // Attempt is one run of a request on a path.
--- a/io/rockengine/client.go
+++ b/io/rockengine/client.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,10 +53,15 @@
 	}
 }
 
+// idleFor ends connections that nothing uses, such as those that were replaced because they seemed silent and were not.
+const idleFor = 30 * time.Second
+
 // client holds the connections behind the fields of an Engine.
 type client struct {
-	options   Options
-	transport *http.Transport
+	options Options
+
+	mu         sync.Mutex
+	transports map[string]*http.Transport // by address; each is replaced when a session is resumed on a new connection
 }
 
 // New returns an Engine that uses HTTP/2 without TLS.
@@ -64,7 +70,7 @@
 	for _, option := range options {
 		option(&o)
 	}
-	c := &client{options: o, transport: newTransport(o)}
+	c := &client{options: o, transports: make(map[string]*http.Transport)}
 	return &Engine{
 		Open:        c.open,
 		Status:      c.status,
@@ -72,7 +78,7 @@
 		CacheEvents: c.cacheEvents,
 		Export:      c.exportCache,
 		Import:      c.importCache,
-		Close:       c.transport.CloseIdleConnections,
+		Close:       c.closeIdle,
 	}
 }
 
@@ -88,6 +94,30 @@
 			WriteByteTimeout: o.PingAfter + o.PingTimeout,
 		},
 		DisableCompression: true,
+		IdleConnTimeout:    idleFor,
+	}
+}
+
+// transport returns the connections that new calls to an address use.
+func (c *client) transport(address string) *http.Transport {
+	return c.renew(address, nil)
+}
+
+// renew replaces the connections to an address if they are still those that lost a session, so that many sessions on one lost connection share one new connection.
+func (c *client) renew(address string, lost *http.Transport) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.transports[address] == lost {
+		c.transports[address] = newTransport(c.options)
+	}
+	return c.transports[address]
+}
+
+func (c *client) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
 	}
 }
 
@@ -141,7 +171,7 @@
 	if err != nil {
 		return reply, 0, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.transport(address).RoundTrip(req)
 	if err != nil {
 		return reply, 0, trace.classify(err)
 	}
--- a/io/rockengine/engine.go
+++ b/io/rockengine/engine.go
@@ -44,6 +44,8 @@
 type Session struct {
 	// Step runs one step; its errors are ErrLost, ErrMisstep and ErrTooLarge, and the context's, after which only Close is useful.
 	Step func(ctx context.Context, step Step) (StepReply, error)
-	// Close cancels the session at the engine.
+	// Resume goes on with the session over a new connection, for the given step that got no answer; its errors are those of Open, and ErrMisstep if the engine holds another state than that before or after the step. The session that it returns replaces this one, which stays usable if Resume fails. It is nil where sessions cannot be resumed.
+	Resume func(ctx context.Context, step Step) (*Session, error)
+	// Close cancels the session at the engine, unless it was resumed.
 	Close func()
 }
--- a/io/rockengine/message.go
+++ b/io/rockengine/message.go
@@ -12,13 +12,19 @@
 	Fingerprint uint64 `json:"fingerprint"`
 	Alone       bool   `json:"alone"` // in no batch with other requests
 	MaxTokens   int    `json:"maxTokens"`
+	Resume      bool   `json:"resume,omitempty"` // go on with the session that these values opened, whose stream was lost
 }
 
 // OpenReply is the engine's answer to an OpenRequest.
 type OpenReply struct {
 	Accepted bool   `json:"accepted"`
-	Code     string `json:"code,omitempty"` // full, leaving, wrongLayers or wrongModel; nothing was started
+	Code     string `json:"code,omitempty"` // full, leaving, wrongLayers, wrongModel or noSession; nothing was started
 	Text     string `json:"text,omitempty"`
+
+	// The rest is sent for a resumed session only.
+	Epoch    uint32 `json:"epoch,omitempty"`
+	Index    int    `json:"index,omitempty"`    // of the next step, which may be running
+	Position int    `json:"position,omitempty"` // positions that the session's KV cache holds
 }
 
 // Step runs the layers of a session for the next positions.
--- a/io/rockengine/session.go
+++ b/io/rockengine/session.go
@@ -12,7 +12,11 @@
 
 // stream is the state of an open session.
 type stream struct {
+	client  *client
+	address string
+	conns   *http.Transport // that the stream uses
 	req     OpenRequest
+	check   func(OpenReply) error
 	maxLine int
 	out     *io.PipeWriter
 	end     func() // ends the request
@@ -22,6 +26,23 @@
 
 // open opens a session; ctx bounds the opening, and the session lasts until Close.
 func (c *client) open(ctx context.Context, address string, req OpenRequest) (*Session, error) {
+	return c.openOn(ctx, &stream{
+		client: c, address: address, conns: c.transport(address), req: req,
+		check: func(OpenReply) error { return nil },
+	})
+}
+
+// resume opens a stream on another connection for the session of s.
+func (s *stream) resume(ctx context.Context, step Step) (*Session, error) {
+	req := s.req
+	req.Resume = true
+	return s.client.openOn(ctx, &stream{
+		client: s.client, address: s.address, conns: s.client.renew(s.address, s.conns), req: req,
+		check: func(reply OpenReply) error { return CheckResume(req, step, reply) },
+	})
+}
+
+func (c *client) openOn(ctx context.Context, s *stream) (*Session, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -33,8 +54,8 @@
 		writer.CloseWithError(io.ErrClosedPipe)
 	}
 	stop := context.AfterFunc(ctx, end)
-	s := &stream{req: req, maxLine: c.options.MaxLine, out: writer, end: end}
-	err := c.start(life, s, reader, address)
+	s.maxLine, s.out, s.end = c.options.MaxLine, writer, end
+	err := s.start(life, reader)
 	if !stop() && err == nil {
 		err = fmt.Errorf("%w: %w", ErrLost, ctx.Err())
 	}
@@ -42,7 +63,7 @@
 		s.close()
 		return nil, withCause(ctx, err)
 	}
-	return &Session{Step: s.step, Close: s.close}, nil
+	return &Session{Step: s.step, Resume: s.resume, Close: s.close}, nil
 }
 
 // withCause adds the context's error, if it has one that err does not show.
@@ -54,13 +75,13 @@
 }
 
 // start sends the first line and reads the answer to it.
-func (c *client) start(life context.Context, s *stream, reader *io.PipeReader, address string) error {
+func (s *stream) start(life context.Context, reader *io.PipeReader) error {
 	life, trace := withTrace(life)
-	r, err := http.NewRequestWithContext(life, http.MethodPost, target(address, "/v1/sessions"), reader)
+	r, err := http.NewRequestWithContext(life, http.MethodPost, target(s.address, "/v1/sessions"), reader)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	resp, err := c.transport.RoundTrip(r)
+	resp, err := s.conns.RoundTrip(r)
 	if err != nil {
 		return trace.classify(err)
 	}
@@ -78,7 +99,7 @@
 	if !reply.Accepted {
 		return fmt.Errorf("%w: %s: %s", ErrNotStarted, reply.Code, reply.Text)
 	}
-	return nil
+	return s.check(reply)
 }
 
 func (s *stream) close() {
@@ -154,6 +175,17 @@
 	}
 }
 
+// CheckResume returns ErrMisstep unless the engine holds the state before the step, or that after it.
+func CheckResume(req OpenRequest, step Step, reply OpenReply) error {
+	hasRun := reply.Index == step.Index+1 && reply.Position > step.Position
+	isDue := reply.Index == step.Index && reply.Position == step.Position
+	if reply.Epoch != req.Epoch || !hasRun && !isDue {
+		return fmt.Errorf("%w: resumed in epoch %d with %d positions before index %d, asked for epoch %d with %d positions before index %d",
+			ErrMisstep, reply.Epoch, reply.Position, reply.Index, req.Epoch, step.Position, step.Index)
+	}
+	return nil
+}
+
 // CheckReply returns ErrMisstep unless the reply answers the step of the session.
 func CheckReply(req OpenRequest, step Step, reply StepReply) error {
 	switch {
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -172,6 +172,7 @@
 		Fencing:         s.Fencing,
 		ChecksFencing:   s.ChecksFencing,
 		SubRanges:       s.SubRanges,
+		Resume:          s.Resume,
 	}
 }
 
@@ -191,6 +192,7 @@
 		Fencing:         m.GetFencing(),
 		ChecksFencing:   m.GetChecksFencing(),
 		SubRanges:       m.GetSubRanges(),
+		Resume:          m.GetResume(),
 	}
 }
 
--- a/io/rockstandin/batches.go
+++ b/io/rockstandin/batches.go
@@ -134,5 +134,10 @@
 	} else {
 		reply.Activations = out
 	}
+	session.Last = &EndedStep{Step: pending.Event.Step, Reply: reply}
+	if strike(w.Servers.Get(e.Name), FaultLostAnswer) {
+		w.gate(e.Name, GateReset, 0)
+		return
+	}
 	pending.Event.Reply(reply)
 }
--- a/io/rockstandin/faults.go
+++ b/io/rockstandin/faults.go
@@ -31,11 +31,12 @@
 	FaultCut         = "cut"         // nothing passes in either direction; connections are reset when it ends
 	FaultSlow        = "slow"        // longer steps and runs, delayed answers
 	FaultSilent      = "silent"      // the connections that are open go silent for good; new ones work
+	FaultReset       = "reset"       // the connections that are open are reset; new ones work
 	FaultCrash       = "crash"       // an engine crashes on a prompt that contains the text, and restarts
 	FaultLeaving     = "leaving"     // reported and listed as leaving
 	FaultOutage      = "outage"      // the platform refuses connections
 	FaultLag         = "lag"         // the host list lags more
-	FaultLostAnswer  = "lostAnswer"  // a write or a run takes effect and its answer is lost
+	FaultLostAnswer  = "lostAnswer"  // a write, a run or an engine's step takes effect and its answer is lost
 	FaultOldReads    = "oldReads"    // reads return rows as they were before the last write
 	FaultCrashBefore = "crashBefore" // an application server crashes before the run
 	FaultCrashAfter  = "crashAfter"  // an application server crashes after the run
@@ -49,11 +50,12 @@
 	FaultCut:         {RolePlatform, RoleModel, RoleApplication},
 	FaultSlow:        {RolePlatform, RoleModel, RoleApplication},
 	FaultSilent:      {RolePlatform, RoleModel, RoleApplication},
+	FaultReset:       {RolePlatform, RoleModel, RoleApplication},
 	FaultCrash:       {RoleModel},
 	FaultLeaving:     {RoleModel, RoleApplication},
 	FaultOutage:      {RolePlatform},
 	FaultLag:         {RolePlatform},
-	FaultLostAnswer:  {RolePlatform, RoleApplication},
+	FaultLostAnswer:  {RolePlatform, RoleModel, RoleApplication},
 	FaultOldReads:    {RolePlatform},
 	FaultCrashBefore: {RoleApplication},
 	FaultCrashAfter:  {RoleApplication},
@@ -126,6 +128,9 @@
 	case FaultSilent:
 		w.gate(s.Name, GateMute, 0)
 		return
+	case FaultReset:
+		w.gate(s.Name, GateReset, 0)
+		return
 	case FaultKill:
 		stopServer(w, s)
 		s.RestartAt = time.Time{}
--- a/io/rockstandin/gate.go
+++ b/io/rockstandin/gate.go
@@ -112,6 +112,10 @@
 		}
 	case GateMute:
 		g.muteLocked()
+	case GateReset:
+		for c := range g.conns {
+			reset(c.Conn)
+		}
 	case GateDelay:
 		g.delay = action.Delay
 	}
--- a/io/rockstandin/handlers.go
+++ b/io/rockstandin/handlers.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -98,39 +100,96 @@
 	}
 	lines := bufio.NewReader(r.Body)
 	var open rockengine.OpenRequest
-	if !readLine(lines, &open) {
+	if readLine(lines, &open) != nil {
 		return
 	}
-	defer s.post(func(in *Inbox) { in.Closes = append(in.Closes, id) })
 	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(rockengine.OpenReply)) {
 		in.Opens = append(in.Opens, OpenEvent{Engine: name, Session: id, Request: open, Reply: reply})
 	})
-	if err != nil {
-		abort()
+	if err == nil && !reply.Accepted {
+		writeLine(rw, control, reply)
+		return
+	}
+	if err != nil || !writeLine(rw, control, reply) {
+		err = s.readEnd(lines)
 	}
-	for ok := writeLine(rw, control, reply) && reply.Accepted; ok; {
-		ok = s.serveStep(id, g, lines, rw, control, r)
+	for err == nil {
+		err = s.serveStep(id, g, lines, rw, control, r)
 	}
+	s.endStream(id, isCanceled(err))
 }
 
-// serveStep serves one step and reports whether the session goes on.
-func (s *Standin) serveStep(id SessionID, g *gate, lines *bufio.Reader, rw io.Writer, control *http.ResponseController, r *http.Request) bool {
+// serveStep serves one step and returns why the stream has ended, or nil.
+func (s *Standin) serveStep(id SessionID, g *gate, lines *bufio.Reader, rw io.Writer, control *http.ResponseController, r *http.Request) error {
 	var step rockengine.Step
-	if !readLine(lines, &step) {
-		return false
+	if err := readLine(lines, &step); err != nil {
+		return err
 	}
 	reply, err := ask(r.Context(), s, func(in *Inbox, reply func(rockengine.StepReply)) {
 		in.Steps = append(in.Steps, StepEvent{Session: id, Step: step, Reply: reply})
 	})
-	if err != nil {
-		abort()
+	if err == nil && pause(r, g.delayNow()) && writeLine(rw, control, reply) {
+		return nil
 	}
-	return pause(r, g.delayNow()) && writeLine(rw, control, reply)
+	return s.readEnd(lines)
 }
 
-func readLine(lines *bufio.Reader, v any) bool {
+// endStream tells the control thread that the stream of a session has ended.
+func (s *Standin) endStream(id SessionID, canceled bool) {
+	s.post(func(in *Inbox) {
+		if canceled {
+			in.Closes = append(in.Closes, id)
+		} else {
+			in.Losses = append(in.Losses, id)
+		}
+	})
+}
+
+// readEnd returns why a stream has ended to which nothing more can be written.
+func (s *Standin) readEnd(lines io.Reader) error {
+	select {
+	case <-s.done:
+		return ErrStopped
+	default:
+	}
+	if _, err := io.Copy(io.Discard, lines); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// streamReset has the fields of the error with which net/http reports that the client reset one HTTP/2 stream; errors.As matches it by them.
+type streamReset struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+// Error returns the number of the stream and the code.
+func (e streamReset) Error() string {
+	return fmt.Sprintf("stream %d was reset with code %d", e.StreamID, e.Code)
+}
+
+// isCanceled reports whether the router ended a stream, by closing it or by a line that makes no sense; otherwise its connection was lost.
+func isCanceled(end error) bool {
+	return errors.Is(end, io.EOF) || errors.Is(end, errLine) || errors.As(end, new(streamReset))
+}
+
+// errLine says that a line of a session is too long or not valid.
+var errLine = errors.New("a line of a session is not valid")
+
+// readLine decodes the next line; its error is errLine or says how the stream has ended.
+func readLine(lines *bufio.Reader, v any) error {
 	line, err := rockengine.ReadLine(lines, maxLine)
-	return err == nil && json.Unmarshal(line, v) == nil
+	if err == nil {
+		err = json.Unmarshal(line, v)
+	} else if !errors.Is(err, rockengine.ErrTooLarge) {
+		return err
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", errLine, err)
+	}
+	return nil
 }
 
 func writeLine(rw io.Writer, control *http.ResponseController, v any) bool {
--- a/io/rockstandin/orders.go
+++ b/io/rockstandin/orders.go
@@ -122,7 +122,7 @@
 		FirstLayer: held.FirstLayer, LastLayer: held.LastLayer, Slots: held.Slots,
 		Active: e.Report.Active, Queued: e.Report.Queued,
 		Incarnation: s.Incarnation, State: hostOf(s).State,
-		Fencing: e.Fencing, ChecksFencing: held.ChecksFencing,
+		Fencing: e.Fencing, ChecksFencing: held.ChecksFencing, Resume: !held.NoResume,
 	}
 	if batch := kind.StepMs + kind.PerSessionMs*float64(held.Slots-1); batch > 0 {
 		status.TokensPerSecond = 1000 * float64(held.Slots) / batch
--- /dev/null
+++ b/io/rockstandin/resume.go
@@ -0,0 +1,94 @@
+package rockstandin
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasrock/io/rockengine"
+)
+
+// loseSession keeps a session whose connection was lost, with its slot, for a router that resumes it.
+func loseSession(now time.Time, w *World, id SessionID) {
+	session := w.Sessions.Get(id)
+	if session == nil {
+		return // resumed on another stream, or gone
+	}
+	if w.Engines.Get(session.Engine).Settings.NoResume {
+		closeSession(w, id)
+		return
+	}
+	w.Lost.Put(id, now)
+}
+
+// forgetSessions ends the lost sessions that nobody resumed in time.
+func forgetSessions(now time.Time, w *World) {
+	for id, since := range w.Lost.All() {
+		until := since.Add(w.Settings.Engine.resumeTime())
+		if now.Before(until) {
+			w.WakeAt(until)
+			continue
+		}
+		w.Engines.Get(w.Sessions.Get(id).Engine).Count.Forgotten++
+		closeSession(w, id)
+	}
+}
+
+// resumeSession moves a session to the stream of the event. The old stream may still be open, because a router finds a silent connection before the engine does.
+func resumeSession(w *World, event OpenEvent) rockengine.OpenReply {
+	e := w.Engines.Get(event.Engine)
+	held := findSession(w, event)
+	if held == nil || e.Settings.NoResume || w.Servers.Get(e.Name).Down {
+		e.Count.Refused++
+		return rockengine.OpenReply{Code: codeNoSession, Text: "the engine holds no such session"}
+	}
+	session := *held
+	w.Lost.Delete(session.ID)
+	w.Sessions.Delete(session.ID)
+	for i, id := range e.Batch {
+		if id == session.ID {
+			e.Batch[i] = event.Session
+		}
+	}
+	session.ID = event.Session
+	w.Sessions.Put(session.ID, session)
+	e.Count.Resumed++
+	reply := rockengine.OpenReply{Accepted: true, Epoch: session.Request.Epoch, Position: session.KV.Position}
+	if session.Last != nil {
+		reply.Index = session.Last.Step.Index + 1
+	}
+	return reply
+}
+
+// findSession returns the session that was opened with the values of the event, or nil.
+func findSession(w *World, event OpenEvent) *Session {
+	opened := event.Request
+	opened.Resume = false
+	for _, session := range w.Sessions.All() {
+		if session.Engine == event.Engine && session.Request == opened {
+			return session
+		}
+	}
+	return nil
+}
+
+// repeatStep answers a step that has run from its stored answer, or sends the answer of one that runs to the stream that asked last; it returns false for a step that is not known.
+func repeatStep(session *Session, event StepEvent) bool {
+	if pending := session.Pending; pending != nil {
+		if !isSameStep(pending.Event.Step, event.Step) {
+			return false
+		}
+		pending.Event.Reply = event.Reply
+		return true
+	}
+	if session.Last == nil || !isSameStep(session.Last.Step, event.Step) {
+		return false
+	}
+	event.Reply(session.Last.Reply)
+	return true
+}
+
+// isSameStep reports whether two steps are the same; one with the index of another and different content is a fault of the router.
+func isSameStep(a, b rockengine.Step) bool {
+	return a.Index == b.Index && a.Position == b.Position && a.Prompt == b.Prompt &&
+		slices.Equal(a.Tokens, b.Tokens) && slices.Equal(a.Activations, b.Activations)
+}
--- /dev/null
+++ b/io/rockstandin/resume_test.go
@@ -0,0 +1,178 @@
+package rockstandin_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockstandin"
+)
+
+var (
+	prefill = rockengine.Step{Prompt: prompt}
+	second  = rockengine.Step{Index: 1, Position: len(rockstandin.Tokenise(prompt)), Tokens: []uint32{7}}
+)
+
+// lose opens a session, runs its prefill and resets the connection.
+func lose(t *testing.T, e *rockengine.Engine, s *rockstandin.Standin) *rockengine.Session {
+	t.Helper()
+	session := mustOpen(t, e, s, "a", "r1")
+	if _, err := session.Step(patient(t), prefill); err != nil {
+		t.Fatal(err)
+	}
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultReset})
+	return session
+}
+
+// Guards against a step that runs twice, or an answer that differs, when the answer of a step that had run was lost and the router asks for it again.
+func TestLostAnswerOfStep(t *testing.T) {
+	s := start(t, settings())
+	e := engineClient(t)
+	whole := mustOpen(t, e, s, "a", "whole")
+	for _, step := range []rockengine.Step{prefill, second} {
+		session := mustOpen(t, e, s, "a", "r1")
+		if step.Index == 1 {
+			if _, err := session.Step(patient(t), prefill); err != nil {
+				t.Fatal(err)
+			}
+		}
+		fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultLostAnswer, Times: 1})
+		if _, err := session.Step(patient(t), step); !errors.Is(err, rockengine.ErrLost) {
+			t.Fatalf("step %d whose answer is lost: %v", step.Index, err)
+		}
+		before := s.Counts().Requests["r1"]
+		resumed, err := session.Resume(patient(t), step)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := resumed.Step(patient(t), step)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if after := s.Counts().Requests["r1"]; after != before {
+			t.Errorf("step %d ran again: counts %+v, before %+v", step.Index, after, before)
+		}
+		// The reset also ended the stream of the undisturbed session.
+		if whole, err = whole.Resume(patient(t), step); err != nil {
+			t.Fatal(err)
+		}
+		want, err := whole.Step(patient(t), step)
+		if err != nil || !slices.Equal(got.Activations, want.Activations) {
+			t.Errorf("step %d answered again: %v, want %v; error %v", step.Index, got.Activations, want.Activations, err)
+		}
+		resumed.Close()
+		eventually(t, "the end of the session", func() bool {
+			_, err := resumed.Resume(patient(t), step)
+			return errors.Is(err, rockengine.ErrNotStarted)
+		})
+	}
+}
+
+// Guards against a session that can be resumed after it was canceled, and against a slot that a canceled session keeps.
+func TestCanceledSessionIsGone(t *testing.T) {
+	cfg := settings()
+	cfg.Engines[0].Slots, cfg.Engines[0].Queue = 1, 0
+	// A slot that waits for the resumption would not be free within the patience of the test.
+	cfg.Engine.ResumeMs = 600000
+	s := start(t, cfg)
+	e := engineClient(t)
+	session := mustOpen(t, e, s, "a", "r1")
+	if _, err := session.Step(patient(t), prefill); err != nil {
+		t.Fatal(err)
+	}
+	session.Close()
+	eventually(t, "the slot of a canceled session", func() bool {
+		next, err := open(t, e, s, "a", "r2")
+		if err == nil {
+			next.Close()
+		}
+		return err == nil
+	})
+	if _, err := session.Resume(patient(t), second); !errors.Is(err, rockengine.ErrNotStarted) {
+		t.Errorf("resumption of a canceled session: %v, want %v", err, rockengine.ErrNotStarted)
+	}
+}
+
+// Guards against a resumption at a server that has restarted, at an engine that cannot resume, of another request or epoch, or out of step.
+func TestResumeRefused(t *testing.T) {
+	cfg := settings()
+	cfg.Engines[1].NoResume = true
+	s := start(t, cfg)
+	e := engineClient(t)
+	for name, want := range map[string]bool{"a": true, "b": false} {
+		if status, _, err := e.Status(patient(t), s.Address(name)); err != nil || status.Resume != want {
+			t.Errorf("engine %s tells resume %t, want %t; error %v", name, status.Resume, want, err)
+		}
+	}
+	session := mustOpen(t, e, s, "b", "r1")
+	fault(t, s, rockstandin.Fault{Target: "b", Kind: rockstandin.FaultReset})
+	if _, err := session.Resume(patient(t), rockengine.Step{}); !errors.Is(err, rockengine.ErrNotStarted) {
+		t.Errorf("an engine that cannot resume: %v", err)
+	}
+	session = lose(t, e, s)
+	for _, other := range []rockengine.OpenRequest{{Request: "r2", Epoch: 3}, {Request: "r1", Epoch: 2}} {
+		other.Model, other.Version, other.LastLayer, other.Resume = "windsock-9", "1", 2, true
+		// A new client has no connection that may not know of its reset yet.
+		if _, err := engineClient(t).Open(patient(t), s.Address("a"), other); !errors.Is(err, rockengine.ErrNotStarted) {
+			t.Errorf("request %s, epoch %d: %v", other.Request, other.Epoch, err)
+		}
+	}
+	if _, err := session.Resume(patient(t), rockengine.Step{Index: 2, Position: second.Position + 1}); !errors.Is(err, rockengine.ErrMisstep) {
+		t.Errorf("resumption for a step that is not due: %v", err)
+	}
+	session = lose(t, e, s)
+	fault(t, s, rockstandin.Fault{Target: "a", Kind: rockstandin.FaultRestart})
+	eventually(t, "a refusal by the restarted engine", func() bool {
+		_, err := session.Resume(patient(t), second)
+		if err == nil {
+			t.Fatal("the restarted engine resumed a session")
+		}
+		return errors.Is(err, rockengine.ErrNotStarted)
+	})
+}
+
+// Guards against a step that runs twice when its session moves to another stream while it runs, and against an old stream that ends the moved session.
+func TestResumeDuringStep(t *testing.T) {
+	b := newBench(t, 1)
+	b.step("r1", prompt, 0, false)
+	b.tick()
+	request := rockengine.OpenRequest{Request: "r1", Model: "windsock-9", LastLayer: 2, Resume: true}
+	var opened rockengine.OpenReply
+	answers := 0
+	b.w.Inbox.Opens = append(b.w.Inbox.Opens, rockstandin.OpenEvent{
+		Engine: "a", Session: 9, Request: request, Reply: func(reply rockengine.OpenReply) { opened = reply },
+	})
+	b.w.Inbox.Steps = append(b.w.Inbox.Steps, rockstandin.StepEvent{
+		Session: 9, Step: prefill, Reply: func(rockengine.StepReply) { answers++ },
+	})
+	b.tick()
+	b.w.Inbox.Closes = append(b.w.Inbox.Closes, 1)
+	b.run()
+	if count := b.w.Requests.Get("r1"); !opened.Accepted || answers != 1 || len(b.ended) != 0 || count.Steps != 1 || count.Sessions != 1 {
+		t.Errorf("reply %+v, %d answers on the new stream, %d on the old one, counts %+v; want one answer, one step", opened, answers, len(b.ended), count)
+	}
+}
+
+// Guards against a lost session that is forgotten too early or never, and against a slot that is free before.
+func TestLostSessionKeepsItsSlot(t *testing.T) {
+	b := newBench(t, 1)
+	b.step("r1", prompt, 0, false)
+	b.tick()
+	b.w.Inbox.Losses = append(b.w.Inbox.Losses, 1)
+	b.tick()
+	b.now = b.now.Add(4900 * time.Millisecond)
+	b.tick()
+	if load := b.w.Engines.Get("a").Load; load.Active != 1 {
+		t.Errorf("load %+v before the end of the time to resume, want the slot taken", load)
+	}
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.tick()
+	if e := b.w.Engines.Get("a"); e.Load.Active != 0 || e.Count.Forgotten != 1 {
+		t.Errorf("load %+v, %d forgotten after the time to resume, want a free slot", e.Load, e.Count.Forgotten)
+	}
+}
+
+// tick runs one tick without moving the time.
+func (b *bench) tick() { rockstandin.Tick(b.now, b.w) }
--- a/io/rockstandin/sessions.go
+++ b/io/rockstandin/sessions.go
@@ -20,12 +20,16 @@
 	codeLeaving     = "leaving"
 	codeWrongLayers = "wrongLayers"
 	codeWrongModel  = "wrongModel"
+	codeNoSession   = "noSession"
 )
 
 func runSessions(now time.Time, w *World) {
 	for _, id := range w.Inbox.Closes {
 		closeSession(w, id)
 	}
+	for _, id := range w.Inbox.Losses {
+		loseSession(now, w, id)
+	}
 	for _, event := range w.Inbox.Exports {
 		event.Reply(exportCache(w, event))
 	}
@@ -33,11 +37,16 @@
 		event.Reply(importCache(w, event))
 	}
 	for _, event := range w.Inbox.Opens {
+		if event.Request.Resume {
+			event.Reply(resumeSession(w, event))
+			continue
+		}
 		event.Reply(openSession(now, w, event))
 	}
 	for _, event := range w.Inbox.Steps {
 		takeStep(w, event)
 	}
+	forgetSessions(now, w)
 }
 
 func closeSession(w *World, id SessionID) {
@@ -60,6 +69,7 @@
 	} else {
 		load.Queued--
 	}
+	w.Lost.Delete(session.ID)
 	w.Sessions.Delete(session.ID)
 }
 
@@ -111,9 +121,15 @@
 func takeStep(w *World, event StepEvent) {
 	session := w.Sessions.Get(event.Session)
 	if session == nil {
-		return // The engine was stopped, and its connections are being reset.
+		// The engine was stopped or holds other layers, or the session was resumed on another stream.
+		event.Reply(rockengine.StepReply{Index: event.Step.Index, Position: event.Step.Position, Error: "the stream has no session"})
+		return
 	}
 	e := w.Engines.Get(session.Engine)
+	if repeatStep(session, event) {
+		e.Count.Repeated++
+		return
+	}
 	pending := PendingStep{Event: event}
 	if refusal := readInputs(session, &pending); refusal != "" {
 		e.Count.RefusedSteps++
@@ -132,6 +148,8 @@
 	switch {
 	case session.Pending != nil:
 		return "the last step has not ended"
+	case session.Last != nil && step.Index <= session.Last.Step.Index:
+		return fmt.Sprintf("index %d, but index %d has run", step.Index, session.Last.Step.Index)
 	case step.Position != position:
 		return fmt.Sprintf("position %d, but the session holds %d", step.Position, position)
 	case step.Prompt != "" && position != 0:
--- a/io/rockstandin/settings.go
+++ b/io/rockstandin/settings.go
@@ -34,7 +34,8 @@
 	EventDelayMs int     `json:"eventDelayMs,omitempty" validate:"min=0,max=60000"`
 	EventGaps    float64 `json:"eventGaps,omitempty" validate:"min=0,max=1"` // share of cache events that are never published
 	RestartMs    int     `json:"restartMs,omitempty" validate:"min=0,max=600000"`
-	LoadMs       int     `json:"loadMs,omitempty" validate:"min=0,max=600000"` // time that an order takes
+	LoadMs       int     `json:"loadMs,omitempty" validate:"min=0,max=600000"`   // time that an order takes
+	ResumeMs     int     `json:"resumeMs,omitempty" validate:"min=0,max=600000"` // time for which a session whose stream was lost is kept; 0 means 5000
 }
 
 // KindSettings describe one kind of accelerator; a batch takes step + perSession for each session + prefill for each position of a prefill.
@@ -61,6 +62,7 @@
 	Queue         int    `json:"queue,omitempty" validate:"min=0,max=65536"`        // sessions that may wait for a slot
 	CacheBlocks   int    `json:"cacheBlocks,omitempty" validate:"min=0,max=100000"` // blocks of the prefix cache
 	ChecksFencing bool   `json:"checksFencing,omitempty"`
+	NoResume      bool   `json:"noResume,omitempty"` // a session ends with its stream
 }
 
 // ApplicationSettings describe one application server.
@@ -72,6 +74,17 @@
 	RunMs      float64 `json:"runMs,omitempty" validate:"min=0,max=600000"`
 }
 
+// defaultResumeMs covers a ping of a silent connection (2 s) and a resumption after it.
+const defaultResumeMs = 5000
+
+// resumeTime returns the time for which a session whose stream was lost is kept.
+func (t EngineTimes) resumeTime() time.Duration {
+	if t.ResumeMs == 0 {
+		return milliseconds(defaultResumeMs)
+	}
+	return milliseconds(t.ResumeMs)
+}
+
 // milliseconds returns a duration of n ms.
 func milliseconds[N int | float64](n N) time.Duration {
 	return time.Duration(float64(n) * float64(time.Millisecond))
--- a/io/rockstandin/world.go
+++ b/io/rockstandin/world.go
@@ -62,6 +62,7 @@
 	Servers  rocktable.Table[string, Server]
 	Engines  rocktable.Table[string, Engine]
 	Sessions rocktable.Table[SessionID, Session]
+	Lost     rocktable.Table[SessionID, time.Time] // since when a session has no stream
 	Imports  rocktable.Table[ImportKey, KVCache]
 	Rows     rocktable.Table[RowKey, StoredRow]
 	Objects  rocktable.Table[string, []byte]
@@ -81,7 +82,8 @@
 type Inbox struct {
 	Opens   []OpenEvent
 	Steps   []StepEvent
-	Closes  []SessionID
+	Closes  []SessionID // canceled by the router
+	Losses  []SessionID // the connection was lost
 	Exports []ExportEvent
 	Imports []ImportEvent
 	Orders  []OrderEvent
@@ -117,6 +119,7 @@
 	GateCut   // drop everything in both directions
 	GateHeal  // end GateCut and reset the connections that it affected
 	GateMute  // drop everything on the connections that are open now, for good
+	GateReset // reset the connections that are open now
 	GateDelay // delay each answer
 )
 
@@ -292,6 +295,13 @@
 	Slot    bool // has a slot
 	Steps   int
 	Pending *PendingStep
+	Last    *EndedStep // nil before the first step has run
+}
+
+// EndedStep is the last step of a session that has run, kept with its answer for a router that did not receive it.
+type EndedStep struct {
+	Step  rockengine.Step
+	Reply rockengine.StepReply
 }
 
 // PendingStep is a step that waits for its batch or runs in it.
