Resume a stage's session instead of replaying the request

Cause: when a connection was lost or silent while the backend server was well, the router replayed the whole request on a new path, spent retry budget and booked a sign of a crash. The reason stageResumed counts each resumption; the gap of a resumed stream does not lower a concurrency limit.

--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -36,6 +36,7 @@
 	StageRefused      Code = "stageRefused"
 	StageUnreachable  Code = "stageUnreachable"
 	StageMisstep      Code = "stageMisstep"
+	StageResumed      Code = "stageResumed"
 	ServerUnreachable Code = "serverUnreachable"
 	LookupRepeated    Code = "lookupRepeated"
 	ClaimReadBack     Code = "claimReadBack"
@@ -261,6 +262,12 @@
 		Text:     "A backend server answered with the wrong index or position; the request is replayed on a new path.",
 		Operator: "Report it with the engine's version.",
 	},
+	{
+		Code: StageResumed, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
+		Title:    "Stage resumed",
+		Text:     "The connection to a backend server was lost or went silent in the middle of a request; the session goes on over a new connection, and nothing is run again.",
+		Operator: "If it recurs, check the network between the host and the backend server.",
+	},
 	{
 		Code: ServerUnreachable, Kind: Retry, Status: 0, Ran: Internal, TryAgain: true,
 		Title:    "Application server unreachable",
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -56,7 +56,9 @@
 		return
 	}
 	a.Progress = now
-	noteSlow(now, w, a, p.LargestGap)
+	if !p.Resumed {
+		noteSlow(now, w, a, p.LargestGap)
+	}
 	takeTokens(w, a, p.Tokens, p.FirstToken, p.LargestGap)
 }
 
@@ -98,7 +100,9 @@
 		w.Count(rockreason.LateEvent)
 		return
 	}
-	noteSlow(now, w, a, e.LargestGap)
+	if !e.Resumed {
+		noteSlow(now, w, a, e.LargestGap)
+	}
 	takeTokens(w, a, e.Tokens, e.FirstToken, e.LargestGap)
 	takeRoundTrips(w, e.RoundTrips)
 	r := w.Requests.Get(a.Request)
@@ -123,10 +127,10 @@
 
 func succeed(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.Ended) {
 	earn(w, r, a)
-	if r.Attempts == 1 && !e.FirstToken.IsZero() {
+	if r.Attempts == 1 && !e.FirstToken.IsZero() && !e.Resumed {
 		noteOpening(w.Pipelines.Get(r.Pipeline), e.FirstToken.Sub(a.Started))
 	}
-	slow := isSlow(w, r, e.LargestGap)
+	slow := !e.Resumed && isSlow(w, r, e.LargestGap)
 	for _, stage := range a.Path {
 		s := w.Servers.Get(stage.Server)
 		if s == nil {
--- a/core/rockroute/path_test.go
+++ b/core/rockroute/path_test.go
@@ -1,6 +1,7 @@
 package rockroute_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -115,6 +116,26 @@
 	}
 }
 
+// Guards against a backend server that gets less work because a connection to it failed and its session was resumed.
+func TestGapOfResumedStreamIsNoOverload(t *testing.T) {
+	for _, resumed := range []bool{true, false} {
+		f := newFleet(t, 1, 10, 1)
+		whole := f.end
+		f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+			e := whole(f, s)
+			e.LargestGap, e.Resumed = 2*time.Second, resumed
+			return e
+		}
+		id := f.ask(0, 0)
+		f.run(3*time.Second, nil)
+		f.wantCode(id, "")
+		lowered := slices.ContainsFunc(f.starts[0].Path, func(s rocktable.Stage) bool { return f.w.Servers.Get(s.Server).Limit > 0 })
+		if lowered == resumed {
+			t.Errorf("resumed %t: limit lowered %t", resumed, lowered)
+		}
+	}
+}
+
 // Guards against a prompt prefix that is computed again although an idle backend server has it.
 func TestCachedPrefixIsPreferred(t *testing.T) {
 	f := newFleet(t, 6, 40, 1)
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -43,6 +43,7 @@
 	Tokens     int       // delivered by this attempt so far
 	FirstToken time.Time // of the request; zero before it
 	LargestGap time.Duration
+	Resumed    bool // a session of the attempt was resumed, so that a gap says nothing about the load
 }
 
 // Ended reports the end of an attempt.
@@ -55,6 +56,7 @@
 	FirstToken time.Time
 	LargestGap time.Duration
 	RoundTrips []RoundTrip
+	Resumed    bool // as in Progress
 }
 
 // RoundTrip is a measured network round trip to a backend server.
--- a/io/rockstandin/resume.go
+++ b/io/rockstandin/resume.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// resumeSession moves a session to the stream of the event. The old stream may still be open, because a router finds a silent connection before the engine does.
+// resumeSession moves a session to the stream of the event. The old stream may still be open, because a router finds a silent connection before the engine does. A leaving engine resumes sessions as well, since they are no new work.
 func resumeSession(w *World, event OpenEvent) rockengine.OpenReply {
 	e := w.Engines.Get(event.Engine)
 	held := findSession(w, event)
--- a/io/rocktraffic/attempt.go
+++ b/io/rocktraffic/attempt.go
@@ -21,6 +21,8 @@
 	replay    []uint32 // tokens that earlier attempts delivered
 	sessions  []*rockengine.Session
 	positions []int // that each stage's KV cache holds
+	resumes   int   // tries to resume a session
+	resumed   bool  // a session was resumed
 	reported  time.Time
 }
 
@@ -115,7 +117,7 @@
 		limit = a.start.OpenLimit
 	}
 	var reply rockengine.StepReply
-	for i, session := range a.sessions {
+	for i := range a.sessions {
 		step := rockengine.Step{Index: index, Position: a.positions[i]}
 		if i == 0 {
 			step.Tokens = tokens
@@ -126,7 +128,7 @@
 			step.Activations = reply.Activations
 		}
 		var err error
-		reply, err = stepWithin(ctx, limit, session, step)
+		reply, err = a.runStage(ctx, limit, i, step)
 		if err != nil {
 			return reply, a.stepFailure(ctx, i, err)
 		}
@@ -135,12 +137,6 @@
 	return reply, nil
 }
 
-func stepWithin(ctx context.Context, limit time.Duration, s *rockengine.Session, step rockengine.Step) (rockengine.StepReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return s.Step(ctx, step)
-}
-
 func (a *attempt) stepFailure(ctx context.Context, i int, err error) *failure {
 	server := a.start.Path[i].Server
 	switch {
@@ -165,7 +161,7 @@
 	a.c.mu.Lock()
 	p := rocktable.Progress{
 		Attempt: a.start.Attempt, Tokens: a.c.stream.Delivered(),
-		FirstToken: a.c.stream.FirstToken, LargestGap: a.c.stream.LargestGap,
+		FirstToken: a.c.stream.FirstToken, LargestGap: a.c.stream.LargestGap, Resumed: a.resumed,
 	}
 	a.c.mu.Unlock()
 	a.c.t.Post(func(in *rocktable.Inbox) { in.Progress = append(in.Progress, p) })
@@ -175,7 +171,7 @@
 	a.c.mu.Lock()
 	e := rocktable.Ended{
 		Attempt: a.start.Attempt, Tokens: a.c.stream.Delivered(),
-		FirstToken: a.c.stream.FirstToken, LargestGap: a.c.stream.LargestGap,
+		FirstToken: a.c.stream.FirstToken, LargestGap: a.c.stream.LargestGap, Resumed: a.resumed,
 	}
 	a.c.mu.Unlock()
 	if fail != nil {
