Let a peer's socket be replaced

Cause: the bytes that connections between hosts add to messages can't be measured from outside of the process. Change: WithSocket wraps the socket before QUIC uses it.

--- a/io/rockpeer/peer.go
+++ b/io/rockpeer/peer.go
@@ -53,6 +53,7 @@
 
 	settings  Settings
 	socket    net.PacketConn
+	wrap      func(*net.UDPConn) net.PacketConn
 	transport *quic.Transport
 	listener  *quic.Listener
 
@@ -81,6 +82,11 @@
 	return func(p *Peer) { p.Count = count }
 }
 
+// WithSocket replaces the socket through which packets are sent, for instance by one that counts them.
+func WithSocket(wrap func(*net.UDPConn) net.PacketConn) Option {
+	return func(p *Peer) { p.wrap = wrap }
+}
+
 // New binds the address; messages are received when Run is called.
 func New(settings Settings, options ...Option) (*Peer, error) {
 	p := &Peer{
@@ -99,7 +105,7 @@
 	}
 	p.socket, p.Address = socket, socket.LocalAddr().String()
 	// One socket for both directions: the source address of a connection is then the peer's own address.
-	p.transport = &quic.Transport{Conn: socket}
+	p.transport = &quic.Transport{Conn: p.wrapped(socket)}
 	p.listener, err = p.transport.Listen(settings.Trust.tlsConfig(), quicConfig())
 	if err != nil {
 		_ = p.transport.Close()
@@ -109,6 +115,13 @@
 	return p, nil
 }
 
+func (p *Peer) wrapped(socket net.PacketConn) net.PacketConn {
+	if udp, ok := socket.(*net.UDPConn); ok && p.wrap != nil {
+		return p.wrap(udp)
+	}
+	return socket
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeLimit,
