Measure the cost of control operations by scale

Cause: nothing shows what a host spends at 340 hosts, 600 backend servers and 2,700 callers, or which system causes it.

--- /dev/null
+++ b/io/rockcost/bench_test.go
@@ -0,0 +1,54 @@
+package rockcost
+
+import (
+	"testing"
+
+	"sassafrasrock/core/rockinvariant"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/core/rocktick"
+)
+
+// The cost of each operation at each scale.
+func BenchmarkOperation(b *testing.B) {
+	for _, o := range Operations {
+		for _, scale := range Scales {
+			b.Run(o.Name+"/"+scale.String(), func(b *testing.B) {
+				b.ReportAllocs()
+				op := o.Prepare(NewFleet(scale, 1), 1000)
+				for i := 0; b.Loop(); i++ {
+					if o.Limited && i%900 == 899 {
+						b.StopTimer()
+						op = o.Prepare(NewFleet(scale, 1), 1000)
+						b.StartTimer()
+					}
+					op()
+				}
+			})
+		}
+	}
+}
+
+// The cost of each system in an idle tick, to find the cause of a cost.
+func BenchmarkSystem(b *testing.B) {
+	f := NewFleet(Full, 1)
+	f.Run(runningStreams)
+	for _, s := range rocktick.Systems {
+		b.Run(s.Name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.World.Outbox = rocktable.Outbox{}
+				s.Run(f.Now, f.World)
+			}
+		})
+	}
+	for _, inv := range rockinvariant.All {
+		b.Run(inv.Name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := inv.Check(f.Now, f.World); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
