Read the platform's list less often where there are many hosts

Cause: each host read the list every 2 s: at 340 hosts 170 reads/s in all, and 136 kB a read for each host, 68 kB/s against 4 kB/s for control, and 4.4 ms of processor time a read. Ruled out: the taking of the list in a tick; its decoding is the larger part. Change: the time between reads grows by HostListEvery for each 40 live hosts, as for the configuration row, with a random part. The first host that reads of a departure tells the others at once, as before. Fewer than 40 hosts read as often as before. The price: a host learns the address of a new or moved backend server after up to 27 s instead of 2 s at 340 hosts.

--- a/core/rockmember/fleet_test.go
+++ b/core/rockmember/fleet_test.go
@@ -80,6 +80,7 @@
 	claims  rows[rocktable.ClaimRow]
 	list    []rocktable.ListedHost
 	listOut bool
+	reads   int // of the list
 	engines map[string]*rocktable.EngineStatus
 	cut     func(a, b *host) bool
 	ordered []string // orders that engines took: name/fencing
@@ -196,6 +197,7 @@
 		in.ClaimResults = append(in.ClaimResults, f.claims.do(op))
 	}
 	for range out.ListReads {
+		f.reads++
 		in.HostLists = append(in.HostLists, rocktable.HostList{OK: !f.listOut, Entries: append([]rocktable.ListedHost(nil), f.list...)})
 	}
 	for _, p := range out.Probes {
--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -11,6 +11,8 @@
 	retention = 10 * time.Minute
 	// checkEvery is the time between searches for silent hosts.
 	checkEvery = 250 * time.Millisecond
+	// hostsPerRead is the number of live hosts for each HostListEvery between reads of the platform's list.
+	hostsPerRead = 40
 )
 
 // System keeps the tables of hosts and backend servers.
@@ -39,7 +41,7 @@
 	}
 	if !w.ListState.Pending && !now.Before(w.ListState.Next) {
 		w.ListState.Pending = true
-		w.ListState.Next = now.Add(w.Limits.HostListEvery)
+		w.ListState.Next = now.Add(listEvery(w))
 		w.Outbox.ListReads++
 	}
 	w.WakeAt(w.ListState.Next)
@@ -50,6 +52,23 @@
 	gossip(now, w)
 }
 
+// listEvery returns the time to the next read of the platform's list. It grows with the number of live hosts, because
+// the first host that reads of a departure tells the others at once, and the list of a large installation is more than
+// a hundred kilobytes long. The times are random, so that hosts that started together do not read together.
+func listEvery(w *rocktable.World) time.Duration {
+	live := 0
+	for _, h := range w.Hosts.All() {
+		if h.State == rocktable.StateLive {
+			live++
+		}
+	}
+	every := w.Limits.HostListEvery * time.Duration(1+live/hostsPerRead)
+	if every == w.Limits.HostListEvery {
+		return every
+	}
+	return every/2 + time.Duration(w.Rand.Int64N(int64(every)))
+}
+
 // takeList takes the platform's list over; an entry that is missing stays in use while it answers, because the list lags.
 func takeList(now time.Time, w *rocktable.World, entries []rocktable.ListedHost) {
 	for _, h := range w.Hosts.All() {
--- a/core/rockmember/member_test.go
+++ b/core/rockmember/member_test.go
@@ -237,6 +237,23 @@
 	}
 }
 
+// Guards against reads of the list that grow with each host of a large fleet, and against a departure that only the list tells and that then spreads late.
+func TestLargeFleetSharesTheList(t *testing.T) {
+	f := newFleet(t, 3, 40, 2)
+	f.run(30 * time.Second)
+	f.reads = 0
+	f.run(20 * time.Second)
+	// 120 hosts that each read every 2 s would read 1,200 times.
+	if f.reads < 150 || f.reads > 450 {
+		t.Errorf("%d reads of the list in 20 s, want about 300", f.reads)
+	}
+	f.entry("runner-1-0").State = "leaving"
+	isLeaving := func(h *host) bool { return h.state("runner-1-0") == rocktable.StateLeaving }
+	if !f.until(3*time.Second, func() bool { return f.all(isLeaving) }) {
+		t.Error("not every host knows within 3 s that the list says leaving")
+	}
+}
+
 // Guards against a shutdown that peers learn late, and one that ends before the lease is released.
 func TestShutdown(t *testing.T) {
 	f := newFleet(t, 1, 4, 2)
