--- a/io/rockcost/bench_test.go
+++ b/io/rockcost/bench_test.go
@@ -1,11 +1,13 @@
 package rockcost
 
 import (
+	"fmt"
 	"testing"
 
 	"sassafrasrock/core/rockinvariant"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/core/rocktick"
+	"sassafrasrock/io/rockexperiment"
 )
 
 // The cost of each operation at each scale.
@@ -52,3 +54,20 @@
 		})
 	}
 }
+
+// The whole experiment, with its records in the log, for docs/CAPACITY.md.
+func BenchmarkExperiment(b *testing.B) {
+	for b.Loop() {
+		records, err := Experiment.Run(1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, r := range records {
+			verdict := ""
+			if r.Relation != rockexperiment.None {
+				verdict = fmt.Sprintf("%s %g: met = %t", r.Relation, r.Target, r.Met)
+			}
+			b.Logf("%-70s %12.4f %-5s %12.4f %s", r.Measure, r.Policy, r.Unit, r.BaselineValue, verdict)
+		}
+	}
+}
--- a/io/rockcost/operation.go
+++ b/io/rockcost/operation.go
@@ -31,6 +31,12 @@
 		Prepare: prepareIdle,
 		Rate:    deadlinesPerSecond,
 	},
+	{
+		Name:    "reconcile",
+		Doc:     "A tick in which the holder of the lease compares the engines of its data centre with the placements.",
+		Prepare: prepareReconcile,
+		Rate:    func(Scale) float64 { return 0 }, // one host of a data centre, 4 times a second
+	},
 	{
 		Name:    "queuedTick",
 		Doc:     "An idle tick with 10,000 requests waiting, as in a flood.",
@@ -107,8 +113,8 @@
 // progressEvery is the time between two reports of progress of one stream in io/rocktraffic.
 const progressEvery = 250 * time.Millisecond
 
-// deadlinesPerSecond counts the ticks for the search for silent hosts, the queues and the lease.
-func deadlinesPerSecond(Scale) float64 { return 5 }
+// deadlinesPerSecond counts the ticks for the search for silent hosts, for the lease, and for probes that are due.
+func deadlinesPerSecond(s Scale) float64 { return 5 + ProbesPerSecond(s) }
 
 func requestsPerSecond(s Scale) float64 { return RequestsPerSecond / float64(s.Hosts) }
 
@@ -163,6 +169,17 @@
 	return func() { f.Tick() }
 }
 
+func prepareReconcile(f *Fleet, _ int) func() {
+	f.Run(runningStreams)
+	l := &f.World.Lease
+	l.Held, l.Fencing, l.Pending = true, 12, 0
+	l.Until, l.Next = f.Now.Add(time.Hour), f.Now.Add(time.Hour)
+	return func() {
+		l.ReconcileAt = time.Time{}
+		f.Tick()
+	}
+}
+
 // floodWaiting is the number of waiting requests of one host in a flood; a rank's queue holds as many by default.
 const floodWaiting = 10000
 
--- a/io/rockcost/scale.go
+++ b/io/rockcost/scale.go
@@ -137,7 +137,7 @@
 	for i := range f.Scale.Callers {
 		name := fmt.Sprintf("organisation-%04d", i)
 		cfg.Callers = append(cfg.Callers, rocktable.CallerConfig{
-			Name: name, TokenSHA256: fmt.Sprintf("%x", sha256.Sum256([]byte(name))), Weight: 1, TokensPerSecond: 1e6, Burst: 1e7,
+			Name: name, TokenSHA256: fmt.Sprintf("%x", sha256.Sum256([]byte(name))), Weight: 1, TokensPerSecond: 1e9, Burst: 1e10,
 			Ranks: []string{"urgent", "ordinary"},
 		})
 	}
