Measure throughput against the bound of the fleet in virtual time

There was no measurement of the decision code as a whole. rockfleet runs the systems of several hosts against engines that batch like those of rockstandin, but compute nothing; rockmeasure holds the experiments and the command. rocktick.RunList and rockroute.SystemWith let a baseline replace a decision.

--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -99,8 +99,8 @@
 	return float64(max(known, s.Status.Active+s.Status.Queued+s.SentSince+s.PeerSent))
 }
 
-// isFree reports whether a backend server has a place for the request.
-func isFree(_ *rocktable.World, s *rocktable.BackendServer, r *rocktable.Request) bool {
+// IsFree reports whether a backend server has a place for the request.
+func IsFree(_ *rocktable.World, s *rocktable.BackendServer, r *rocktable.Request) bool {
 	if s.Exclusive != 0 && s.Exclusive != r.ID {
 		return false
 	}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -21,10 +21,24 @@
 var System = rocktable.System{
 	Name: "rockroute",
 	Doc:  "Finds a path for each waiting request, in the order of rockadmit, and starts it.",
-	Run:  run,
+	Run:  func(now time.Time, w *rocktable.World) { run(now, w, cheapest) },
 }
 
-func run(now time.Time, w *rocktable.World) {
+// Find returns a path for a request over free backend servers, or nil.
+type Find func(now time.Time, w *rocktable.World, f *Field, r *rocktable.Request) []rocktable.Stage
+
+// SystemWith returns the system with another choice of paths, except for suspects, which run alone.
+func SystemWith(choose Find) rocktable.System {
+	s := System
+	s.Run = func(now time.Time, w *rocktable.World) { run(now, w, choose) }
+	return s
+}
+
+func cheapest(now time.Time, w *rocktable.World, f *Field, r *rocktable.Request) []rocktable.Stage {
+	return f.Path(now, w, r, IsFree)
+}
+
+func run(now time.Time, w *rocktable.World, choose Find) {
 	noteProbes(w)
 	all := mayHaveFreed(w)
 	var due []*rocktable.Pipeline
@@ -44,7 +58,7 @@
 	fields := newFields(w, due)
 	for i, p := range due {
 		p.TriedAt, p.Freed = now, false
-		serve(now, w, p, fields[i])
+		serve(now, w, p, fields[i], choose)
 	}
 }
 
@@ -70,11 +84,11 @@
 }
 
 // serve starts requests of a pipeline until no place or no request is left.
-func serve(now time.Time, w *rocktable.World, p *rocktable.Pipeline, f *Field) {
+func serve(now time.Time, w *rocktable.World, p *rocktable.Pipeline, f *Field, choose Find) {
 	turn := rockadmit.NewTurn(now, w, p)
 	checked := false
 	for r := turn.Next(now, w); r != nil; r = turn.Next(now, w) {
-		path := find(now, w, f, p, r)
+		path := find(now, w, f, p, r, choose)
 		if path != nil {
 			p.NoPathSince = time.Time{}
 			turn.Take(now, w, r)
@@ -130,14 +144,14 @@
 	}
 }
 
-func find(now time.Time, w *rocktable.World, f *Field, p *rocktable.Pipeline, r *rocktable.Request) []rocktable.Stage {
+func find(now time.Time, w *rocktable.World, f *Field, p *rocktable.Pipeline, r *rocktable.Request, choose Find) []rocktable.Stage {
 	if r.Alone {
 		if rockcrash.MustWait(w, r.Fingerprint) {
 			return nil
 		}
 		return f.alonePath(now, w, p, r)
 	}
-	return f.Path(now, w, r, isFree)
+	return choose(now, w, f, r)
 }
 
 // FindPath returns the cheapest path for the request, or nil if no free backend servers cover every layer.
@@ -146,7 +160,7 @@
 	if p == nil {
 		return nil
 	}
-	return find(now, w, newFields(w, []*rocktable.Pipeline{p})[0], p, r)
+	return find(now, w, newFields(w, []*rocktable.Pipeline{p})[0], p, r, cheapest)
 }
 
 func start(now time.Time, w *rocktable.World, r *rocktable.Request, path []rocktable.Stage) {
--- a/core/rocktick/tick.go
+++ b/core/rocktick/tick.go
@@ -46,9 +46,12 @@
 }
 
 // Run takes the World's inbox, runs every system over it, checks the invariants and returns the actions.
-func Run(now time.Time, w *rocktable.World) Result {
+func Run(now time.Time, w *rocktable.World) Result { return RunList(now, w, Systems) }
+
+// RunList is Run with another list of systems, for measurements that replace a decision.
+func RunList(now time.Time, w *rocktable.World, systems []rocktable.System) Result {
 	w.Outbox = rocktable.Outbox{}
-	for _, s := range Systems {
+	for _, s := range systems {
 		s.Run(now, w)
 	}
 	result := Result{Violations: check(now, w)}
--- /dev/null
+++ b/io/rockmeasure/all.go
@@ -0,0 +1,13 @@
+package rockmeasure
+
+import "sassafrasrock/io/rockexperiment"
+
+// All lists every experiment at full size.
+var All = Experiments(Full)
+
+// Experiments returns every experiment at a size.
+func Experiments(size Size) []rockexperiment.Experiment {
+	return []rockexperiment.Experiment{
+		throughput(size),
+	}
+}
