Count the reported sessions of other hosts against the slots of an engine

A session that waits for a slot of one stage holds its slots of the other stages idle. A place is now free only if it is free by the last report too: the sessions in it less the attempts of this host at that time.

--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -104,7 +104,9 @@
 	if s.Exclusive != 0 && s.Exclusive != r.ID {
 		return false
 	}
-	if s.InFlight+s.PeerFlight >= s.Status.Slots {
+	// Peers tell their load once a second and only for some backend servers; the report counts all sessions but lags.
+	// A session that waits for a slot of one stage holds its slots of the others idle.
+	if s.InFlight+max(s.PeerFlight, s.Others) >= s.Status.Slots {
 		return false
 	}
 	// Limit is 0 until the first decrease.
--- a/core/rockroute/order_test.go
+++ b/core/rockroute/order_test.go
@@ -193,3 +193,18 @@
 		t.Errorf("tally %+v, want one refused", got)
 	}
 }
+
+// Guards against sessions that wait for a slot of one stage and hold their slots of the others idle:
+// peers' load is known late and for few backend servers, so the sessions in the report count too.
+func TestReportedSessionsOfOthersTakeSlots(t *testing.T) {
+	f := newFleet(t, 2, 4, 1)
+	full := f.w.Servers.Get(1)
+	full.Others = 4
+	for range 4 {
+		f.ask(0, 0)
+	}
+	f.step()
+	if full.InFlight != 0 || len(f.starts) != 4 {
+		t.Errorf("%d attempts on the full backend server and %d starts, want 0 and 4", full.InFlight, len(f.starts))
+	}
+}
