Measure service by rank in a flood of background and of urgent work

Five times the bound of the fleet arrives at two hosts, beside 0.2, 0.2 and 0.15 times the bound of urgent, ordinary and background work.

--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -9,5 +9,6 @@
 func Experiments(size Size) []rockexperiment.Experiment {
 	return []rockexperiment.Experiment{
 		throughput(size),
+		flood(size),
 	}
 }
--- a/io/rockmeasure/fleet.go
+++ b/io/rockmeasure/fleet.go
@@ -161,3 +161,18 @@
 func sortAsks(asks []rockfleet.Ask) {
 	slices.SortStableFunc(asks, func(a, b rockfleet.Ask) int { return cmp.Compare(a.At, b.At) })
 }
+
+func harmattan(int) string { return "harmattan" }
+
+// before returns the systems of a tick with another one before the named one.
+func before(name string, s rocktable.System) []rocktable.System {
+	list := slices.Clone(rocktick.Systems)
+	i := slices.IndexFunc(list, func(s rocktable.System) bool { return s.Name == name })
+	return slices.Insert(list, i, s)
+}
+
+// isKept reports whether a request was served: whole and within the target of its rank.
+func isKept(f *rockfleet.Fleet, i int) bool {
+	a, r := f.Answers[i], ranks[f.Options.Load[i].Rank]
+	return a.At > 0 && a.Reason == "" && a.FirstToken <= r.FirstToken() && a.LargestGap <= r.Gap()
+}
