Shed a waiting request when it can't meet its first-token target any more

Requests waited for up to twice their target, and in a flood a third of the places went to answers that were late. The limit is now the target less the time from the start of an attempt to its first token.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -17,8 +17,6 @@
 	targetPart = 0.85
 	// maxFloors limits the part of the rate that the floors of lower ranks take in the estimate, for configurations whose floors sum up to more than the whole.
 	maxFloors = 0.9
-	// lateFactor is the multiple of the first-token target after which a waiting request is shed: its answer could not count any more.
-	lateFactor = 2
 )
 
 // System admits and queues requests.
@@ -253,13 +251,12 @@
 	return true
 }
 
-// expire sheds the requests of a rank that have waited so long that their target is missed by much.
+// expire sheds the requests of a rank that have waited so long that they can't meet their target any more: others that can would wait for the places that they take.
 func expire(now time.Time, w *rocktable.World, rank *rocktable.Rank) {
-	limit := lateFactor * rank.Config.FirstToken()
 	for len(rank.Expiry) > 0 {
 		r := w.Requests.Get(rank.Expiry[0])
 		if r != nil && r.Waiting && !r.MayHaveRun {
-			late := r.Arrived.Add(limit)
+			late := r.Arrived.Add(lastStart(w, r, rank))
 			if now.Before(late) {
 				w.WakeAt(late)
 				return
@@ -270,3 +267,14 @@
 		rank.Expiry = rank.Expiry[1:]
 	}
 }
+
+// lastStart returns the time after the arrival by which a request has to start to meet its first-token target.
+func lastStart(w *rocktable.World, r *rocktable.Request, rank *rocktable.Rank) time.Duration {
+	target := rank.Config.FirstToken()
+	p := w.Pipelines.Get(r.Pipeline)
+	if p == nil {
+		return target
+	}
+	// A pipeline that is slower than the target still serves.
+	return target - min(p.Opening, target/2)
+}
