Let the floor of a rank hold on average

A rank took precedence only while it was below its floor, so that its share stayed below the floor on average. It now takes precedence up to 1.1 times the floor; the test of floors asks for the whole floor instead of nine tenths.

--- a/core/rockadmit/order.go
+++ b/core/rockadmit/order.go
@@ -14,6 +14,8 @@
 	floorWindow = 4 * time.Second
 	// busyWindow is the time constant, in seconds with a backlog, of the service rate.
 	busyWindow = 4.0
+	// floorMargin is the factor of a floor up to which a rank takes precedence. A rank is served when it is below the limit, so that its share stays a little below the limit on average.
+	floorMargin = 1.1
 	// frontTries limits the requeued requests and suspects of one lane that are tried in one tick.
 	frontTries = 16
 )
@@ -95,7 +97,7 @@
 			urgent = i
 			continue
 		}
-		if lane.Started < w.Ranks.Get(rocktable.RankID(i)).Config.Floor*total {
+		if lane.Started < floorMargin*w.Ranks.Get(rocktable.RankID(i)).Config.Floor*total {
 			return i
 		}
 	}
--- a/core/rockroute/order_test.go
+++ b/core/rockroute/order_test.go
@@ -18,8 +18,8 @@
 	})
 	total := f.tally(0, 0).Answered + f.tally(1, 1).Answered + f.tally(2, 2).Answered
 	for rank := rocktable.RankID(1); rank <= 2; rank++ {
-		if got := f.tally(int(rank), rank).Answered; got*100 < 9*total {
-			t.Errorf("rank %d: %d of %d answers, want at least 9%% for a floor of 10%%", rank, got, total)
+		if got := f.tally(int(rank), rank).Answered; got*10 < total {
+			t.Errorf("rank %d: %d of %d answers, want at least the floor of 10%%", rank, got, total)
 		}
 	}
 	if got := f.tally(0, 0).Answered; got*100 < 70*total {
