--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -10,5 +10,6 @@
 	return []rockexperiment.Experiment{
 		throughput(size),
 		flood(size),
+		fairness(size),
 	}
 }
