Measure gaps of streams and goodput after a fault

A stage dies, a link degrades, a host joins, or a data centre is cut off from the others, each under 1.3 times the bound.

--- a/io/rockfleet/fleet.go
+++ b/io/rockfleet/fleet.go
@@ -154,6 +154,7 @@
 	Started int             // attempts
 	Failed  error           // a violated invariant
 	Cut     map[string]bool // data centres that are cut off from the others
+	CutAt   time.Time       // last change of Cut by CutOff
 	Slow    map[string]int  // factor of the link to an engine
 
 	messages messages
@@ -296,6 +297,9 @@
 
 func (f *Fleet) passes(a, b string) bool { return a == b || !f.Cut[a] && !f.Cut[b] }
 
+// CutOff cuts a data centre off from the others.
+func (f *Fleet) CutOff(centre string) { f.Cut[centre], f.CutAt = true, f.Now }
+
 func (f *Fleet) fail(format string, args ...any) {
 	if f.Failed == nil {
 		f.Failed = fmt.Errorf(format, args...)
--- a/io/rockfleet/run.go
+++ b/io/rockfleet/run.go
@@ -7,8 +7,13 @@
 	"sassafrasrock/core/rocktable"
 )
 
-// progressEvery is the least time between two reports of progress, as in rocktraffic.
-const progressEvery = 250 * time.Millisecond
+const (
+	// progressEvery is the least time between two reports of progress, as in rocktraffic.
+	progressEvery = 250 * time.Millisecond
+	// silence is the time after which a silent connection is closed with its calls, and dialTimeout the wait for a new one, as in rockengine.
+	silence     = 2 * time.Second
+	dialTimeout = time.Second
+)
 
 // RunKey identifies an attempt within the fleet.
 type RunKey struct {
@@ -58,7 +63,8 @@
 		d, ok := f.link(f.Hosts[host], f.engine(stage))
 		if !ok {
 			run.Stage = i
-			return // the deadline ends it
+			f.loseOpening(key, stage)
+			return
 		}
 		slowest = max(slowest, d)
 	}
@@ -102,11 +108,38 @@
 	e := f.engine(run.Start.Path[run.Stage])
 	d, ok := f.link(f.Hosts[key.Host], e)
 	if !ok {
+		f.loseStep(run)
 		return
 	}
 	f.after(d, func(f *Fleet) { f.takeStep(key, e) })
 }
 
+// loseStep ends a run whose step or answer was lost, when its connection is found silent.
+func (f *Fleet) loseStep(run *Run) {
+	key, stage, index := run.Key, run.Stage, run.Index
+	f.after(silence, func(f *Fleet) {
+		run := f.Runs.Get(key)
+		if run == nil || run.Stage != stage || run.Index != index {
+			return
+		}
+		f.endRun(run, rockreason.StageDied, run.Start.Path[stage].Server, true)
+	})
+}
+
+// loseOpening ends a run that can't open a session: the first ones use the silent connection, later ones dial.
+func (f *Fleet) loseOpening(key RunKey, stage rocktable.Stage) {
+	lost := f.Now.Sub(f.CutAt) < silence
+	wait := dialTimeout
+	if lost {
+		wait = silence
+	}
+	f.after(wait, func(f *Fleet) {
+		if run := f.Runs.Get(key); run != nil {
+			f.endRun(run, rockreason.StageUnreachable, stage.Server, lost)
+		}
+	})
+}
+
 func (f *Fleet) takeStep(key RunKey, e *Engine) {
 	run := f.Runs.Get(key)
 	if run == nil || e.Down {
@@ -132,6 +165,7 @@
 	}
 	d, ok := f.link(f.Hosts[key.Host], e)
 	if !ok {
+		f.loseStep(run)
 		return
 	}
 	f.after(d, func(f *Fleet) { f.takeResult(key) })
--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -11,5 +11,6 @@
 		throughput(size),
 		flood(size),
 		fairness(size),
+		recovery(size),
 	}
 }
