Keep silent connections from making backend servers count as down

Two faults that silent connections show with real processes:

The status of an engine was asked for over the connection that had gone silent until its ping limit closed it, about 2 s. Three failed probes in a row make a backend server count as down, and with other work on the machine the third one still used that connection. Ruled out: the list and gossip, whose reports did not change. After a failure the status is now asked for over a new connection, until one succeeds.

Connections to the platform go silent together, and each of them cost an operation its whole time of 2 s, so that calls were refused after two of them. An operation that runs out of time now closes the idle ones.

--- a/io/rockengine/client.go
+++ b/io/rockengine/client.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,8 @@
 type client struct {
 	options   Options
 	transport *http.Transport
+	fresh     *http.Transport // opens a connection for each call
+	doubted   sync.Map        // addresses whose last status call failed
 }
 
 // New returns an Engine that uses HTTP/2 without TLS.
@@ -64,7 +67,8 @@
 	for _, option := range options {
 		option(&o)
 	}
-	c := &client{options: o, transport: newTransport(o)}
+	c := &client{options: o, transport: newTransport(o), fresh: newTransport(o)}
+	c.fresh.DisableKeepAlives = true
 	return &Engine{
 		Open:        c.open,
 		Status:      c.status,
@@ -123,6 +127,10 @@
 
 // call sends one request and decodes a JSON answer of at most limit bytes.
 func call[Q, R any](ctx context.Context, c *client, method, address, path string, q *Q, limit int) (R, time.Duration, error) {
+	return callOver[Q, R](ctx, c, c.transport, method, address, path, q, limit)
+}
+
+func callOver[Q, R any](ctx context.Context, c *client, transport *http.Transport, method, address, path string, q *Q, limit int) (R, time.Duration, error) {
 	var reply R
 	ctx, trace := withTrace(ctx)
 	var body io.Reader
@@ -141,7 +149,7 @@
 	if err != nil {
 		return reply, 0, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return reply, 0, trace.classify(err)
 	}
@@ -163,8 +171,20 @@
 
 func target(address, path string) string { return "http://" + address + path }
 
+// status asks over a new connection after a failure: a connection that went silent fails several calls before its ping
+// limit closes it, and must not make the engine count as down.
 func (c *client) status(ctx context.Context, address string) (rocktable.EngineStatus, time.Duration, error) {
-	return call[struct{}, rocktable.EngineStatus](ctx, c, http.MethodGet, address, "/v1/status", nil, c.options.MaxLine)
+	transport := c.transport
+	if _, doubted := c.doubted.Load(address); doubted {
+		transport = c.fresh
+	}
+	reply, roundTrip, err := callOver[struct{}, rocktable.EngineStatus](ctx, c, transport, http.MethodGet, address, "/v1/status", nil, c.options.MaxLine)
+	if err != nil {
+		c.doubted.Store(address, true)
+	} else {
+		c.doubted.Delete(address)
+	}
+	return reply, roundTrip, err
 }
 
 func (c *client) order(ctx context.Context, address string, req OrderRequest) (OrderReply, error) {
--- a/io/rockplatform/client.go
+++ b/io/rockplatform/client.go
@@ -88,6 +88,10 @@
 		GotConn: func(httptrace.GotConnInfo) { handed.Store(true) },
 	})
 	fail := func(err error) error {
+		if ctx.Err() != nil {
+			// A connection that went silent is most often not the only one; each of the others would cost an operation its whole time.
+			c.transport.CloseIdleConnections()
+		}
 		if handed.Load() && method != http.MethodGet {
 			return fmt.Errorf("%w: %w", ErrUnclear, err)
 		}
--- a/io/rockprocess/caller_test.go
+++ b/io/rockprocess/caller_test.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sassafrasrock/io/rockhttp"
@@ -134,9 +137,13 @@
 	return a, sent
 }
 
-// check fails the test unless the answer is whole and that of an undisturbed run.
-func (f *fleet) check(a answer, prompt string, maxTokens int) {
+// check fails the test unless the answer is whole and that of an undisturbed run, or ends with one of the codes.
+func (f *fleet) check(a answer, prompt string, maxTokens int, codes ...string) {
 	f.t.Helper()
+	if !a.whole && slices.Contains(codes, a.code) {
+		f.t.Logf("answer to %q: %d tokens, code %q", prompt, a.tokens, a.code)
+		return
+	}
 	text := rockhttp.Prompt([]rockhttp.ChatMessage{{Role: "user", Content: prompt}})
 	want := strings.Join(rockstandin.Expected(model, layers, text, maxTokens), "")
 	if !a.whole || a.text != want {
@@ -144,3 +151,37 @@
 			prompt, a.status, a.whole, a.code, a.err, len(a.text), len(want))
 	}
 }
+
+// streams sends n requests at once over some hosts, returns when each of them has got the given number of tokens, and checks in the background that every answer is whole or ends with one of the codes.
+func (f *fleet) streams(hosts []*host, n, tokens, begun int, codes ...string) *sync.WaitGroup {
+	f.t.Helper()
+	var group sync.WaitGroup
+	var count atomic.Int32
+	for i := range n {
+		group.Go(func() {
+			prompt := fmt.Sprintf("a long answer %d", i)
+			a := f.chat(hosts[i%len(hosts)], prompt, tokens, func(got int) {
+				if got == begun {
+					count.Add(1)
+				}
+			})
+			f.check(a, prompt, tokens, codes...)
+		})
+	}
+	eventually(f.t, "the streams have begun", func() bool { return int(count.Load()) == n })
+	return &group
+}
+
+// holding waits until the hosts hold at least n requests and calls together.
+func (f *fleet) holding(n int) {
+	f.t.Helper()
+	eventually(f.t, fmt.Sprintf("the hosts hold %d requests", n), func() bool {
+		held := 0
+		for _, h := range f.hosts {
+			if s, err := f.status(h); err == nil {
+				held += int(s.GetRequests())
+			}
+		}
+		return held >= n
+	})
+}
--- a/io/rockprocess/process_test.go
+++ b/io/rockprocess/process_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -154,3 +155,18 @@
 	}
 	return p.cmd.ProcessState.ExitCode()
 }
+
+// logged returns how many lines of the log contain all words.
+func (p *process) logged(words ...string) int {
+	n := 0
+	for line := range strings.Lines(p.log.String()) {
+		all := true
+		for _, word := range words {
+			all = all && strings.Contains(line, word)
+		}
+		if all {
+			n++
+		}
+	}
+	return n
+}
--- a/io/rockprocess/shutdown_test.go
+++ b/io/rockprocess/shutdown_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 )
@@ -17,34 +16,17 @@
 	f := p.start(t)
 	leaving := f.hosts[0]
 	const streams, calls, tokens = 10, 4, 400
-	var group sync.WaitGroup
-	var stop sync.Once
-	var stopped atomic.Bool
-	for i := range streams {
+	group := f.streams(f.hosts[:1], streams, tokens, 30)
+	for k := range calls {
+		key := fmt.Sprintf("k-%d", k)
 		group.Go(func() {
-			prompt := fmt.Sprintf("a long answer %d", i)
-			a := f.chat(leaving, prompt, tokens, func(n int) {
-				if n != 30 {
-					return
-				}
-				stop.Do(func() {
-					for k := range calls {
-						key := fmt.Sprintf("k-%d", k)
-						group.Go(func() {
-							if a := f.call(leaving, key, k); !a.whole {
-								t.Errorf("%s under the shutdown: status %d, code %q, error %v", key, a.status, a.code, a.err)
-							}
-						})
-					}
-					eventually(t, "the calls run", func() bool { s, err := f.status(leaving); return err == nil && s.GetRequests() >= calls })
-					leaving.signal(syscall.SIGTERM)
-					stopped.Store(true)
-				})
-			})
-			f.check(a, prompt, tokens)
+			if a := f.call(leaving, key, k); !a.whole {
+				t.Errorf("%s under the shutdown: status %d, code %q, error %v", key, a.status, a.code, a.err)
+			}
 		})
 	}
-	eventually(t, "the stop begins", stopped.Load)
+	f.holding(streams + calls)
+	leaving.signal(syscall.SIGTERM)
 	eventually(t, "new work is refused", func() bool {
 		a := f.chat(leaving, "late", 2, nil)
 		return a.err != nil || a.code == "shuttingDown"
