Reach a peer that was killed and started again at its address

Cause: messages went on over the connection to the killed process. QUIC gets no word of a process that died, so that the connection lasted for its idle limit of 30 s; a connection that the new process opened was not used, because one for its address was known.

Ruled out: the certificate and the address, which a restart keeps; the messages of the restarted host to others arrived.

Change: a connection that a peer opens replaces the earlier one for messages to it.

--- a/io/rockpeer/peer.go
+++ b/io/rockpeer/peer.go
@@ -156,12 +156,13 @@
 	p.tasks.Wait()
 }
 
-// adopt makes a connection that a peer opened usable for messages to it.
+// adopt makes a connection that a peer opened the one for messages to it. A peer with a working connection opens no second
+// one, so that an earlier one is most often to a process that has died, which shows only after the idle limit.
 func (p *Peer) adopt(conn *quic.Conn) {
 	address := conn.RemoteAddr().String()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conns == nil || p.conns[address] != nil {
+	if p.conns == nil {
 		return
 	}
 	l := &link{ready: make(chan struct{}), conn: conn}
--- a/io/rockpeer/peer_test.go
+++ b/io/rockpeer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	got    chan rocktable.PeerMessage
 	counts chan rockreason.Code
 	stop   func()
+	killed atomic.Bool // its socket was closed under it
 }
 
 func newRoot(t *testing.T) *Root {
@@ -48,7 +50,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := e.Run(ctx); err != nil {
+		if err := e.Run(ctx); err != nil && !e.killed.Load() {
 			t.Errorf("run: %v", err)
 		}
 	}()
@@ -188,3 +190,24 @@
 		t.Error("a message to nobody was sent")
 	}
 }
+
+// Guards against messages to a host that was killed and started again at its address: they must not go on over the dead connection, which ends after its idle limit only.
+func TestRestartedPeerIsReached(t *testing.T) {
+	root := newRoot(t)
+	a, b := open(t, root, "127.0.0.1:0"), open(t, root, "127.0.0.1:0")
+	if err := send(t, a, b, full()); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, b.got)
+	b.killed.Store(true)
+	_ = b.socket.Close() // no word of the end reaches a, as after a kill
+	next := open(t, root, b.Address)
+	if err := send(t, next, a, full()); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, a.got)
+	if err := send(t, a, next, full()); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, next.got)
+}
