--- a/io/rockprocess/fleet_test.go
+++ b/io/rockprocess/fleet_test.go
@@ -50,10 +50,11 @@
 
 // plan is what a fleet starts with.
 type plan struct {
-	hosts   int
-	standin rockstandin.Settings
-	limits  rocksettings.Limits
-	config  rocktable.Configuration
+	hosts     int
+	bodyLimit int64 // 0 means the default
+	standin   rockstandin.Settings
+	limits    rocksettings.Limits
+	config    rocktable.Configuration
 }
 
 // newPlan returns n hosts before two backend servers for each of three layer ranges and two application servers.
@@ -110,7 +111,7 @@
 		t.Fatal(err)
 	}
 	for _, name := range names[1:] {
-		f.addHost(name, trust, p.limits)
+		f.addHost(name, trust, p)
 	}
 	// A restarted host finds each of the others.
 	for _, h := range f.hosts {
@@ -131,7 +132,7 @@
 	return f
 }
 
-func (f *fleet) addHost(name, trust string, limits rocksettings.Limits) {
+func (f *fleet) addHost(name, trust string, p *plan) {
 	f.t.Helper()
 	h := &host{settings: rocksettings.Daemon{
 		Host: name, DataCentre: "yoff", Region: "dakar", PlatformURL: "http://" + f.platform,
@@ -139,7 +140,7 @@
 		PeerTLS: rocksettings.TLSFiles{
 			CertFile: filepath.Join(trust, name+".crt"), KeyFile: filepath.Join(trust, name+".key"), CAFile: filepath.Join(trust, rockpeer.RootFile),
 		},
-		Limits: limits,
+		BodyLimit: p.bodyLimit, Limits: p.limits,
 	}}
 	for _, other := range f.hosts {
 		h.settings.SeedPeers = append(h.settings.SeedPeers, other.settings.PeersAddress)
@@ -240,8 +241,8 @@
 	return response.StatusCode
 }
 
-// counter returns a counter of a host as published at /debug/vars.
-func (f *fleet) counter(h *host, code rockreason.Code) int {
+// counters returns the counters of a host as published at /debug/vars.
+func (f *fleet) counters(h *host) map[rockreason.Code]int {
 	f.t.Helper()
 	var vars struct {
 		Hosts map[string]struct {
@@ -249,7 +250,7 @@
 		} `json:"sassafrasrock"`
 	}
 	f.get("http://"+h.settings.OperatorsAddress+"/debug/vars", &vars)
-	return vars.Hosts[h.settings.Host].Reasons[code]
+	return vars.Hosts[h.settings.Host].Reasons
 }
 
 // noViolation fails the test if a host that runs counted the violation of an invariant.
@@ -259,7 +260,7 @@
 		if !h.isRunning() {
 			continue
 		}
-		if n := f.counter(h, rockreason.InvariantViolated); n > 0 {
+		if n := f.counters(h)[rockreason.InvariantViolated]; n > 0 {
 			f.t.Errorf("%s counted %d violations of invariants", h.settings.Host, n)
 		}
 	}
