--- a/io/rockengine/client.go
+++ b/io/rockengine/client.go
@@ -153,6 +153,10 @@
 
 // call sends one request and decodes a JSON answer of at most limit bytes.
 func call[Q, R any](ctx context.Context, c *client, method, address, path string, q *Q, limit int) (R, time.Duration, error) {
+	return callOver[Q, R](ctx, c.transport(address), method, address, path, q, limit)
+}
+
+func callOver[Q, R any](ctx context.Context, transport *http.Transport, method, address, path string, q *Q, limit int) (R, time.Duration, error) {
 	var reply R
 	ctx, trace := withTrace(ctx)
 	var body io.Reader
@@ -171,7 +175,7 @@
 	if err != nil {
 		return reply, 0, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	resp, err := c.transport(address).RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return reply, 0, trace.classify(err)
 	}
@@ -193,8 +197,15 @@
 
 func target(address, path string) string { return "http://" + address + path }
 
+// status replaces the connections to an engine after a failure: one that went silent fails several calls before its ping
+// limit closes it, and must not make the engine count as down.
 func (c *client) status(ctx context.Context, address string) (rocktable.EngineStatus, time.Duration, error) {
-	return call[struct{}, rocktable.EngineStatus](ctx, c, http.MethodGet, address, "/v1/status", nil, c.options.MaxLine)
+	transport := c.transport(address)
+	reply, roundTrip, err := callOver[struct{}, rocktable.EngineStatus](ctx, transport, http.MethodGet, address, "/v1/status", nil, c.options.MaxLine)
+	if err != nil {
+		c.renew(address, transport)
+	}
+	return reply, roundTrip, err
 }
 
 func (c *client) order(ctx context.Context, address string, req OrderRequest) (OrderReply, error) {
