Count a crash once when its attempts end in several ticks

Cause: a crash that probes had confirmed was settled in the tick of its first sign, and each later end of an attempt from the same crash was a new sign. Two such ends made a suspect, so that the replays ran alone, one after the other. Change: an attempt that was in flight at a confirmed crash of its incarnation gives no further sign. Result: TestLateEndsOfOneCrash counted 2 and 3 crashes before and counts 1.

--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -81,7 +81,7 @@
 
 // notice records the work that was in flight on a backend server at the first sign of a crash.
 func notice(now time.Time, w *rocktable.World, s *rocktable.BackendServer, failed *rocktable.Attempt) {
-	if !s.CrashAt.IsZero() {
+	if !s.CrashAt.IsZero() || isCounted(s, failed) {
 		return
 	}
 	s.CrashAt, s.CrashIncarnation = now, s.Incarnation
@@ -102,6 +102,19 @@
 	w.WakeAt(now.Add(confirmWithin))
 }
 
+// isCounted reports whether a failed attempt was in flight at a crash that is confirmed already. The attempts that one crash ends are not all reported in one tick.
+func isCounted(s *rocktable.BackendServer, failed *rocktable.Attempt) bool {
+	if !failed.Started.Before(s.CrashedAt) {
+		return false
+	}
+	for _, stage := range failed.Path {
+		if stage.Server == s.ID {
+			return stage.Incarnation == s.CrashIncarnation
+		}
+	}
+	return false
+}
+
 func addPrint(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt) {
 	r := w.Requests.Get(a.Request)
 	if r == nil || r.Fingerprint == 0 {
@@ -153,6 +166,9 @@
 		w.WakeAt(s.CrashAt.Add(confirmWithin))
 		return
 	}
+	if crashed {
+		s.CrashedAt = now
+	}
 	for _, p := range s.CrashPrints {
 		settlePrint(now, w, p, crashed)
 	}
--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -218,3 +218,23 @@
 		t.Errorf("%d suspects after the backend server answered with its old incarnation, want none", f.w.Suspects.Len())
 	}
 }
+
+// Guards against one crash that counts again for each tick in which an attempt ends because of it, which makes the replays run alone, one after the other.
+func TestLateEndsOfOneCrash(t *testing.T) {
+	f := newFleet(t, 1, 8, 1)
+	for range 3 {
+		f.ask(0, 1)
+	}
+	f.step()
+	s := f.w.Servers.Get(f.starts[0].Path[1].Server)
+	s.FailedProbes = 2
+	for _, start := range f.starts[:3] {
+		f.w.Inbox.Ended = append(f.w.Inbox.Ended, rocktable.Ended{Attempt: start.Attempt, Reason: rockreason.StageDied, Server: s.ID, Crashed: true})
+		f.step()
+	}
+	for _, suspect := range f.w.Suspects.All() {
+		if suspect.Crashes != 1 {
+			t.Errorf("content %d: %d crashes, want 1", suspect.Fingerprint, suspect.Crashes)
+		}
+	}
+}
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -121,6 +121,7 @@
 	CrashAt          time.Time    // first sign of a crash that is not confirmed yet; zero if there is none
 	CrashIncarnation uint64       // incarnation that is thought to have crashed
 	CrashPrints      []CrashPrint // work that was in flight at that time
+	CrashedAt        time.Time    // when the last crash was confirmed, of CrashIncarnation
 
 	RetryBudget  float64 // retries earned less retries caused; rockretry adds an allowance
 	Probing      bool    // this host is one of its probers
