Check that peers pass on whether an engine can resume

Cause: no test covered the new field of the peers' schema. Change: the round trip of a full peer message sets it. Result: passes; a conversion that drops the field fails it.

--- a/io/rockpeer/frame_test.go
+++ b/io/rockpeer/frame_test.go
@@ -29,7 +29,7 @@
 			Name: "runner-1", State: rocktable.StateDown, Drained: true, StatusSeq: 1<<40 | 7,
 			Status: rocktable.EngineStatus{
 				Name: "runner-1", Kind: "k", Model: "m", Version: "v", FirstLayer: 1, LastLayer: 2, Slots: 3, Active: 4, Queued: 5,
-				TokensPerSecond: 6.5, Incarnation: 7, State: "live", Fencing: 8, ChecksFencing: true,
+				TokensPerSecond: 6.5, Incarnation: 7, State: "live", Fencing: 8, ChecksFencing: true, Resume: true,
 			},
 		}},
 		Sent:     []rocktable.SentNews{{Server: "runner-1", InFlight: 2}},
