Measure the operators' status and the wake of a sleeping process

Cause: the operators' role and the part of rare messages that is not the message were not measured. Change: an operation for GetStatus, and a record of bare timer wakes.

--- a/io/rockcost/experiment.go
+++ b/io/rockcost/experiment.go
@@ -77,7 +77,7 @@
 func runsOf(o Operation) int {
 	const fast, slow = 500, 50
 	switch o.Name {
-	case "configChange", "configRow", "hostList", "gossipRound":
+	case "status", "configChange", "configRow", "hostList", "gossipRound":
 		return slow
 	}
 	return fast
@@ -135,7 +135,7 @@
 
 // messages reports the bytes between hosts and returns the processor time of the connections in a second.
 func (r *report) messages() (time.Duration, error) {
-	const seconds, peers, rounds = 60, 8, 4
+	const seconds, peers, rounds, wakes = 60, 8, 4, 100
 	g := CountGossip(Full, r.seed, seconds)
 	least := CountGossip(Scales[0], r.seed, seconds)
 	r.beside("messages sent", "1/s", g.Messages, least.Messages)
@@ -157,9 +157,11 @@
 	r.add("urgent departures", "B/s", urgent)
 	r.add("configuration message", "B", rare.Configuration)
 	r.add("configuration distribution", "B/s", config)
+	r.add("status for operators", "B", rare.Status)
 	r.add("welcome message", "B", rare.Welcome)
 	r.add("welcomes", "B/s", welcome)
 
+	r.add("wake of a sleeping process, part of each message and probe", "us", microseconds(MeasureWake(wakes)))
 	l, err := MeasureLoopback(Full, r.seed, peers, rounds)
 	if err != nil {
 		return 0, err
--- a/io/rockcost/gossip.go
+++ b/io/rockcost/gossip.go
@@ -67,6 +67,7 @@
 	Configuration  float64 // the message that carries one
 	ConfigRow      float64 // the table service's answer to a read
 	HostList       float64 // the platform's answer to a read
+	Status         float64 // the answer to an operator's request
 	Welcome        float64 // to a host that has just started
 }
 
@@ -86,6 +87,7 @@
 	answer.Configuration = &f.World.Config
 	r.Configuration = float64(proto.Size(rockschema.PeerToProto(answer)))
 	r.ConfigRow, r.HostList = float64(len(configBody(f))), float64(len(listBody(f)))
+	r.Status = f.statusBytes()
 	r.Welcome = f.welcomeBytes()
 	return r
 }
--- a/io/rockcost/loopback.go
+++ b/io/rockcost/loopback.go
@@ -128,6 +128,15 @@
 	return nil
 }
 
+// MeasureWake returns the processor time of a timer that wakes the process n times with nothing to do. On an idle machine it is a large part of what a rare message takes.
+func MeasureWake(n int) time.Duration {
+	start := readUsage()
+	for range n {
+		time.Sleep(sendEvery)
+	}
+	return start.since(n).Processor
+}
+
 // MeasureLoopback sends real messages of the scale between 2 to 8 peers.
 func MeasureLoopback(scale Scale, seed uint64, peers, rounds int) (Loopback, error) {
 	f := NewFleet(scale, seed)
--- a/io/rockcost/operation.go
+++ b/io/rockcost/operation.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockpeer"
 	"sassafrasrock/io/rockplatform"
+	"sassafrasrock/io/rockschema"
 )
 
 // Operation is a unit of control work whose cost is measured.
@@ -25,6 +28,12 @@
 
 // Operations lists every operation.
 var Operations = []Operation{
+	{
+		Name:    "status",
+		Doc:     "The status that operators ask for: the state is copied and encoded.",
+		Prepare: prepareStatus,
+		Rate:    func(Scale) float64 { return 0 }, // on an operator's request only
+	},
 	{
 		Name:    "idleTick",
 		Doc:     "A tick with nothing in its inbox and nothing due.",
@@ -169,6 +178,20 @@
 	return func() { f.Tick() }
 }
 
+func prepareStatus(f *Fleet, _ int) func() {
+	f.Run(runningStreams)
+	return func() { f.statusBytes() }
+}
+
+// statusBytes returns the size of the status that operators get.
+func (f *Fleet) statusBytes() float64 {
+	body, err := proto.Marshal(rockschema.StatusToProto(f.Now, f.World.TakeStatus()))
+	if err != nil {
+		panic(err) // the types of this package always encode
+	}
+	return float64(len(body))
+}
+
 func prepareReconcile(f *Fleet, _ int) func() {
 	f.Run(runningStreams)
 	l := &f.World.Lease
