Tell the peers of the data centre in turn

Cause: a round chose among half of the peers at random. With 34 hosts in a data centre some peer got no message for 41 s, and the silence limit is 25 s; relayed heartbeats cover that only with short host names. Ruled out: the number of messages. Change: a round chooses among the four that were told longest ago.

--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -162,11 +162,12 @@
 	return far[:farPartners]
 }
 
-// leastRecent returns the half of the hosts that got no message for the longest time.
-// Choices among all leave some host without a message for several times the mean, and peers then take this host for down.
+// leastRecent returns the hosts that got no message for the longest time, one more than a round tells.
+// Choices among more leave some host without a message for several times the mean, and peers then take this host for
+// down: with half of 33 hosts the longest time was 41 s, with a silence limit of 25 s.
 func leastRecent(hosts []*rocktable.Host) []*rocktable.Host {
 	slices.SortStableFunc(hosts, func(a, b *rocktable.Host) int { return a.SentAt.Compare(b.SentAt) })
-	return hosts[:min(len(hosts), max(nearPeers, (len(hosts)+1)/2))]
+	return hosts[:min(len(hosts), nearPeers+1)]
 }
 
 // choose returns up to n random hosts, and reorders the slice.
--- a/core/rockmember/member_test.go
+++ b/core/rockmember/member_test.go
@@ -1,10 +1,12 @@
 package rockmember_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/core/rocktick"
 )
 
 func isSettled(f *fleet) func() bool {
@@ -254,6 +256,39 @@
 	}
 }
 
+// Guards against a live host of a large data centre that gets no message of a peer for longer than the peer's silence limit, which relayed heartbeats do not always cover.
+func TestEveryPeerIsToldInTurn(t *testing.T) {
+	const hosts = 34
+	w := rocktable.NewWorld(start, rocktable.Host{Name: "entry-0", Address: "entry-0"}, rocktable.DataCentre{Name: "dc-0", Region: "r"}, 1, rocktable.WithSeed(1))
+	list := rocktable.HostList{OK: true}
+	for i := range hosts {
+		name := fmt.Sprintf("entry-%d", i)
+		list.Entries = append(list.Entries, rocktable.ListedHost{Name: name, Role: "entry", Address: name, DataCentre: "dc-0", Region: "r", State: "live"})
+	}
+	w.Inbox.HostLists = []rocktable.HostList{list}
+	last := make(map[string]time.Time)
+	longest := time.Duration(0)
+	for second := range 600 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for _, e := range list.Entries[1:] {
+			w.Inbox.Peers = append(w.Inbox.Peers, rocktable.PeerMessage{
+				Sender: e.Name, Address: e.Address, DataCentre: "dc-0", Region: "r", Incarnation: 1, Heartbeat: uint64(second + 10), State: rocktable.StateLive,
+			})
+		}
+		for _, s := range rocktick.Run(now, w).Outbox.PeerSends {
+			if at, ok := last[s.Address]; ok {
+				longest = max(longest, now.Sub(at))
+			}
+			last[s.Address] = now
+		}
+	}
+	t.Logf("the longest time between two messages to one peer is %s", longest)
+	// 33 peers with 3 messages a second are told every 11 s; the silence limit of 34 hosts is 25 s.
+	if len(last) != hosts-1 || longest > 18*time.Second {
+		t.Errorf("%d peers told, the longest time between two messages to one is %s", len(last), longest)
+	}
+}
+
 // Guards against a shutdown that peers learn late, and one that ends before the lease is released.
 func TestShutdown(t *testing.T) {
 	f := newFleet(t, 1, 4, 2)
