Rest a backend server whose connections are lost or refused

The places of a dead or unreachable backend server look free until three probes fail, so that under load all waiting work and all replays went there and used up attempts and budgets. A lost or refused connection now rests the backend server for 1 s, doubling up to 16 s, while others cover its layers; after a rest a single attempt tries it until its first token. The gap that a failure leaves in a stream no longer lowers the concurrency limits of the path that took the stream over.

--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -57,6 +57,9 @@
 	}
 	a.Progress = now
 	noteSlow(now, w, a, p.LargestGap)
+	if a.Tokens == 0 && p.Tokens > 0 {
+		clearStrikes(w, a)
+	}
 	takeTokens(w, a, p.Tokens, p.FirstToken, p.LargestGap)
 }
 
@@ -66,6 +69,10 @@
 	if r == nil || gap <= r.LargestGap || !isSlow(w, r, gap) {
 		return
 	}
+	// The gap before the first token of a later attempt comes from the failure of an earlier one on another path.
+	if r.Attempts > 1 && a.Tokens == 0 {
+		return
+	}
 	if s := busiest(w, a.Path); s != nil {
 		lowerLimit(now, s)
 	}
@@ -109,6 +116,9 @@
 	if e.Reason == "" {
 		succeed(now, w, r, a, e)
 	}
+	if s := w.Servers.Get(e.Server); s != nil && (e.Crashed || e.Reason == rockreason.StageUnreachable) {
+		strike(now, s, a)
+	}
 	rockadmit.Release(w, a)
 	r.Attempt = 0
 	switch {
@@ -126,7 +136,9 @@
 	if r.Attempts == 1 && !e.FirstToken.IsZero() {
 		noteOpening(w.Pipelines.Get(r.Pipeline), e.FirstToken.Sub(a.Started))
 	}
-	slow := isSlow(w, r, e.LargestGap)
+	// The largest gap of a stream that was replayed may come from the failure of its earlier path.
+	slow := r.Attempts == 1 && isSlow(w, r, e.LargestGap)
+	clearStrikes(w, a)
 	for _, stage := range a.Path {
 		s := w.Servers.Get(stage.Server)
 		if s == nil {
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -105,6 +105,9 @@
 	if s.Exclusive != 0 && s.Exclusive != r.ID {
 		return false
 	}
+	if rockretry.IsOnTrial(s) {
+		return false
+	}
 	if s.InFlight >= s.Status.Slots || float64(s.InFlight) >= slotPart(w, s) {
 		return false
 	}
--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -214,3 +214,63 @@
 		t.Errorf("%d suspects after the backend server answered with its old incarnation, want none", f.w.Suspects.Len())
 	}
 }
+
+// Guards against waiting work that all goes to a dead backend server, because its places look free until probes find it down.
+func TestUnreachableServerRests(t *testing.T) {
+	f := newFleet(t, 2, 4, 1)
+	whole := f.end
+	dead := rocktable.BackendServerID(2)
+	f.service = 500 * time.Millisecond
+	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+		if s.Path[1].Server == dead {
+			return rocktable.Ended{Attempt: s.Attempt, Reason: rockreason.StageUnreachable, Server: dead}
+		}
+		return whole(f, s)
+	}
+	n := 0
+	f.run(8*time.Second, func() {
+		if n++; n%10 == 0 {
+			f.ask(0, 1)
+		}
+	})
+	failed := 0
+	for _, s := range f.starts {
+		if s.Path[1].Server == dead {
+			failed++
+		}
+	}
+	// Four before the first failure is known, then one after each rest of 1, 2 and 4 s.
+	if failed == 0 || failed > 8 {
+		t.Errorf("%d attempts on the dead backend server, want 1 to 8", failed)
+	}
+	f.end = whole
+	f.run(20*time.Second, func() {
+		if n++; n%10 == 0 {
+			f.ask(0, 1)
+		}
+	})
+	if s := f.w.Servers.Get(dead); s.Strikes != 0 {
+		t.Errorf("%d strikes after the backend server came back, want none", s.Strikes)
+	}
+}
+
+// Guards against a concurrency limit that falls at a backend server which took a stream over, because of the gap that the failure of another one left.
+func TestGapOfFailureDoesNotLowerLimits(t *testing.T) {
+	f := newFleet(t, 2, 4, 1)
+	whole := f.end
+	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+		if s.Epoch == 1 {
+			return rocktable.Ended{Attempt: s.Attempt, Reason: rockreason.StageDied, Server: s.Path[1].Server, Tokens: 20, FirstToken: f.now, LargestGap: time.Millisecond}
+		}
+		e := whole(f, s)
+		e.LargestGap = 3 * time.Second
+		return e
+	}
+	f.ask(0, 0)
+	f.run(3*time.Second, nil)
+	for _, s := range f.w.Servers.All() {
+		if s.Limit != 0 {
+			t.Errorf("backend server %s has the limit %v, want none", s.Name, s.Limit)
+		}
+	}
+}
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -39,8 +40,8 @@
 	return s.Status.Model == p.Config.Model && s.Status.Version == p.Config.Version
 }
 
-// newFields returns the live backend servers of each pipeline.
-func newFields(w *rocktable.World, pipelines []*rocktable.Pipeline) []*Field {
+// newFields returns the live backend servers of each pipeline, without those that rest if the others cover every layer.
+func newFields(now time.Time, w *rocktable.World, pipelines []*rocktable.Pipeline) []*Field {
 	fields := make([]*Field, len(pipelines))
 	for i := range fields {
 		fields[i] = &Field{Servers: make([]*rocktable.BackendServer, 0, w.Servers.Len()/len(pipelines))}
@@ -58,10 +59,28 @@
 	for i, f := range fields {
 		f.setBounds(pipelines[i].Config.Layers)
 		f.setBegin()
+		if awake := f.awake(now, pipelines[i].Config.Layers); awake != nil {
+			fields[i] = awake
+		}
 	}
 	return fields
 }
 
+// awake returns the field without the backend servers that rest, or nil if none rests or the others don't cover every layer.
+func (f *Field) awake(now time.Time, layers int) *Field {
+	isResting := func(s *rocktable.BackendServer) bool { return rockretry.IsResting(now, s) }
+	if !slices.ContainsFunc(f.Servers, isResting) {
+		return nil
+	}
+	rest := &Field{Servers: slices.DeleteFunc(slices.Clone(f.Servers), isResting)}
+	rest.setBounds(layers)
+	rest.setBegin()
+	if !rest.IsCovered() {
+		return nil
+	}
+	return rest
+}
+
 // setBounds collects the boundaries. A stage begins at the first layer of its backend server, unless the engine runs sub-ranges; it may end earlier than the server's range does.
 func (f *Field) setBounds(layers int) {
 	subRanges := slices.ContainsFunc(f.Servers, func(s *rocktable.BackendServer) bool { return s.Status.SubRanges })
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -55,7 +55,7 @@
 	if len(due) == 0 {
 		return
 	}
-	fields := newFields(w, due)
+	fields := newFields(now, w, due)
 	for i, p := range due {
 		p.TriedAt, p.Freed = now, false
 		serve(now, w, p, fields[i], choose)
@@ -160,7 +160,7 @@
 	if p == nil {
 		return nil
 	}
-	return find(now, w, newFields(w, []*rocktable.Pipeline{p})[0], p, r, cheapest)
+	return find(now, w, newFields(now, w, []*rocktable.Pipeline{p})[0], p, r, cheapest)
 }
 
 func start(now time.Time, w *rocktable.World, r *rocktable.Request, path []rocktable.Stage) {
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -121,6 +121,10 @@
 	CrashIncarnation uint64       // incarnation that is thought to have crashed
 	CrashPrints      []CrashPrint // work that was in flight at that time
 
+	Strikes   int       // connections lost or refused since the last success
+	StruckAt  time.Time // last strike
+	RestUntil time.Time // gets no work until then if others cover its layers
+
 	RetryBudget  float64 // retries earned less retries caused; rockretry adds an allowance
 	Probing      bool    // this host is one of its probers
 	ProbeSent    bool    // a probe is out
