Measure extra work and service in a brown-out

A third of the engines fail half of their sessions for 20 s: all of one range, or a third of each range.

--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -12,5 +12,6 @@
 		flood(size),
 		fairness(size),
 		recovery(size),
+		brownOut(size),
 	}
 }
