Keep the extra work of a short brown-out within a tenth

A success earned 0.08 of a retry, and each host could retry 20 times on credit and with what it saved before. In a brown-out of 20 s these sum up to more than a tenth. A success now earns 0.05 and the credit of a host is 10.

--- a/core/rockretry/budget.go
+++ b/core/rockretry/budget.go
@@ -4,13 +4,13 @@
 
 // RetryBudget fields hold what was earned since the start, without the allowance; a budget is spent when it falls to minus the allowance.
 const (
-	// earnedPerSuccess is the part of a retry that each successful request earns. It keeps the extra work in a brown-out under 10%.
-	earnedPerSuccess = 0.08
+	// earnedPerSuccess is the part of a retry that each successful request earns. Together with the allowances and what was saved before, it keeps the extra work in a brown-out of 20 s under 10%.
+	earnedPerSuccess = 0.05
 	// callerAllowance and serverAllowance are the retries that are possible before any success. A backend server that reports more slots has one for each, so that the work of one crash can be replayed.
 	callerAllowance = 8
 	serverAllowance = 5
 	// hostAllowance bounds the sum of the allowances: with thousands of callers they would be a burst of retries.
-	hostAllowance = 20
+	hostAllowance = 10
 	// prefillCost is the cost of a position in a prefill, in decode steps: a prefill computes its positions in one batch.
 	prefillCost = 0.1
 	// minCharge is the least that a retry costs, so that a request that fails at each attempt spends its budget.
