Give a report of load less weight the older it is

The load of an engine was taken from its last report, which is up to 4 s old where it comes through peers. Eight hosts followed the same reports, and the load of each engine swung between 7 and 114 sessions with a period of about 4 s. The estimate now moves from the reported sessions of other hosts to the mean of the pipeline's engines with a time constant of 1 s.

--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -16,6 +16,9 @@
 	defaultSlotSpeed = 10
 	// staleReport is the age after which a report says nothing about the load.
 	staleReport = 5 * time.Second
+	// reportLag is the usual age of a report when it arrives, and reportWindow the time constant with which it loses its weight. It is about the length of a request.
+	reportLag    = 500 * time.Millisecond
+	reportWindow = time.Second
 	// idleStep is the length of a step of an idle engine as a part of that of a full one.
 	idleStep = 0.5
 	// otherDataCentre and otherRegion are factors of the cost outside this host's data centre, so that work leaves it only when it is much slower there.
@@ -39,6 +42,7 @@
 	steps   float64 // tokens still to be generated
 	prompt  float64 // tokens of the prefill step
 	warm    []rocktable.BackendServerID
+	others  float64 // sessions of others over slots, of all backend servers of the pipeline
 	warmth  float64 // part of the prompt that is cached on warm
 	home    rocktable.DataCentreID
 	region  string
@@ -66,7 +70,7 @@
 	if slices.Contains(j.warm, s.ID) {
 		prompt *= 1 - j.warmth
 	}
-	load := expectedLoad(j.now, s)
+	load := expectedLoad(j.now, s, j.others)
 	work := (j.steps + prompt/prefillSpeed) / slotSpeed
 	busy := idleStep + (1-idleStep)*min(1, load/slots)
 	wait := work * max(0, load+1-slots) / slots
@@ -91,13 +95,25 @@
 	return otherRegion
 }
 
-// expectedLoad returns the attempts that a backend server probably has: the last report and what was sent since, but at least what is known to run.
-func expectedLoad(now time.Time, s *rocktable.BackendServer) float64 {
-	known := s.InFlight + s.PeerFlight
-	if now.Sub(s.StatusAt) > staleReport {
-		return float64(known)
+// expectedLoad returns the attempts that a backend server probably has: those of this host, and the sessions of others.
+// Reports of others are late. If all hosts followed them, the load would swing: the older a report is, the more the estimate goes towards the mean of the pipeline's backend servers.
+func expectedLoad(now time.Time, s *rocktable.BackendServer, others float64) float64 {
+	age := now.Sub(s.StatusAt)
+	if age > staleReport {
+		return float64(s.InFlight + s.PeerFlight)
 	}
-	return float64(max(known, s.Status.Active+s.Status.Queued+s.SentSince+s.PeerSent))
+	mean := others * float64(max(1, s.Status.Slots))
+	return float64(s.InFlight) + mean + (float64(s.Others)-mean)*math.Exp(-(age+reportLag).Seconds()/reportWindow.Seconds())
+}
+
+// othersPart returns the sessions of others over the slots of the backend servers.
+func othersPart(servers []*rocktable.BackendServer) float64 {
+	others, slots := 0, 0
+	for _, s := range servers {
+		others += s.Others
+		slots += max(1, s.Status.Slots)
+	}
+	return float64(others) / float64(max(1, slots))
 }
 
 // IsFree reports whether a backend server has a place for the request.
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -125,6 +125,7 @@
 func (f *Field) Path(now time.Time, w *rocktable.World, r *rocktable.Request, usable func(*rocktable.World, *rocktable.BackendServer, *rocktable.Request) bool) []rocktable.Stage {
 	f.costs = f.costs[:0]
 	job := newJob(now, w, r)
+	job.others = othersPart(f.Servers)
 	for _, s := range f.Servers {
 		if !usable(w, s, r) {
 			f.costs = append(f.costs, serverCost{})
--- a/core/rockroute/path_test.go
+++ b/core/rockroute/path_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"sassafrasrock/core/rockroute"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -133,3 +134,28 @@
 		}
 	}
 }
+
+// Guards against hosts that all follow the same old report, so that the load swings between backend servers.
+func TestOldReportsLoseWeight(t *testing.T) {
+	for _, test := range []struct {
+		age         time.Duration
+		least, most int // paths over the backend server that was reported to be busy
+	}{{0, 0, 0}, {4 * time.Second, 5, 25}} {
+		f := newFleet(t, 2, 40, 1)
+		busy := f.w.Servers.Get(1)
+		for _, s := range f.w.Servers.All() {
+			s.StatusAt = f.now.Add(-test.age)
+		}
+		busy.Others = 30
+		got := 0
+		for range 30 {
+			path := rockroute.FindPath(f.now, f.w, &rocktable.Request{Pipeline: 1, Prompt: 50, MaxTokens: 50})
+			if path[0].Server == busy.ID {
+				got++
+			}
+		}
+		if got < test.least || got > test.most {
+			t.Errorf("reports %s old: %d of 30 paths over the busy backend server, want %d to %d", test.age, got, test.least, test.most)
+		}
+	}
+}
