--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -14,5 +14,6 @@
 		recovery(size),
 		brownOut(size),
 		lateReports(size),
+		prefixCache(size),
 	}
 }
