Count signs of crashes at several stages of one attempt once

When a data centre is cut off, an attempt loses the connections of several stages. Each was a sign of a crash, so that its request became a suspect, waited up to 5 s for the confirmation and then for backend servers of its own. One attempt crashes one stage at most; a request that runs alone keeps all signs.

--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -112,9 +112,13 @@
 			return
 		}
 	}
-	s.CrashPrints = append(s.CrashPrints, rocktable.CrashPrint{Fingerprint: r.Fingerprint, Alone: a.Alone})
 	suspect := w.Suspects.GetOrPut(r.Fingerprint)
-	suspect.Fingerprint = r.Fingerprint
+	// One attempt crashes one stage at most. Signs of several stages come from a cut link or a lost rack, and must not make suspects of all requests there.
+	if suspect.Unsettled > 0 && suspect.SignAttempt == a.ID && !a.Alone {
+		return
+	}
+	s.CrashPrints = append(s.CrashPrints, rocktable.CrashPrint{Fingerprint: r.Fingerprint, Alone: a.Alone})
+	suspect.Fingerprint, suspect.SignAttempt = r.Fingerprint, a.ID
 	suspect.Unsettled++
 	if a.Alone {
 		suspect.AloneSigns++
--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -274,3 +274,38 @@
 		}
 	}
 }
+
+// Guards against suspects made of all requests behind a cut link: signs at two stages of one attempt are at most one crash.
+func TestSignsOfOneAttemptCountOnce(t *testing.T) {
+	f := newFleet(t, 3, 4, 1)
+	whole := f.end
+	id := f.ask(0, 1)
+	other := f.ask(0, 1)
+	f.end = func(f *fleet, s rocktable.Start) rocktable.Ended {
+		if s.Epoch > 1 {
+			return whole(f, s)
+		}
+		// Each request reports another stage of its path; where the paths cross, both requests get both signs.
+		stage := 0
+		if s.Request == other {
+			stage = 1
+		}
+		return rocktable.Ended{Attempt: s.Attempt, Reason: rockreason.StageDied, Server: s.Path[stage].Server, Crashed: true}
+	}
+	for _, s := range f.w.Servers.All() {
+		if s.ID > 3 {
+			s.State = rocktable.StateDown
+		}
+	}
+	f.step()
+	for i := range f.running {
+		f.running[i].due = f.now
+	}
+	f.step()
+	for _, r := range []rocktable.RequestID{id, other} {
+		s := f.w.Suspects.Get(uint64(r))
+		if s == nil || s.Unsettled != 1 {
+			t.Errorf("request %d: %+v, want one sign", r, s)
+		}
+	}
+}
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -329,9 +329,10 @@
 	Crashes     int
 	AloneCrash  int // crashes while it ran alone
 	Quarantined bool
-	Running     bool // an attempt that runs alone is under way at this host
-	Unsettled   int  // signs of crashes at this host that are not confirmed yet
-	AloneSigns  int  // those of them while it ran alone
+	Running     bool      // an attempt that runs alone is under way at this host
+	Unsettled   int       // signs of crashes at this host that are not confirmed yet
+	SignAttempt AttemptID // of the last sign
+	AloneSigns  int       // those of them while it ran alone
 	Expires     time.Time
 	Changed     uint64 // 0 while there is nothing that peers should learn
 }
