--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -125,6 +125,10 @@
 	CrashPrints      []CrashPrint // work that was in flight at that time
 	CrashedAt        time.Time    // when the last crash was confirmed, of CrashIncarnation
 
+	Strikes   int       // connections lost or refused since the last success
+	StruckAt  time.Time // last strike
+	RestUntil time.Time // gets no work until then if others cover its layers
+
 	RetryBudget  float64 // retries earned less retries caused; rockretry adds an allowance
 	Probing      bool    // this host is one of its probers
 	ProbeSent    bool    // a probe is out
@@ -331,9 +335,10 @@
 	Crashes     int
 	AloneCrash  int // crashes while it ran alone
 	Quarantined bool
-	Running     bool // an attempt that runs alone is under way at this host
-	Unsettled   int  // signs of crashes at this host that are not confirmed yet
-	AloneSigns  int  // those of them while it ran alone
+	Running     bool      // an attempt that runs alone is under way at this host
+	Unsettled   int       // signs of crashes at this host that are not confirmed yet
+	SignAttempt AttemptID // of the last sign
+	AloneSigns  int       // those of them while it ran alone
 	Expires     time.Time
 	Changed     uint64 // 0 while there is nothing that peers should learn
 }
--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -12,5 +12,8 @@
 		flood(size),
 		fairness(size),
 		recovery(size),
+		brownOut(size),
+		lateReports(size),
+		prefixCache(size),
 	}
 }
