Add randomised runs of several Worlds, with two faults found

Cause: the tests of single systems do not combine faults, and none has a witness of what ran at engines and applications.

Change: core/rockcheck runs Worlds over fakes of the platform, the engines and the application in virtual time, injects drawn events and checks the invariants over the whole fleet.

TestPoisonousRequest finds a request that crashes 4 backend servers. TestFoundFaults holds both shrunk runs and fails until the systems are fixed.

--- /dev/null
+++ b/core/rockcheck/call.go
@@ -0,0 +1,116 @@
+package rockcheck
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// Application stands in for a server of an application; the fleet counts its runs.
+type Application struct {
+	Name        string
+	DataCentre  string
+	Incarnation uint64
+	Up          bool
+	FrozenUntil time.Time
+}
+
+// Call is a non-idempotent application call of a caller at one host.
+type Call struct {
+	Name   string
+	Key    string
+	Answer *rocktable.Answer // nil until it is answered
+	Broken bool              // its host was killed
+	h      *Host
+}
+
+func (f *Fleet) addApplication(name, dc string) {
+	f.Applications = append(f.Applications, &Application{Name: name, DataCentre: dc, Incarnation: 1, Up: true})
+}
+
+func (f *Fleet) application(name string) *Application {
+	for _, a := range f.Applications {
+		if a.Name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+// Call sends a non-idempotent call to a host.
+func (f *Fleet) Call(h *Host, key string) *Call {
+	h.lastID++
+	c := &Call{Name: fmt.Sprintf("%s#%d/%d", h.Name, h.Incarnation, h.lastID), Key: key, h: h}
+	f.Calls = append(f.Calls, c)
+	h.calls[h.lastID] = c
+	row := rocktable.Request{
+		ID: h.lastID, Caller: h.World.InternCaller("guild").ID, Arrived: f.Now.Add(h.Offset),
+		Call: &rocktable.Call{Service: h.World.InternService("ledger").ID, Method: "POST", Key: key, Digest: 5},
+	}
+	f.trace(h.Name, "call %s with key %s", c.Name, key)
+	f.post(h, func(in *rocktable.Inbox) { in.Arrivals = append(in.Arrivals, rocktable.Arrival{Request: row}) })
+	return c
+}
+
+// runCall hands a call to a server of the application once.
+func (f *Fleet) runCall(h *Host, c *Call, start rocktable.CallStart) {
+	f.trace(h.Name, "call %s goes to %s", c.Name, start.Address)
+	a := f.application(start.Address)
+	ended := false
+	end := func(e rocktable.CallEnded) {
+		if ended {
+			return
+		}
+		ended = true
+		e.Request, e.Server = start.Request, start.Server
+		fill := func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) }
+		f.post(h, fill)
+		if f.chance(0.02) {
+			f.toHost(h, f.delay(), func() { f.post(h, fill) })
+		}
+	}
+	unknown := rocktable.CallEnded{Sent: true, Reason: rockreason.OutcomeUnknown}
+	f.toHost(h, start.Timeout, func() { end(unknown) })
+	reached := f.Reaches(h.DataCentre, a.DataCentre) && a.Up
+	if !reached {
+		f.toHost(h, f.delay(), func() { end(rocktable.CallEnded{Reason: rockreason.ServerUnreachable}) })
+		return
+	}
+	f.After(f.delay(), func() {
+		f.After(max(0, a.FrozenUntil.Sub(f.Now)), func() { f.serveCall(h, c, a, end) })
+	})
+}
+
+func (f *Fleet) serveCall(h *Host, c *Call, a *Application, end func(rocktable.CallEnded)) {
+	if !a.Up || !f.Reaches(h.DataCentre, a.DataCentre) {
+		f.toHost(h, f.delay(), func() { end(rocktable.CallEnded{Sent: true, Reason: rockreason.OutcomeUnknown, Crashed: true}) })
+		return
+	}
+	f.Runs[c.Key]++
+	f.RunsOf[c.Name]++
+	f.Outcomes[c.Key] = "done by " + c.Name
+	body := []byte(f.Outcomes[c.Key])
+	f.trace(a.Name, "call %s runs", c.Name)
+	if f.chance(0.03) {
+		return // the answer is lost; the timeout ends the call
+	}
+	f.toHost(h, f.between(time.Millisecond, 500*time.Millisecond), func() {
+		if f.Reaches(h.DataCentre, a.DataCentre) {
+			end(rocktable.CallEnded{Sent: true, Status: 200, Body: body})
+		}
+	})
+}
+
+// StopApplication ends an application server, which starts again after a while.
+func (f *Fleet) StopApplication(a *Application, down time.Duration) {
+	if !a.Up {
+		return
+	}
+	a.Up = false
+	f.After(down, func() {
+		a.Up = true
+		a.Incarnation++
+	})
+}
--- /dev/null
+++ b/core/rockcheck/check_test.go
@@ -0,0 +1,109 @@
+package rockcheck_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasrock/core/rockcheck"
+)
+
+// defaultChecks keeps a run with the race detector below 20 s; -rapid.checks overrides it.
+const defaultChecks = "20"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
+	if !given {
+		flag.Set("rapid.checks", defaultChecks)
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	faultTime = 20 * time.Second
+	layers    = rockcheck.Layers
+)
+
+var layout = rockcheck.Layout{Hosts: []int{2, 2, 1}, Copies: []int{2, 1, 1}}
+
+// drawEvents draws events of the named kinds, or of all kinds if none is named.
+func drawEvents(t *rapid.T, most int, names ...string) []rockcheck.Event {
+	var kinds []int
+	for i := range rockcheck.Kinds {
+		kinds = append(kinds, i)
+	}
+	if len(names) > 0 {
+		kinds = nil
+		for _, name := range names {
+			kinds = append(kinds, rockcheck.KindNamed(name))
+		}
+	}
+	event := rapid.Custom(func(t *rapid.T) rockcheck.Event {
+		ms := func(low, high int, label string) time.Duration {
+			return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
+		}
+		e := rockcheck.Event{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), At: ms(3000, int(faultTime.Milliseconds()), "at"),
+			A: rapid.IntRange(0, 59).Draw(t, "a"), B: rapid.IntRange(0, 59).Draw(t, "b"), For: ms(100, 12000, "for"),
+		}
+		if rapid.IntRange(0, 3).Draw(t, "twice") == 0 {
+			e.Again = ms(1, 6000, "again")
+		}
+		return e
+	})
+	return rapid.SliceOfN(event, 0, most).Draw(t, "events")
+}
+
+// run carries the events out, heals the fleet and checks it.
+func run(seed uint64, events []rockcheck.Event, options rockcheck.Options) *rockcheck.Fleet {
+	f := rockcheck.NewFleet(seed, layout, options)
+	f.Traffic(faultTime)
+	for _, e := range events {
+		f.Apply(e)
+	}
+	f.Run(faultTime + 2*time.Second)
+	f.Heal()
+	f.Run(16 * time.Second)
+	f.CheckConfiguration()
+	f.Run(20 * time.Second)
+	f.CheckAnswered()
+	f.CheckWitness()
+	f.CheckAgreement()
+	return f
+}
+
+func report(t *rapid.T, f *rockcheck.Fleet) {
+	for _, v := range f.Violations {
+		t.Errorf("%s", v)
+	}
+}
+
+// Guards against a combination of faults that breaks an invariant of the whole fleet.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		options := rockcheck.Options{Placements: rapid.Bool().Draw(t, "placements")}
+		f := run(seed, drawEvents(t, 20), options)
+		report(t, f)
+	})
+}
+
+// Guards against a request that crashes more than 3 backend servers, and against innocent requests that are lost with it.
+func TestPoisonousRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := run(seed, drawEvents(t, 1, "poison"), rockcheck.Options{Quiet: true})
+		f.CheckCrashes()
+		for _, c := range f.Chats {
+			if !c.Poison && c.Answer != nil && c.Answer.Reason != "" {
+				f.Violate("innocent", "%s was answered with %s", c.Name, c.Answer.Reason)
+			}
+		}
+		report(t, f)
+	})
+}
--- /dev/null
+++ b/core/rockcheck/fault_test.go
@@ -0,0 +1,40 @@
+package rockcheck_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockcheck"
+)
+
+// Guards against the return of faults that random runs found; the seeds are those of the shrunk runs.
+func TestFoundFaults(t *testing.T) {
+	event := func(kind string, at int, a, b, ms int) rockcheck.Event {
+		return rockcheck.Event{
+			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b, For: time.Duration(ms) * time.Millisecond,
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		seed   uint64
+		quiet  bool
+		events []rockcheck.Event
+	}{
+		{
+			"the end of a call that is reported twice starts it twice", 0x41b1ee4949b9, false,
+			[]rockcheck.Event{
+				event("loseTableAnswers", 3049, 3, 0, 101), event("cutDataCentres", 3083, 59, 6, 9502), event("flood", 3641, 1, 59, 101),
+			},
+		},
+		{
+			"news of an unconfirmed suspect lifts it at its own host", 0x5f, true,
+			[]rockcheck.Event{event("poison", 3004, 59, 3, 103)},
+		},
+	} {
+		f := run(test.seed, test.events, rockcheck.Options{Quiet: test.quiet})
+		f.CheckCrashes()
+		for _, v := range f.Violations {
+			t.Errorf("%s: %s", test.name, v)
+		}
+	}
+}
