Take the end of one run of a call only once

Cause: the report that a backend server could not be reached was taken twice. The second one ended the run that had begun on the next server and started another, so that a non-idempotent call ran twice.

Ruled out: a claim written by two hosts; the log shows one claim and two starts by one host.

Change: an end from a backend server that the call already avoids counts as a late event.

--- a/core/rockcheck/check.go
+++ b/core/rockcheck/check.go
@@ -13,8 +13,6 @@
 const (
 	// leaveLimit is the time from the first notice of a departure to the last new work.
 	leaveLimit = 3 * time.Second
-	// changeLimit is the time in which a configuration change is in force everywhere.
-	changeLimit = 16 * time.Second
 	// maxCrashes is the number of backend servers that one request content may crash.
 	maxCrashes = 3
 )
--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -164,6 +164,12 @@
 
 // takeEnd decides on the end of a run: answer, send elsewhere, or record that the outcome is unknown.
 func takeEnd(now time.Time, w *rocktable.World, e rocktable.CallEnded) {
+	// A call goes to each backend server once, so that this end was reported before; taking it for that of the
+	// current run would start a second one.
+	if r := w.Requests.Get(e.Request); r != nil && slices.Contains(r.Avoid, e.Server) {
+		w.Count(rockreason.LateEvent)
+		return
+	}
 	if s := w.Servers.Get(e.Server); s != nil && s.Role == rocktable.RoleApplication && s.InFlight > 0 {
 		s.InFlight--
 	}
