Keep unconfirmed suspects out of gossip

Cause: a suspect whose crashes are not confirmed yet was gossiped with no crash, which peers take for a lift. When the news came back it overwrote the host's own signs, so that a request that had crashed a backend server alone started again. A host with unconfirmed signs also ignored a peer's confirmed crashes.

Ruled out: a report that came before the crash; the signs were wiped in the tick that took the news, before any report.

Change: only rows that were confirmed or lifted are gossiped, news keeps the receiver's own signs, and an unconfirmed row does not count as lifted.

--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -269,7 +269,8 @@
 func addSuspects(now time.Time, w *rocktable.World, d *draft, floor uint64) {
 	var rows []*rocktable.Suspect
 	for _, s := range w.Suspects.All() {
-		if s.Expires.After(now) {
+		// A row that never changed holds only unconfirmed crashes of this host; without a crash it would look like a lift.
+		if s.Expires.After(now) && s.Changed != 0 {
 			rows = append(rows, s)
 		}
 	}
--- a/core/rockmember/news.go
+++ b/core/rockmember/news.go
@@ -163,14 +163,16 @@
 		s = nil
 	}
 	lift := n.Crashes == 0 && !n.Quarantined
-	if s != nil && s.Crashes == 0 && !s.Quarantined {
+	if s != nil && s.Crashes == 0 && !s.Quarantined && s.Changed != 0 {
 		return
 	}
 	if s == nil || lift {
 		row := w.Suspects.GetOrPut(n.Fingerprint)
+		// Unconfirmed crashes of this host are settled here, whatever peers tell.
 		*row = rocktable.Suspect{
 			Fingerprint: n.Fingerprint, Crashes: n.Crashes, AloneCrash: n.AloneCrash, Quarantined: n.Quarantined,
-			Running: row.Running, Expires: now.Add(n.Remaining), Changed: w.Changed(),
+			Running: row.Running, Unsettled: row.Unsettled, AloneSigns: row.AloneSigns,
+			Expires: now.Add(n.Remaining), Changed: w.Changed(),
 		}
 		return
 	}
