Send no work to a backend server that was not reached until it reports

Cause: requests that met a restarting backend server were sent back to it within 30 ms, and spent their 6 attempts or the caller's retry budget on backend servers that were down.

Ruled out: a path that was missing; other backend servers of the layers were live, and were reserved for a suspect at that time.

Change: an attempt that could not reach a backend server takes it out of this host's paths until the next report of it.

--- a/core/rockmember/probe.go
+++ b/core/rockmember/probe.go
@@ -118,7 +118,7 @@
 }
 
 func takeStatus(now time.Time, s *rocktable.BackendServer, status rocktable.EngineStatus) {
-	s.Status, s.StatusAt, s.SentSince = status, now, 0
+	s.Status, s.StatusAt, s.SentSince, s.Unreached = status, now, 0, false
 	s.Kind, s.Incarnation = status.Kind, status.Incarnation
 }
 
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -159,6 +159,9 @@
 	if s != nil && e.Reason != rockreason.StageRefused {
 		noteResult(now, s, 1)
 	}
+	if s != nil && e.Reason == rockreason.StageUnreachable {
+		s.Unreached = true
+	}
 	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
 		lowerLimit(now, s)
 	}
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -104,6 +104,10 @@
 	if s.Exclusive != 0 && s.Exclusive != r.ID {
 		return false
 	}
+	// Without this a request spends its attempts within milliseconds on backend servers that are restarting.
+	if s.Unreached {
+		return false
+	}
 	if s.InFlight+s.PeerFlight >= s.Status.Slots {
 		return false
 	}
