--- a/core/rockcheck/check.go
+++ b/core/rockcheck/check.go
@@ -133,6 +133,19 @@
 	}
 }
 
+// CheckInnocent checks that all other requests, or those of the hosts of poisonous ones, were answered.
+func (f *Fleet) CheckInnocent(sameHost bool) {
+	poisoned := make(map[*Host]bool)
+	for _, c := range f.Chats {
+		poisoned[c.h] = poisoned[c.h] || c.Poison
+	}
+	for _, c := range f.Chats {
+		if !c.Poison && c.Answer != nil && c.Answer.Reason != "" && (poisoned[c.h] || !sameHost) {
+			f.Violate("innocent", "%s was answered with %s", c.Name, c.Answer.Reason)
+		}
+	}
+}
+
 // CheckConfiguration checks that every accepted change was written once and that the last version is in force everywhere.
 func (f *Fleet) CheckConfiguration() {
 	versions := f.Platform.Configs.Rows["configuration"]
--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -30,9 +30,16 @@
 			"news of an unconfirmed suspect lifts it at its own host", 0x5f, true,
 			[]rockcheck.Event{event("poison", 3004, 59, 3, 103)},
 		},
+		{
+			"an innocent request is sent to backend servers that are down until its retry budget is spent", 1, true,
+			[]rockcheck.Event{event("poison", 3000, 0, 0, 100), event("poison", 3007, 0, 0, 100)},
+		},
 	} {
 		f := run(test.seed, test.events, rockcheck.Options{Quiet: test.quiet})
 		f.CheckCrashes()
+		if test.quiet {
+			f.CheckInnocent(true)
+		}
 		for _, v := range f.Violations {
 			t.Errorf("%s: %s", test.name, v)
 		}
--- a/core/rockcheck/platform.go
+++ b/core/rockcheck/platform.go
@@ -1,6 +1,7 @@
 package rockcheck
 
 import (
+	"strings"
 	"time"
 
 	"sassafrasrock/core/rocktable"
@@ -168,6 +169,7 @@
 		}
 		old := f.Now.Before(f.Platform.OldUntil) && f.Rand.IntN(2) == 0
 		r := t.do(op, old, f.Options.NoCompare)
+		f.traceTable(h, op.Key, op.Write, op.Expected, r.Status, r.Version)
 		back := f.delay()
 		isLost := op.Write && r.Status == rocktable.TableOK && f.Platform.LoseNext > 0
 		if isLost {
@@ -186,3 +188,19 @@
 		}
 	})
 }
+
+// traceTable traces the operations on claims, and those on the configuration while a change is under way.
+func (f *Fleet) traceTable(h *Host, key string, write bool, expected uint64, status rocktable.TableStatus, version uint64) {
+	if key == "configuration" && h.World.Changes.Len() == 0 || strings.HasPrefix(key, "lease/") {
+		return
+	}
+	if !write {
+		f.trace(h.Name, "reads %s: version %d", key, version)
+		return
+	}
+	result := "written as"
+	if status == rocktable.TableConflict {
+		result = "conflict with"
+	}
+	f.trace(h.Name, "writes %s where version %d is expected: %s version %d", key, expected, result, version)
+}
