--- a/core/rockcheck/check_test.go
+++ b/core/rockcheck/check_test.go
@@ -105,6 +105,28 @@
 	})
 }
 
+// Guards against a request that crashes more than 3 backend servers while other work and departures go on.
+func TestCrashLimit(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := run(seed, drawEvents(t, 6, "poison", "flood", "change", "leaveListed", "drain", "lift", "refuse"), rockcheck.Options{})
+		f.CheckCrashes()
+		report(t, f)
+	})
+}
+
+// Guards against a graceful stop or a departure that interrupts a request.
+func TestPlannedStops(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := run(seed, drawEvents(t, 4, "stopHost", "change", "lagList"), rockcheck.Options{Quiet: true})
+		f.CheckInnocent(false)
+		report(t, f)
+	})
+}
+
 // Guards against a suspect of another host that is taken for the cause, because both hosts ran their suspect alone on the same backend server.
 func TestInnocentAtOtherHost(t *testing.T) {
 	poison := rockcheck.Event{Kind: rockcheck.KindNamed("poison"), At: 3 * time.Second, A: 11, B: 3}
--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -34,6 +34,10 @@
 			"an innocent request is sent to backend servers that are down until its retry budget is spent", 1, true,
 			[]rockcheck.Event{event("poison", 3000, 0, 0, 100), event("poison", 3007, 0, 0, 100)},
 		},
+		{
+			"a second crash is not counted while the first one of the backend server is unconfirmed", 0x307, false,
+			[]rockcheck.Event{event("poison", 3003, 49, 58, 101), event("poison", 3001, 57, 0, 4455)},
+		},
 	} {
 		f := run(test.seed, test.events, rockcheck.Options{Quiet: test.quiet})
 		f.CheckCrashes()
