Count a lost connection as not reached, and reserve only reached servers

Cause: a backend server whose connection was lost stayed in the paths, and suspects reserved backend servers that were down, so that their attempts spent the caller's retry budget.

Ruled out: a budget that is too small; in the trace 5 of 9 retries went to backend servers that were known to be lost.

Change: a lost connection takes a backend server out of this host's paths until its next report, as a failed connect does, also for suspects.

--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -159,7 +159,7 @@
 	if s != nil && e.Reason != rockreason.StageRefused {
 		noteResult(now, s, 1)
 	}
-	if s != nil && e.Reason == rockreason.StageUnreachable {
+	if s != nil && (e.Reason == rockreason.StageUnreachable || e.Crashed) {
 		s.Unreached = true
 	}
 	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
--- a/core/rockroute/alone.go
+++ b/core/rockroute/alone.go
@@ -53,9 +53,9 @@
 }
 
 func isReserved(_ *rocktable.World, s *rocktable.BackendServer, r *rocktable.Request) bool {
-	return s.Exclusive == r.ID
+	return s.Exclusive == r.ID && !s.Unreached
 }
 
 func isReservable(_ *rocktable.World, s *rocktable.BackendServer, r *rocktable.Request) bool {
-	return s.Exclusive == 0 && s.Status.Slots > 0
+	return s.Exclusive == 0 && s.Status.Slots > 0 && !s.Unreached
 }
--- a/core/rocktable/entities.go
+++ b/core/rocktable/entities.go
@@ -112,7 +112,7 @@
 	Exclusive  RequestID // suspect that must run alone here, or 0
 	CutAt      time.Time // last decrease of Limit
 
-	Unreached  bool      // an attempt of this host could not reach it, and no report came since
+	Unreached  bool      // an attempt of this host could not reach it or lost its connection, and no report came since
 	Failures   float64   // part of the recent attempts of this host that failed because of it
 	FailuresAt time.Time // last change of Failures
 
