Count a second crash while the first is unconfirmed

Cause: a sign of a crash was ignored while an earlier sign of the same backend server was open. Reports from other data centres lag by a second or more, so that a suspect could run alone on a restarted backend server, crash it again, and start once more without being quarantined.

Ruled out: news from peers; no suspect news arrived between the two runs that were alone.

Change: a sign from an attempt that began after the last sign opens a new set of prints; all are settled together by the next report.

--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -81,20 +81,29 @@
 
 // notice records the work that was in flight on a backend server at the first sign of a crash.
 func notice(now time.Time, w *rocktable.World, s *rocktable.BackendServer, failed *rocktable.Attempt) {
-	if !s.CrashAt.IsZero() {
-		return
-	}
-	s.CrashAt, s.CrashIncarnation = now, s.Incarnation
-	w.CrashSigns = append(w.CrashSigns, s.ID)
-	for _, stage := range failed.Path {
-		if stage.Server == s.ID && stage.Incarnation != 0 {
-			s.CrashIncarnation = stage.Incarnation
+	last := s.CrashAt
+	switch {
+	case last.IsZero():
+		s.CrashIncarnation = s.Incarnation
+		w.CrashSigns = append(w.CrashSigns, s.ID)
+		for _, stage := range failed.Path {
+			if stage.Server == s.ID && stage.Incarnation != 0 {
+				s.CrashIncarnation = stage.Incarnation
+			}
 		}
+	case !failed.Started.After(last):
+		return // the same crash
 	}
+	// A second crash may come before the first is confirmed, because reports lag; both are settled together.
+	s.CrashAt = now
+	known := len(s.CrashPrints)
 	for _, a := range w.Attempts.All() {
+		if !last.IsZero() && !a.Started.After(last) {
+			continue
+		}
 		for _, stage := range a.Path {
 			if stage.Server == s.ID && (stage.Incarnation == 0 || stage.Incarnation == s.CrashIncarnation) {
-				addPrint(now, w, s, a)
+				addPrint(now, w, s, a, known)
 				break
 			}
 		}
@@ -102,12 +111,13 @@
 	w.WakeAt(now.Add(confirmWithin))
 }
 
-func addPrint(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt) {
+// addPrint adds the content of an attempt to the prints of a sign, which follow the known ones.
+func addPrint(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt, known int) {
 	r := w.Requests.Get(a.Request)
 	if r == nil || r.Fingerprint == 0 {
 		return
 	}
-	for _, p := range s.CrashPrints {
+	for _, p := range s.CrashPrints[known:] {
 		if p.Fingerprint == r.Fingerprint {
 			return
 		}
