--- a/core/rockcheck/check.go
+++ b/core/rockcheck/check.go
@@ -163,6 +163,19 @@
 	}
 }
 
+// CheckInterrupted checks that every request was answered whole, but for those that arrived in one batch with the
+// shutdown and were refused at once.
+func (f *Fleet) CheckInterrupted() {
+	for _, c := range f.Chats {
+		if c.Answer == nil || c.Answer.Reason == "" {
+			continue
+		}
+		if c.Answer.Reason != rockreason.ShuttingDown || c.AnsweredAt.Sub(c.At) > batchTime {
+			f.Violate("gracefulStop", "%s was answered with %s", c.Name, c.Answer.Reason)
+		}
+	}
+}
+
 // CheckConfiguration checks that every accepted change was written once and that the last version is in force everywhere.
 func (f *Fleet) CheckConfiguration() {
 	versions := f.Platform.Configs.Rows["configuration"]
