Tell hosts that start of suspects and quarantine

Cause: suspects were gossiped in a turn that all receivers share, so that one receiver could be passed by, and the welcome of a host that starts carried none. A host could start quarantined content long after its start.

Ruled out: an expired row; it was valid on the four other hosts.

Change: the welcome carries the suspects, and each message a random one that is quarantined half of the time.

--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -96,7 +96,7 @@
 
 // welcome tells a host that has just started everything, so that it need not wait for its peers' turns.
 // At 340 hosts and 600 backend servers this is below 150 KB.
-func welcome(w *rocktable.World, to rocktable.PeerMessage) {
+func welcome(now time.Time, w *rocktable.World, to rocktable.PeerMessage) {
 	m := Header(w)
 	m.Reply = true
 	for _, h := range w.Hosts.All() {
@@ -109,6 +109,11 @@
 			m.Servers = append(m.Servers, serverNews(w, s, true))
 		}
 	}
+	for _, s := range w.Suspects.All() {
+		if s.Changed != 0 && s.Expires.After(now) && len(m.Suspects) < welcomeRows {
+			m.Suspects = append(m.Suspects, suspectNews(now, s))
+		}
+	}
 	SendTo(w, to, m)
 }
 
@@ -278,8 +283,7 @@
 		return
 	}
 	slices.SortFunc(rows, func(a, b *rocktable.Suspect) int { return cmp.Compare(b.Changed, a.Changed) })
-	turn := rows[w.Gossip.SuspectTurn%len(rows)]
-	w.Gossip.SuspectTurn++
+	turn := pickSuspect(w, rows)
 	taken := []*rocktable.Suspect{turn}
 	for _, s := range rows[:min(len(rows), recentSuspects)] {
 		if s != turn && s.Changed > floor {
@@ -291,10 +295,29 @@
 		if !d.take(size) {
 			return
 		}
-		d.Suspects = append(d.Suspects, rocktable.SuspectNews{
-			Fingerprint: s.Fingerprint, Crashes: s.Crashes, AloneCrash: s.AloneCrash,
-			Quarantined: s.Quarantined, Remaining: s.Expires.Sub(now),
-		})
+		d.Suspects = append(d.Suspects, suspectNews(now, s))
+	}
+}
+
+// pickSuspect returns a random row, which is a quarantined one half of the time: a host that has just started must not
+// start quarantined content, and a turn over all rows that all receivers share can pass one of them by.
+func pickSuspect(w *rocktable.World, rows []*rocktable.Suspect) *rocktable.Suspect {
+	var quarantined []*rocktable.Suspect
+	for _, s := range rows {
+		if s.Quarantined {
+			quarantined = append(quarantined, s)
+		}
+	}
+	if len(quarantined) > 0 && w.Rand.IntN(2) == 0 {
+		rows = quarantined
+	}
+	return rows[w.Rand.IntN(len(rows))]
+}
+
+func suspectNews(now time.Time, s *rocktable.Suspect) rocktable.SuspectNews {
+	return rocktable.SuspectNews{
+		Fingerprint: s.Fingerprint, Crashes: s.Crashes, AloneCrash: s.AloneCrash,
+		Quarantined: s.Quarantined, Remaining: s.Expires.Sub(now),
 	}
 }
 
--- a/core/rockmember/news.go
+++ b/core/rockmember/news.go
@@ -21,7 +21,7 @@
 	if sender := w.HostNamed(m.Sender); sender != nil && sender.Incarnation == m.Incarnation {
 		young := m.Heartbeat <= welcomeBeats && sender.DataCentre == w.SelfHost().DataCentre
 		if young && !sender.Told && !m.Reply {
-			welcome(w, m)
+			welcome(now, w, m)
 		}
 		sender.Told, sender.ToldAt, sender.InFlight = true, now, m.InFlight
 		if !m.Reply {
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -141,17 +141,16 @@
 
 // Gossip is the progress of messages to peers and of the choice of probers.
 type Gossip struct {
-	Floors      [4]uint64 // ChangeSeq at the last rounds; later changes are recent
-	Round       int
-	HostTurn    int
-	ServerTurn  int
-	OwnTurn     int
-	SuspectTurn int
-	Reassign    bool // hosts or backend servers changed; choose the probers again
-	Recount     bool // what peers told of their load changed
-	NextCheck   time.Time
-	Urgent      []UrgentNews
-	NextUrgent  time.Time
+	Floors     [4]uint64 // ChangeSeq at the last rounds; later changes are recent
+	Round      int
+	HostTurn   int
+	ServerTurn int
+	OwnTurn    int
+	Reassign   bool // hosts or backend servers changed; choose the probers again
+	Recount    bool // what peers told of their load changed
+	NextCheck  time.Time
+	Urgent     []UrgentNews
+	NextUrgent time.Time
 }
 
 // UrgentNews names a departure that peers are to learn at once.
