--- /dev/null
+++ b/core/rockcheck/check_test.go
@@ -0,0 +1,158 @@
+package rockcheck_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasrock/core/rockcheck"
+)
+
+// defaultChecks keeps a run with the race detector below 20 s; -rapid.checks overrides it.
+const defaultChecks = "12"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
+	if !given {
+		flag.Set("rapid.checks", defaultChecks)
+	}
+	os.Exit(m.Run())
+}
+
+const faultTime = 20 * time.Second
+
+var layout = rockcheck.Layout{Hosts: []int{2, 2, 1}, Copies: []int{2, 1, 1}}
+
+// drawEvents draws events of the named kinds, or of all kinds if none is named.
+func drawEvents(t *rapid.T, most int, names ...string) []rockcheck.Event {
+	var kinds []int
+	for i := range rockcheck.Kinds {
+		kinds = append(kinds, i)
+	}
+	if len(names) > 0 {
+		kinds = nil
+		for _, name := range names {
+			kinds = append(kinds, rockcheck.KindNamed(name))
+		}
+	}
+	event := rapid.Custom(func(t *rapid.T) rockcheck.Event {
+		ms := func(low, high int, label string) time.Duration {
+			return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
+		}
+		e := rockcheck.Event{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), At: ms(3000, int(faultTime.Milliseconds()), "at"),
+			A: rapid.IntRange(0, 59).Draw(t, "a"), B: rapid.IntRange(0, 59).Draw(t, "b"), For: ms(100, 12000, "for"),
+		}
+		if rapid.IntRange(0, 3).Draw(t, "twice") == 0 {
+			e.Again = ms(1, 6000, "again")
+		}
+		return e
+	})
+	return rapid.SliceOfN(event, 0, most).Draw(t, "events")
+}
+
+// run carries the events out, heals the fleet and checks it.
+func run(seed uint64, events []rockcheck.Event, options rockcheck.Options) *rockcheck.Fleet {
+	f := rockcheck.NewFleet(seed, layout, options)
+	f.Traffic(faultTime)
+	for _, e := range events {
+		f.Apply(e)
+	}
+	f.Run(faultTime + 2*time.Second)
+	f.Heal()
+	f.Run(16 * time.Second)
+	f.CheckConfiguration()
+	f.Run(20 * time.Second)
+	f.CheckAnswered()
+	f.CheckWitness()
+	f.CheckAgreement()
+	return f
+}
+
+func report(t *rapid.T, f *rockcheck.Fleet) {
+	for _, v := range f.Violations {
+		t.Errorf("%s", v)
+	}
+}
+
+// Guards against a combination of faults that breaks an invariant of the whole fleet.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		options := rockcheck.Options{Placements: rapid.Bool().Draw(t, "placements")}
+		f := run(seed, drawEvents(t, 20), options)
+		report(t, f)
+	})
+}
+
+// Guards against a request that crashes more than 3 backend servers, and against innocent requests of its host that are lost with it.
+func TestPoisonousRequest(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := run(seed, drawEvents(t, 1, "poison"), rockcheck.Options{Quiet: true})
+		f.CheckCrashes()
+		f.CheckInnocent(true)
+		report(t, f)
+	})
+}
+
+// Guards against a request that crashes more than 3 backend servers while other work and departures go on.
+func TestCrashLimit(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := run(seed, drawEvents(t, 6, "poison", "flood", "change", "leaveListed", "drain", "lift", "refuse"), rockcheck.Options{})
+		f.CheckCrashes()
+		report(t, f)
+	})
+}
+
+// Guards against a graceful stop or a departure that interrupts a request.
+func TestPlannedStops(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := run(seed, drawEvents(t, 4, "stopHost", "change", "lagList"), rockcheck.Options{Quiet: true})
+		f.CheckInterrupted()
+		report(t, f)
+	})
+}
+
+// Guards against a suspect of another host that is taken for the cause, because both hosts ran their suspect alone on the same backend server.
+func TestInnocentAtOtherHost(t *testing.T) {
+	poison := rockcheck.Event{Kind: rockcheck.KindNamed("poison"), At: 3 * time.Second, A: 11, B: 3}
+	f := run(2, []rockcheck.Event{poison}, rockcheck.Options{Quiet: true})
+	f.CheckInnocent(false)
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
+
+// Guards against a harness or a system that depends on more than the seed, so that a failure can't be repeated.
+func TestRunsRepeat(t *testing.T) {
+	var events []rockcheck.Event
+	for i := range rockcheck.Kinds {
+		at := 3*time.Second + time.Duration(i)*500*time.Millisecond
+		events = append(events, rockcheck.Event{Kind: i, At: at, A: 7 * i, B: 5 * i, For: 2 * time.Second})
+	}
+	lines := func() string {
+		var text strings.Builder
+		run(7, events, rockcheck.Options{Trace: func(now time.Time, host, what string) {
+			fmt.Fprintln(&text, now.Sub(rockcheck.Epoch), host, what)
+		}})
+		return text.String()
+	}
+	first, second := lines(), lines()
+	if first != second {
+		t.Error("two runs with the same seed differ")
+	}
+}
--- /dev/null
+++ b/core/rockcheck/fault_test.go
@@ -0,0 +1,60 @@
+package rockcheck_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockcheck"
+)
+
+// Guards against the return of faults that random runs found; the seeds are those of the shrunk runs.
+func TestFoundFaults(t *testing.T) {
+	event := func(kind string, at int, a, b, ms int) rockcheck.Event {
+		return rockcheck.Event{
+			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b, For: time.Duration(ms) * time.Millisecond,
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		seed   uint64
+		quiet  bool
+		events []rockcheck.Event
+	}{
+		{
+			"the end of a call that is reported twice starts it twice", 0x41b1ee4949b9, false,
+			[]rockcheck.Event{
+				event("loseTableAnswers", 3049, 3, 0, 101), event("cutDataCentres", 3083, 59, 6, 9502), event("flood", 3641, 1, 59, 101),
+			},
+		},
+		{
+			"news of an unconfirmed suspect lifts it at its own host", 0x5f, true,
+			[]rockcheck.Event{event("poison", 3004, 59, 3, 103)},
+		},
+		{
+			"an innocent request is sent to backend servers that are down until its retry budget is spent", 1, true,
+			[]rockcheck.Event{event("poison", 3000, 0, 0, 100), event("poison", 3007, 0, 0, 100)},
+		},
+		{
+			"a second crash is not counted while the first one of the backend server is unconfirmed", 0x307, false,
+			[]rockcheck.Event{event("poison", 3003, 49, 58, 101), event("poison", 3001, 57, 0, 4455)},
+		},
+		{
+			"a host that starts does not learn of a quarantine", 6, false,
+			[]rockcheck.Event{
+				event("freezeHost", 3004, 1, 59, 4952), event("stopHost", 11390, 29, 13, 103), event("clockJump", 15618, 3, 45, 171),
+				event("clockJump", 3025, 51, 28, 129), event("restartHost", 3001, 21, 1, 448), event("restartHost", 3010, 21, 1, 448),
+				event("flood", 3028, 6, 0, 106), event("change", 3002, 12, 59, 105), event("clockJump", 20000, 0, 2, 100),
+				event("poison", 3064, 53, 5, 132),
+			},
+		},
+	} {
+		f := run(test.seed, test.events, rockcheck.Options{Quiet: test.quiet, Placements: test.seed == 6})
+		f.CheckCrashes()
+		if test.quiet {
+			f.CheckInnocent(true)
+		}
+		for _, v := range f.Violations {
+			t.Errorf("%s: %s", test.name, v)
+		}
+	}
+}
