Welcome a host that starts alone in its data centre

Cause: a host that starts is told everything only by hosts of its own data centre. Where there is none, it learned of earlier departures in the turns of gossip, after it had begun to give work to their backend servers.

Ruled out: the drain did not reach the others; all four other hosts knew of it within 40 ms.

Change: any host welcomes one that has just started if it knows no other live host in its data centre.

--- a/core/rockmember/news.go
+++ b/core/rockmember/news.go
@@ -19,7 +19,7 @@
 		Incarnation: m.Incarnation, Heartbeat: m.Heartbeat, State: m.State, ConfigVersion: m.ConfigVersion,
 	})
 	if sender := w.HostNamed(m.Sender); sender != nil && sender.Incarnation == m.Incarnation {
-		young := m.Heartbeat <= welcomeBeats && sender.DataCentre == w.SelfHost().DataCentre
+		young := m.Heartbeat <= welcomeBeats && (sender.DataCentre == w.SelfHost().DataCentre || isOnlyHost(w, sender))
 		if young && !sender.Told && !m.Reply {
 			welcome(now, w, m)
 		}
@@ -40,6 +40,16 @@
 	}
 }
 
+// isOnlyHost reports whether no other live host of its data centre is known, which could welcome it.
+func isOnlyHost(w *rocktable.World, host *rocktable.Host) bool {
+	for _, h := range w.Hosts.All() {
+		if h != host && h.DataCentre == host.DataCentre && h.State == rocktable.StateLive {
+			return false
+		}
+	}
+	return true
+}
+
 // takeHost takes news of a host over if its incarnation or heartbeat number is higher than the one known.
 func takeHost(now time.Time, w *rocktable.World, n rocktable.HostNews) {
 	h := w.HostNamed(n.Name)
