--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -58,3 +58,50 @@
 		}
 	}
 }
+
+// Guards against new work to a drained backend server by a host that starts alone in its data centre after the drain.
+func TestDrainBeforeStart(t *testing.T) {
+	event := func(kind string, at, a, b, ms, again int) rockcheck.Event {
+		return rockcheck.Event{
+			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b,
+			For: time.Duration(ms) * time.Millisecond, Again: time.Duration(again) * time.Millisecond,
+		}
+	}
+	f := run(0x12f47de, []rockcheck.Event{
+		event("changesRace", 3018, 2, 41, 5996, 0), event("cutPlatform", 3001, 11, 37, 1410, 0), event("clockJump", 3014, 7, 28, 12000, 11),
+		event("restartHost", 3024, 19, 28, 103, 0), event("drain", 3002, 59, 51, 100, 0), event("change", 5911, 1, 52, 100, 0),
+		event("cutPlatform", 3449, 4, 45, 317, 0), event("restartHost", 3005, 4, 14, 214, 616),
+	}, rockcheck.Options{})
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
+
+// Guards against a departure that a running host learns too late, because those that were told at once were killed.
+func TestDepartureWhileHostsRestart(t *testing.T) {
+	f := run(1, []rockcheck.Event{
+		{At: 3767 * time.Millisecond, Kind: rockcheck.KindNamed("stopApplication"), A: 4, B: 55, For: 4202 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3004 * time.Millisecond, Kind: rockcheck.KindNamed("clockJump"), A: 1, B: 42, For: 276 * time.Millisecond, Again: 2569 * time.Millisecond},
+		{At: 3030 * time.Millisecond, Kind: rockcheck.KindNamed("killHost"), A: 0, B: 36, For: 4398 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 4875 * time.Millisecond, Kind: rockcheck.KindNamed("loseTableAnswers"), A: 4, B: 6, For: 4335 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3001 * time.Millisecond, Kind: rockcheck.KindNamed("leaveReported"), A: 23, B: 35, For: 1173 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3036 * time.Millisecond, Kind: rockcheck.KindNamed("killHost"), A: 47, B: 57, For: 102 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3009 * time.Millisecond, Kind: rockcheck.KindNamed("killHost"), A: 18, B: 1, For: 558 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3009 * time.Millisecond, Kind: rockcheck.KindNamed("crashEngine"), A: 48, B: 48, For: 100 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3008 * time.Millisecond, Kind: rockcheck.KindNamed("stopHost"), A: 55, B: 1, For: 101 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3223 * time.Millisecond, Kind: rockcheck.KindNamed("refuse"), A: 1, B: 43, For: 2857 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 15408 * time.Millisecond, Kind: rockcheck.KindNamed("killHost"), A: 12, B: 3, For: 100 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3005 * time.Millisecond, Kind: rockcheck.KindNamed("freezeHost"), A: 14, B: 5, For: 155 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3028 * time.Millisecond, Kind: rockcheck.KindNamed("clockJump"), A: 42, B: 10, For: 100 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3027 * time.Millisecond, Kind: rockcheck.KindNamed("flood"), A: 7, B: 51, For: 101 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3001 * time.Millisecond, Kind: rockcheck.KindNamed("platformOut"), A: 0, B: 0, For: 100 * time.Millisecond, Again: 1305 * time.Millisecond},
+		{At: 3033 * time.Millisecond, Kind: rockcheck.KindNamed("restartHost"), A: 48, B: 6, For: 115 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 10182 * time.Millisecond, Kind: rockcheck.KindNamed("stopHost"), A: 55, B: 7, For: 193 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3805 * time.Millisecond, Kind: rockcheck.KindNamed("change"), A: 6, B: 3, For: 215 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3157 * time.Millisecond, Kind: rockcheck.KindNamed("leaveReported"), A: 6, B: 33, For: 103 * time.Millisecond, Again: 0 * time.Millisecond},
+		{At: 3000 * time.Millisecond, Kind: rockcheck.KindNamed("killHost"), A: 53, B: 58, For: 114 * time.Millisecond, Again: 0 * time.Millisecond},
+	}, rockcheck.Options{})
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
