Rank only backend servers of the own data centre for probing

Cause: after each change of a host's state every host ranked all backend servers over the hosts of their data centres, 600 x 34 hashes, although it can be a prober only in its own. The cost grew with the product of hosts and backend servers. Ruled out: the rest of the tick (15 us). Change: backend servers of a data centre that has live hosts and is not the own are skipped; those of one without live hosts are ranked as before. The tests on probers and partitions pass unchanged.

--- a/core/rockmember/probe.go
+++ b/core/rockmember/probe.go
@@ -33,8 +33,12 @@
 	self := w.SelfHost()
 	for _, s := range w.Servers.All() {
 		hosts := near[s.DataCentre]
-		if len(hosts) == 0 {
+		switch {
+		case len(hosts) == 0:
 			hosts = all // a data centre without live hosts is probed from the others
+		case s.DataCentre != self.DataCentre:
+			s.Probing = false // its own hosts probe it; ranking them here would cost hosts x backend servers
+			continue
 		}
 		s.Probing = isProber(self, s, hosts)
 	}
--- a/io/rockcost/operation.go
+++ b/io/rockcost/operation.go
@@ -40,6 +40,18 @@
 		Prepare: prepareIdle,
 		Rate:    deadlinesPerSecond,
 	},
+	{
+		Name: "reassign",
+		Doc:  "A tick after the state of a host changed, in which the probers are chosen again.",
+		Prepare: func(f *Fleet, _ int) func() {
+			f.Run(runningStreams)
+			return func() {
+				f.World.Gossip.Reassign = true
+				f.Tick()
+			}
+		},
+		Rate: func(Scale) float64 { return 0 }, // 2 for each departure and return
+	},
 	{
 		Name:    "reconcile",
 		Doc:     "A tick in which the holder of the lease compares the engines of its data centre with the placements.",
