--- a/io/rockcost/platform.go
+++ b/io/rockcost/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 	"time"
 
 	"sassafrasrock/core/rockconfig"
@@ -83,9 +84,15 @@
 // countedSeconds holds several reads of the row that is read least often.
 const countedSeconds = 600
 
-var counted = map[Scale]PlatformUse{}
+// counted keeps the counts of each scale, because several records need them; experiments may run side by side.
+var (
+	countedMu sync.Mutex
+	counted   = map[Scale]PlatformUse{}
+)
 
 func countedUse(s Scale) PlatformUse {
+	countedMu.Lock()
+	defer countedMu.Unlock()
 	if use, ok := counted[s]; ok {
 		return use
 	}
