--- a/io/rockprocess/apply_test.go
+++ b/io/rockprocess/apply_test.go
@@ -23,6 +23,7 @@
 
 // Guards against a change that is applied twice, or reported as failed, when the platform's answers are lost or the platform goes out under it.
 func TestApplyDuringLostAnswers(t *testing.T) {
+	t.Parallel() // with the tests that mostly wait; together they have no more than ten processes
 	p := newPlan(2)
 	f := p.start(t)
 	before, _ := f.version()
@@ -56,6 +57,7 @@
 
 // Guards against two operators of whom both, or neither, get their change in force, also when the answers of the platform are lost.
 func TestRacingOperators(t *testing.T) {
+	t.Parallel() // with the tests that mostly wait; together they have no more than ten processes
 	p := newPlan(2)
 	f := p.start(t)
 	for round, fault := range []rockstandin.Fault{
--- a/io/rockprocess/claim_test.go
+++ b/io/rockprocess/claim_test.go
@@ -14,6 +14,7 @@
 
 // Guards against a call that runs twice when its host is stopped between the claim and the call, and the caller resends meanwhile.
 func TestStoppedWithClaim(t *testing.T) {
+	t.Parallel() // with the tests that mostly wait; together they have no more than ten processes
 	p := newPlan(2)
 	p.config.Services[0].TimeoutMs = 3000
 	f := p.start(t)
