Test the platform's connections that go silent together

TestSilentConnectionsCostOneOperation shows it: four connections go silent, one operation runs out of time, the next must succeed.

--- /dev/null
+++ b/io/rockplatform/silent_test.go
@@ -0,0 +1,42 @@
+package rockplatform_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafrasrock/io/rockplatform"
+	"sassafrasrock/io/rockstandin"
+)
+
+// Guards against operations that each wait for their whole time on another connection that went silent.
+func TestSilentConnectionsCostOneOperation(t *testing.T) {
+	s, err := rockstandin.Start(context.Background(), rockstandin.Settings{Platform: rockstandin.PlatformSettings{ReadMs: 100}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	p := rockplatform.New(s.PlatformURL())
+	t.Cleanup(p.Close)
+	var reads sync.WaitGroup
+	for range 4 { // at the same time, so that each opens a connection
+		reads.Go(func() {
+			if _, err := p.Hosts(context.Background()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	reads.Wait()
+	if err := s.Fault(rockstandin.Fault{Target: "platform", Kind: rockstandin.FaultSilent}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := p.Hosts(ctx); err == nil {
+		t.Fatal("the connection is not silent")
+	}
+	if _, err := p.Hosts(context.Background()); err != nil {
+		t.Errorf("the operation after the first that ran out of time: %v", err)
+	}
+}
