Hold the wire limit of gossip to its target, and strike an engine that has sessions

Cause: the test of gossip at full size allowed 4,900 bytes/s, the measured figure, instead of the target of 4,096; its demand fell off since the workload stopped asking. TestStageDiesInStreams failed now and then with no request replayed, because all 12 paths had chosen the other engine.

--- a/io/rockcost/cost_test.go
+++ b/io/rockcost/cost_test.go
@@ -47,16 +47,18 @@
 	}
 }
 
-// Guards against rounds that grow on the wire, and against demand of callers that messages of a large fleet leave out, so that limits are divided evenly whatever callers do.
-func TestRoundsAtFullScale(t *testing.T) {
-	const (
-		overhead = 180  // bytes of a message, as MeasureLoopback finds
-		most     = 4900 // bytes/s; WireLimit is not met, see docs/CAPACITY.md
-	)
+// Guards against rounds that take more than a host's 4 KB/s for control on the wire.
+func TestRoundsFitTheWireLimit(t *testing.T) {
+	const overhead = 180 // bytes of a message, as MeasureLoopback finds
 	g := CountGossip(Full, 1, 60)
-	if wire := g.Frames + overhead*g.Messages; wire > most {
-		t.Errorf("%.0f bytes/s on the wire, want at most %d", wire, most)
+	if wire := g.Frames + overhead*g.Messages; wire > WireLimit {
+		t.Errorf("%.0f bytes/s on the wire, want at most %d", wire, WireLimit)
 	}
+}
+
+// Guards against demand of callers that messages of a large fleet leave out, so that limits are divided evenly whatever callers do.
+func TestDemandIsToldAtFullScale(t *testing.T) {
+	g := CountGossip(Full, 1, 60)
 	if g.Demand < 50*g.Messages {
 		t.Errorf("%.0f bytes/s of demand in %.1f messages/s, want 2 callers or more in each", g.Demand, g.Messages)
 	}
--- a/io/rockcost/gossip.go
+++ b/io/rockcost/gossip.go
@@ -33,6 +33,7 @@
 	}
 	var sum GossipBytes
 	for range seconds {
+		f.keepDemand()
 		for _, m := range f.Round() {
 			sum.add(m)
 		}
@@ -43,6 +44,13 @@
 	}
 }
 
+// keepDemand makes the callers of the running streams go on asking, since demand falls off without requests.
+func (f *Fleet) keepDemand() {
+	for _, c := range f.World.Callers.All() {
+		c.DemandAt = f.Now
+	}
+}
+
 func (b *GossipBytes) add(m rocktable.PeerMessage) {
 	b.Messages++
 	whole := float64(len(encode(m)))
--- a/io/rockdaemon/daemon_test.go
+++ b/io/rockdaemon/daemon_test.go
@@ -22,7 +22,9 @@
 	var kill sync.Once
 	answers := f.chats(12, 60, func(n int) {
 		if n == 10 {
-			kill.Do(func() { f.fault(rockstandin.Fault{Target: "runner-2", Kind: rockstandin.FaultKill, ForMs: 2000}) })
+			kill.Do(func() {
+				f.fault(rockstandin.Fault{Target: f.busier("runner-2", "runner-5"), Kind: rockstandin.FaultKill, ForMs: 2000})
+			})
 		}
 	})
 	replayed := 0
--- a/io/rockdaemon/fleet_test.go
+++ b/io/rockdaemon/fleet_test.go
@@ -183,6 +183,15 @@
 	}
 }
 
+// busier returns the engine that started more sessions; a fault at one that got none strikes nothing.
+func (f *fleet) busier(a, b string) string {
+	counts := f.standin.Counts()
+	if counts.Engines[b].Sessions > counts.Engines[a].Sessions {
+		return b
+	}
+	return a
+}
+
 func (f *fleet) fault(fault rockstandin.Fault) {
 	f.t.Helper()
 	if err := f.standin.Fault(fault); err != nil {
