Clear request content that was answered whole

Cause: content in flight at two crashes runs alone, also when it was answered whole in between. Change: a whole answer of any attempt clears its content, because content that crashes backend servers crashes each one that runs it.

--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -66,12 +66,13 @@
 	if r == nil {
 		return
 	}
-	if a.Alone {
-		if s := w.Suspects.Get(r.Fingerprint); s != nil {
+	if s := w.Suspects.Get(r.Fingerprint); s != nil {
+		if a.Alone {
 			s.Running = false
-			if e.Reason == "" {
-				clearSuspect(now, w, s)
-			}
+		}
+		// Content that crashes backend servers crashes each one that runs it, so that a whole answer shows that it does not.
+		if e.Reason == "" && (a.Alone || s.Crashes > 0) {
+			clearSuspect(now, w, s)
 		}
 	}
 	if s := w.Servers.Get(e.Server); s != nil && e.Crashed {
--- /dev/null
+++ b/core/rockcrash/crash_test.go
@@ -0,0 +1,61 @@
+package rockcrash
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// attempt puts a running attempt of a request content on a backend server.
+func attempt(w *rocktable.World, now time.Time, id rocktable.AttemptID, fingerprint uint64, s *rocktable.BackendServer) {
+	request := rocktable.RequestID(id)
+	w.Requests.Put(request, rocktable.Request{ID: request, Fingerprint: fingerprint, Attempt: id})
+	w.Attempts.Put(id, rocktable.Attempt{
+		ID: id, Request: request, Started: now, Path: []rocktable.Stage{{Server: s.ID, LastLayer: 8, Incarnation: s.Incarnation}},
+	})
+}
+
+// end runs a tick in which an attempt ends, by a crash of its backend server or with a whole answer.
+func end(w *rocktable.World, now time.Time, id rocktable.AttemptID, crashed *rocktable.BackendServer) {
+	e := rocktable.Ended{Attempt: id}
+	if crashed != nil {
+		e.Reason, e.Server, e.Crashed = "stageDied", crashed.ID, true
+		crashed.Incarnation++
+	}
+	w.Inbox.Ended = []rocktable.Ended{e}
+	run(now, w)
+	w.Inbox.Ended = nil
+	w.Attempts.Delete(id)
+}
+
+// Guards against content that many callers send and that is in flight at every crash, for instance a usual question,
+// being run alone or shut out although it was answered whole in between.
+func TestAnsweredContentIsNoSuspect(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	const content = 9
+	w := rocktable.NewWorld(now, rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: "yoff"}, 1)
+	one, two := w.InternServer("runner-1"), w.InternServer("runner-2")
+	one.Incarnation, two.Incarnation = 1, 1
+
+	attempt(w, now, 1, content, one)
+	end(w, now, 1, one)
+	if s := w.Suspects.Get(content); s == nil || s.Crashes != 1 {
+		t.Fatalf("suspect = %+v, want one crash", s)
+	}
+	now = now.Add(time.Second)
+	attempt(w, now, 2, content, two)
+	end(w, now, 2, nil)
+	now = now.Add(time.Second)
+	attempt(w, now, 3, content, two)
+	end(w, now, 3, two)
+	if IsSuspect(now, w, content) {
+		t.Error("content that was answered between two crashes has to run alone")
+	}
+	now = now.Add(time.Second)
+	attempt(w, now, 4, content, one)
+	end(w, now, 4, one)
+	if !IsSuspect(now, w, content) {
+		t.Error("content that was in flight at two crashes without an answer in between does not run alone")
+	}
+}
