--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -185,9 +185,21 @@
 		row := w.Ranks.GetOrPut(id)
 		row.ID, row.Config = id, c
 	}
-	keepCallers(w, cfg.Callers)
-	keepPipelines(w, cfg.Pipelines)
-	keepServices(w, cfg.Services)
+	keep(&w.Callers, cfg.Callers, func(c rocktable.CallerConfig) rocktable.CallerID {
+		row := w.InternCaller(c.Name)
+		row.Config = c
+		return row.ID
+	})
+	keep(&w.Pipelines, cfg.Pipelines, func(c rocktable.PipelineConfig) rocktable.PipelineID {
+		row := w.InternPipeline(c.Name)
+		row.Config = c
+		return row.ID
+	})
+	keep(&w.Services, cfg.Services, func(c rocktable.ServiceConfig) rocktable.ServiceID {
+		row := w.InternService(c.Name)
+		row.Config = c
+		return row.ID
+	})
 }
 
 // moveRanks keeps the rows and the work of each rank with its name when positions change.
@@ -206,44 +218,15 @@
 	}
 }
 
-func keepCallers(w *rocktable.World, configs []rocktable.CallerConfig) {
-	kept := make(map[rocktable.CallerID]bool, len(configs))
-	for _, c := range configs {
-		row := w.InternCaller(c.Name)
-		row.Config = c
-		kept[row.ID] = true
-	}
-	for id := range w.Callers.All() {
-		if !kept[id] {
-			w.Callers.Delete(id)
-		}
-	}
-}
-
-func keepPipelines(w *rocktable.World, configs []rocktable.PipelineConfig) {
-	kept := make(map[rocktable.PipelineID]bool, len(configs))
-	for _, c := range configs {
-		row := w.InternPipeline(c.Name)
-		row.Config = c
-		kept[row.ID] = true
-	}
-	for id := range w.Pipelines.All() {
-		if !kept[id] {
-			w.Pipelines.Delete(id)
-		}
-	}
-}
-
-func keepServices(w *rocktable.World, configs []rocktable.ServiceConfig) {
-	kept := make(map[rocktable.ServiceID]bool, len(configs))
+// keep sets the row of each configuration and deletes the others; set returns the key of the row.
+func keep[K comparable, T, C any](t *rocktable.Table[K, T], configs []C, set func(C) K) {
+	kept := make(map[K]bool, len(configs))
 	for _, c := range configs {
-		row := w.InternService(c.Name)
-		row.Config = c
-		kept[row.ID] = true
+		kept[set(c)] = true
 	}
-	for id := range w.Services.All() {
-		if !kept[id] {
-			w.Services.Delete(id)
+	for key := range t.All() {
+		if !kept[key] {
+			t.Delete(key)
 		}
 	}
 }
--- /dev/null
+++ b/core/rocktable/ids.go
@@ -0,0 +1,31 @@
+package rocktable
+
+// HostID identifies an entry host within one World.
+type HostID int32
+
+// DataCentreID identifies a data centre within one World.
+type DataCentreID int32
+
+// BackendServerID identifies a backend server within one World.
+type BackendServerID int32
+
+// CallerID identifies a caller within one World.
+type CallerID int32
+
+// RankID is the position of a rank in the configuration; rank 0 is the most urgent.
+type RankID int32
+
+// NoRank is the rank of application calls, which are not queued by rank.
+const NoRank RankID = -1
+
+// PipelineID identifies a pipeline within one World.
+type PipelineID int32
+
+// ServiceID identifies an application or plain service within one World.
+type ServiceID int32
+
+// RequestID identifies a request or call within one World and is never reused.
+type RequestID uint64
+
+// AttemptID identifies one run of a request on a path and is never reused.
+type AttemptID uint64
--- /dev/null
+++ b/core/rocktable/leases.go
@@ -0,0 +1,35 @@
+package rocktable
+
+import "time"
+
+// Lease is the right to send orders to the engines of this host's data centre.
+type Lease struct {
+	Held     bool
+	Fencing  uint64
+	Version  uint64 // of the row
+	Until    time.Time
+	UsableAt time.Time // no order is sent earlier, so that the last holder's orders have ended
+	Seen     LeaseRow
+	SeenAt   time.Time
+	Next     time.Time
+	Pending  uint64 // operation in flight, or 0
+	Write    bool   // the operation in flight is a write
+	Wanted   LeaseRow
+	SentAt   time.Time // of the operation in flight
+	Beat     time.Time // next tick asked for; a tick much later tells of a pause
+	Released bool      // given up for the shutdown
+
+	ReconcileAt time.Time // next comparison of engines and placements, if no event asks for an earlier one
+}
+
+// Order is an instruction to an engine that is wanted or under way.
+type Order struct {
+	Server  BackendServerID
+	Wanted  Placement
+	Fencing uint64
+	SentAt  time.Time
+	Pending bool
+	Failed  int
+	Next    time.Time
+	Over    time.Time // until then the engine may carry out an order whose answer was lost
+}
--- /dev/null
+++ b/core/rocktable/requests.go
@@ -0,0 +1,87 @@
+package rocktable
+
+import "time"
+
+// RequestState is the progress of a request.
+type RequestState uint8
+
+// The states of requests.
+const (
+	RequestQueued RequestState = iota
+	RequestRunning
+	RequestClaiming // application call whose claim row is being written
+	RequestSettling // application call whose outcome row is being written
+	RequestDone
+)
+
+// Request is a model request or an application call that this host took.
+type Request struct {
+	ID          RequestID
+	Caller      CallerID
+	Rank        RankID
+	Pipeline    PipelineID
+	Arrived     time.Time
+	State       RequestState
+	Prompt      int // tokens
+	MaxTokens   int
+	Fingerprint uint64   // of the content
+	Prefix      []uint64 // hashes of the prompt's prefixes, one for each block
+	Epoch       uint32   // of the current attempt
+	Attempt     AttemptID
+	Attempts    int
+	Tokens      int // tokens delivered to the caller
+	FirstToken  time.Time
+	LargestGap  time.Duration
+	Charged     float64 // tokens charged to the caller's share
+	Avoid       []BackendServerID
+	MayHaveRun  bool // was handed to a backend server that did not say that it did not start
+	Requeued    bool // goes before new requests of its rank
+	Alone       bool // suspect: runs alone on its backend servers
+
+	RanBefore bool // an earlier attempt may have run
+
+	Estimate float64   // tokens that it was counted with while it waited
+	Waiting  bool      // in a queue
+	InFront  bool      // in Lane.Front
+	QueuedAt time.Time // last time it entered a queue
+
+	Call *Call // set for application calls
+}
+
+// Stage is one part of a path: a backend server and the layers it runs.
+type Stage struct {
+	Server     BackendServerID
+	Address    string
+	FirstLayer int
+	LastLayer  int // inclusive
+
+	Incarnation uint64 // of the backend server when the path was chosen
+	Resume      bool   // the backend server can resume a session whose stream was lost
+}
+
+// Attempt is one run of a request on a path.
+type Attempt struct {
+	ID       AttemptID
+	Request  RequestID
+	Epoch    uint32
+	Path     []Stage
+	Started  time.Time
+	Progress time.Time // last sign of progress
+	Tokens   int
+	Canceled bool
+	Alone    bool // its backend servers have no other work of this host
+}
+
+// Suspect is a request content that was in flight when a backend server crashed.
+type Suspect struct {
+	Fingerprint uint64
+	Crashes     int
+	AloneCrash  int // crashes while it ran alone
+	Quarantined bool
+	Running     bool      // an attempt that runs alone is under way at this host
+	Unsettled   int       // signs of crashes at this host that are not confirmed yet
+	SignAttempt AttemptID // of the last sign
+	AloneSigns  int       // those of them while it ran alone
+	Expires     time.Time
+	Changed     uint64 // 0 while there is nothing that peers should learn
+}
--- a/io/rockmeasure/all.go
+++ b/io/rockmeasure/all.go
@@ -1,9 +1,12 @@
 package rockmeasure
 
-import "sassafrasrock/io/rockexperiment"
+import (
+	"sassafrasrock/io/rockcost"
+	"sassafrasrock/io/rockexperiment"
+)
 
 // All lists every experiment at full size.
-var All = Experiments(Full)
+var All = append(Experiments(Full), rockcost.Experiment)
 
 // Experiments returns every experiment at a size.
 func Experiments(size Size) []rockexperiment.Experiment {
