Let the cost fleet take its places as reports show them

Cause: hosts take free slots in parts, as reports show their sessions; the fleet of io/rockcost heard no report while it started its streams, got too few and panicked at 340 hosts and 40 backend servers. Change: it hears a second of reports when it finds no place. Result: scripts/measure controlCost runs to its end.

--- a/io/rockcost/scale.go
+++ b/io/rockcost/scale.go
@@ -216,14 +216,22 @@
 	}})
 }
 
-// Run starts requests until n attempts are in flight.
+// Run starts requests until n attempts are in flight, or until backend servers give this host no more places.
 func (f *Fleet) Run(n int) {
-	for range n {
+	const tries = 8 // for each attempt
+	for range tries * n {
 		if len(f.Running) >= n {
 			return
 		}
+		before := len(f.Running)
 		f.Arrive()
 		f.keepStarts(f.Tick())
+		if len(f.Running) == before {
+			// The places of this host at a backend server grow with the sessions that its reports show.
+			f.Now = f.Now.Add(time.Second)
+			f.Hear()
+			f.keepStarts(f.Tick())
+		}
 	}
 }
 
