--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// Guards against a check that takes a host that starts 10 ms before the end of a run, and is not ready yet, for one that
+// lacks the configuration.
+func TestHostStartsAtTheEnd(t *testing.T) {
+	f := run(0, []rockcheck.Event{
+		{Kind: rockcheck.KindNamed("stopHost"), At: 7991 * time.Millisecond, A: 59, B: 49, For: 109 * time.Millisecond},
+	}, rockcheck.Options{})
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
+
 // Guards against a departure that a running host learns too late, because those that were told at once were killed.
 func TestDepartureWhileHostsRestart(t *testing.T) {
 	f := run(1, []rockcheck.Event{
