Tell of a departure in every message for 15 s

Ruled out: a lost link (messages arrived each second or two) and a higher departure number at the receiver (0 against 1). Change: backend servers that began to leave within 15 s go into each message, at most 4 of them.

--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Guards against a departure that one connected host tells another only after 7 s, because the changes that followed it
+// crowd it out of the messages.
+func TestDepartureAmongManyChanges(t *testing.T) {
+	event := func(kind string, at, a, b, ms, again int) rockcheck.Event {
+		return rockcheck.Event{
+			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b,
+			For: time.Duration(ms) * time.Millisecond, Again: time.Duration(again) * time.Millisecond,
+		}
+	}
+	f := run(3, []rockcheck.Event{
+		event("killHost", 3210, 1, 15, 8796, 0), event("restartHost", 3020, 13, 10, 11623, 0), event("cutPlatform", 3011, 49, 16, 5095, 3889),
+		event("freezeEngine", 3059, 1, 2, 550, 0), event("restartHost", 5358, 12, 25, 100, 0), event("cutDataCentres", 3019, 33, 1, 8180, 0),
+		event("leaveReported", 4398, 29, 39, 101, 0), event("leaveReported", 3005, 31, 6, 128, 0), event("leaveReported", 3003, 13, 12, 684, 0),
+	}, rockcheck.Options{})
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
+
 // Guards against a check that takes a host that starts 10 ms before the end of a run, and is not ready yet, for one that
 // lacks the configuration.
 func TestHostStartsAtTheEnd(t *testing.T) {
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -32,6 +32,9 @@
 	// headerBytes is the size of the numbers in the message's own fields.
 	headerBytes = 40
 
+	// departureFor is the time for which every message tells of a departure.
+	departureFor   = 15 * time.Second
+	departureRows  = 4
 	recentHosts    = 3
 	recentServers  = 3
 	recentSuspects = 2
@@ -241,6 +244,7 @@
 	floor := g.Floors[g.Round%len(g.Floors)]
 	// One row with its address lets a host that started while the platform is out learn all backend servers.
 	addTurns(w, d, 1, true)
+	addDepartures(now, w, d)
 	addRecent(w, d, floor)
 	addSuspects(now, w, d, floor)
 	// Before the heartbeats, which fill the message of a large fleet: nothing else tells of demand.
@@ -256,6 +260,21 @@
 	return d.PeerMessage
 }
 
+// addDepartures adds backend servers that have just begun to leave to every message. Other changes follow a departure so
+// fast that it drops out of the recent ones, and a peer that missed the urgent message would learn of it by chance only.
+func addDepartures(now time.Time, w *rocktable.World, d *draft) {
+	var leaving []*rocktable.BackendServer
+	for _, s := range w.Servers.All() {
+		if s.State == rocktable.StateLeaving && now.Sub(s.LeavingSince) < departureFor {
+			leaving = append(leaving, s)
+		}
+	}
+	slices.SortFunc(leaving, func(a, b *rocktable.BackendServer) int { return b.LeavingSince.Compare(a.LeavingSince) })
+	for _, s := range leaving[:min(len(leaving), departureRows)] {
+		d.addServer(w, s, false)
+	}
+}
+
 func addRecent(w *rocktable.World, d *draft, floor uint64) {
 	var hosts []*rocktable.Host
 	for _, h := range w.Hosts.All() {
