--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -145,7 +145,7 @@
 	{
 		Code: Shed, Kind: Refusal, Status: 503, Ran: NotRun, TryAgain: true,
 		Title:    "Shed under overload",
-		Text:     "The request waited, and work of more worth needed its place.",
+		Text:     "The request waited until its target was out of reach, or work of more worth needed its place.",
 		Operator: "Add backend servers.",
 	},
 	{
