Cancel an attempt by its request

Cause: each cancel looked through every running request of the host. Change: the action names the request. Result: tests of io/rocktraffic, core/rockroute and io/rockdaemon pass.

--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -43,7 +43,7 @@
 	}
 	if a := w.Attempts.Get(r.Attempt); a != nil {
 		a.Canceled = true
-		w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Attempt: r.Attempt})
+		w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Request: r.ID, Attempt: r.Attempt})
 	}
 	rockadmit.Remove(w, r)
 	w.Answer(r.ID, rockreason.CallerLeft)
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -40,6 +40,7 @@
 
 // Cancel ends an attempt early.
 type Cancel struct {
+	Request RequestID
 	Attempt AttemptID
 }
 
--- a/io/rocktraffic/traffic.go
+++ b/io/rocktraffic/traffic.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, cancel := range out.Cancels {
-		for _, c := range t.chats {
+		if c := t.chats[cancel.Request]; c != nil {
 			c.cancelAttempt(cancel.Attempt)
 		}
 	}
