Send whole rows of departures

Ruled out: lost messages; the host got one each second. Change: rows of departures carry address, data centre and role.

--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// Guards against a host that restarts while the platform is out and then gives work to a drained backend server, because
+// it could not place the news of the drain before the list told it of that server.
+func TestDepartureBeforeTheList(t *testing.T) {
+	event := func(kind string, at, a, b, ms, again int) rockcheck.Event {
+		return rockcheck.Event{
+			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b,
+			For: time.Duration(ms) * time.Millisecond, Again: time.Duration(again) * time.Millisecond,
+		}
+	}
+	f := run(4, []rockcheck.Event{
+		event("stopApplication", 3006, 2, 0, 101, 0), event("killHost", 3068, 37, 1, 100, 0), event("platformOut", 3004, 6, 24, 3116, 0),
+		event("flood", 3224, 25, 3, 1097, 2488), event("killHost", 3000, 6, 3, 139, 0), event("refuse", 3014, 3, 0, 355, 0),
+		event("drain", 3057, 5, 2, 101, 3037), event("flood", 6098, 0, 14, 103, 0),
+	}, rockcheck.Options{})
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
+
 // Guards against a check that takes a host that starts 10 ms before the end of a run, and is not ready yet, for one that
 // lacks the configuration.
 func TestHostStartsAtTheEnd(t *testing.T) {
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -262,6 +262,7 @@
 
 // addDepartures adds backend servers that have just begun to leave to every message. Other changes follow a departure so
 // fast that it drops out of the recent ones, and a peer that missed the urgent message would learn of it by chance only.
+// The rows are whole, since a host that has just started knows no backend server while the platform is out.
 func addDepartures(now time.Time, w *rocktable.World, d *draft) {
 	var leaving []*rocktable.BackendServer
 	for _, s := range w.Servers.All() {
@@ -271,7 +272,7 @@
 	}
 	slices.SortFunc(leaving, func(a, b *rocktable.BackendServer) int { return b.LeavingSince.Compare(a.LeavingSince) })
 	for _, s := range leaving[:min(len(leaving), departureRows)] {
-		d.addServer(w, s, false)
+		d.addServer(w, s, true)
 	}
 }
 
