Name the circuit breaker as such

Cause: strikes, rests and trials are not the terms of the field. Change: names and comments only; TestUnreachableServerRests is now TestCircuitBreakerOfUnreachableServer, with the same bounds. Result: tests of core pass as before.

--- a/core/rockmember/probe.go
+++ b/core/rockmember/probe.go
@@ -124,7 +124,7 @@
 func takeStatus(now time.Time, s *rocktable.BackendServer, status rocktable.EngineStatus) {
 	s.Status, s.StatusAt, s.SentSince, s.Unreached = status, now, 0, false
 	if s.Incarnation != status.Incarnation {
-		s.Strikes, s.RestUntil = 0, time.Time{} // a new process starts with a clean record
+		s.Trips, s.BreakerUntil = 0, time.Time{} // a new process starts with a clean record
 	}
 	s.Kind, s.Incarnation = status.Kind, status.Incarnation
 	s.Own = s.InFlight
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -60,7 +60,7 @@
 		noteSlow(now, w, a, p.LargestGap)
 	}
 	if a.Tokens == 0 && p.Tokens > 0 {
-		clearStrikes(w, a)
+		closeBreakers(w, a)
 	}
 	takeTokens(w, a, p.Tokens, p.FirstToken, p.LargestGap)
 }
@@ -121,7 +121,7 @@
 		succeed(now, w, r, a, e)
 	}
 	if s := w.Servers.Get(e.Server); s != nil && (e.Crashed || e.Reason == rockreason.StageUnreachable) {
-		strike(now, s, a)
+		tripBreaker(now, s, a)
 	}
 	rockadmit.Release(w, a)
 	r.Attempt = 0
@@ -142,7 +142,7 @@
 	}
 	// The largest gap of a stream that was replayed or resumed may come from the failure of its earlier path.
 	slow := r.Attempts == 1 && !e.Resumed && isSlow(w, r, e.LargestGap)
-	clearStrikes(w, a)
+	closeBreakers(w, a)
 	for _, stage := range a.Path {
 		s := w.Servers.Get(stage.Server)
 		if s == nil {
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -125,7 +125,7 @@
 	if s.Unreached {
 		return false
 	}
-	if rockretry.IsOnTrial(s) {
+	if rockretry.IsBreakerHalfOpen(s) {
 		return false
 	}
 	if s.InFlight >= s.Status.Slots || float64(s.InFlight) >= slotPart(w, s) {
--- a/core/rockroute/failure_test.go
+++ b/core/rockroute/failure_test.go
@@ -240,7 +240,7 @@
 }
 
 // Guards against waiting work that all goes to a dead backend server, because its places look free until probes find it down.
-func TestUnreachableServerRests(t *testing.T) {
+func TestCircuitBreakerOfUnreachableServer(t *testing.T) {
 	f := newFleet(t, 2, 4, 1)
 	whole := f.end
 	dead := rocktable.BackendServerID(2)
@@ -270,14 +270,14 @@
 			failed++
 		}
 	}
-	// Four before the first failure is known, then one after each rest of 1, 2 and 4 s.
+	// Four before the first failure is known, then one after the circuit breaker was open for 1, 2 and 4 s.
 	if failed == 0 || failed > 8 {
 		t.Errorf("%d attempts on the dead backend server, want 1 to 8", failed)
 	}
 	f.end = whole
 	f.run(20*time.Second, work)
-	if s := f.w.Servers.Get(dead); s.Strikes != 0 {
-		t.Errorf("%d strikes after the backend server came back, want none", s.Strikes)
+	if s := f.w.Servers.Get(dead); s.Trips != 0 {
+		t.Errorf("%d trips after the backend server came back, want none", s.Trips)
 	}
 }
 
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -59,20 +59,20 @@
 	for i, f := range fields {
 		f.setBounds(pipelines[i].Config.Layers)
 		f.setBegin()
-		if awake := f.awake(now, pipelines[i].Config.Layers); awake != nil {
-			fields[i] = awake
+		if closed := f.closed(now, pipelines[i].Config.Layers); closed != nil {
+			fields[i] = closed
 		}
 	}
 	return fields
 }
 
-// awake returns the field without the backend servers that rest, or nil if none rests or the others don't cover every layer.
-func (f *Field) awake(now time.Time, layers int) *Field {
-	isResting := func(s *rocktable.BackendServer) bool { return rockretry.IsResting(now, s) }
-	if !slices.ContainsFunc(f.Servers, isResting) {
+// closed returns the field without the backend servers whose circuit breakers are open, or nil if there are none or the others don't cover every layer.
+func (f *Field) closed(now time.Time, layers int) *Field {
+	isOpen := func(s *rocktable.BackendServer) bool { return rockretry.IsBreakerOpen(now, s) }
+	if !slices.ContainsFunc(f.Servers, isOpen) {
 		return nil
 	}
-	rest := &Field{Servers: slices.DeleteFunc(slices.Clone(f.Servers), isResting)}
+	rest := &Field{Servers: slices.DeleteFunc(slices.Clone(f.Servers), isOpen)}
 	rest.setBounds(layers)
 	rest.setBegin()
 	if !rest.IsCovered() {
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -48,9 +48,9 @@
 	CrashPrints      []CrashPrint // work that was in flight at that time
 	CrashedAt        time.Time    // when the last crash was confirmed, of CrashIncarnation
 
-	Strikes   int       // connections lost or refused since the last success
-	StruckAt  time.Time // last strike
-	RestUntil time.Time // gets no work until then if others cover its layers
+	Trips        int       // of the circuit breaker: connections lost or refused since the last success
+	TrippedAt    time.Time // last trip
+	BreakerUntil time.Time // the circuit breaker is open: no work until then if others cover its layers
 
 	RetryBudget  float64 // retries earned less retries caused; rockretry adds an allowance
 	Probing      bool    // this host is one of its probers
