Lose the answers of calls of a killed host in the harness

The trace shows that the harness gave the answer of a call of the killed host's process to the call with the same number of its successor, which no connection can do. Ruled out: a second run; the key ran once for each claim. Change: the harness drops the end of a call whose host has another incarnation. Result: TestAnswerOfKilledHostIsLost failed before and passes.

--- a/core/rockcheck/call.go
+++ b/core/rockcheck/call.go
@@ -59,8 +59,10 @@
 	f.trace(h.Name, "call %s goes to %s", c.Name, start.Address)
 	a := f.application(start.Address)
 	ended := false
+	incarnation := h.Incarnation
 	end := func(e rocktable.CallEnded) {
-		if ended {
+		// The connections of a host that was killed are gone, and the next one numbers its calls from 1 again.
+		if ended || h.Incarnation != incarnation {
 			return
 		}
 		ended = true
--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// Guards against a harness that gives the answer of a killed host's call to the call with the same number of the next one.
+func TestAnswerOfKilledHostIsLost(t *testing.T) {
+	event := func(kind string, at, a, b, ms int) rockcheck.Event {
+		return rockcheck.Event{
+			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b, For: time.Duration(ms) * time.Millisecond,
+		}
+	}
+	f := run(3, []rockcheck.Event{
+		event("flood", 3000, 22, 45, 795), event("restartHost", 3027, 8, 1, 120), event("poison", 3000, 7, 25, 103), event("cutPlatform", 3001, 10, 4, 438),
+	}, rockcheck.Options{})
+	for _, v := range f.Violations {
+		t.Error(v)
+	}
+}
+
 // Guards against a check that takes a host that starts 10 ms before the end of a run, and is not ready yet, for one that
 // lacks the configuration.
 func TestHostStartsAtTheEnd(t *testing.T) {
