Remove state that nothing reads, and share the events of the found cases

BackendServer.SentSince was counted and never read since reports are corrected by Others; PeerSent was never set; Control.SetCarrier was never called; five tests built the same event function. Change: the fields and the method are gone; core/rockcheck's cases share event and again, with the same seeds, times and bounds.

--- a/core/rockcheck/fault_test.go
+++ b/core/rockcheck/fault_test.go
@@ -7,13 +7,21 @@
 	"sassafrasrock/core/rockcheck"
 )
 
+// event returns an event with its times in ms.
+func event(kind string, at, a, b, duration int) rockcheck.Event {
+	return rockcheck.Event{
+		Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b, For: time.Duration(duration) * time.Millisecond,
+	}
+}
+
+// again returns an event that comes a second time after some ms.
+func again(e rockcheck.Event, after int) rockcheck.Event {
+	e.Again = time.Duration(after) * time.Millisecond
+	return e
+}
+
 // Guards against the return of faults that random runs found; the seeds are those of the shrunk runs.
 func TestFoundFaults(t *testing.T) {
-	event := func(kind string, at int, a, b, ms int) rockcheck.Event {
-		return rockcheck.Event{
-			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b, For: time.Duration(ms) * time.Millisecond,
-		}
-	}
 	for _, test := range []struct {
 		name   string
 		seed   uint64
@@ -61,16 +69,10 @@
 
 // Guards against new work to a drained backend server by a host that starts alone in its data centre after the drain.
 func TestDrainBeforeStart(t *testing.T) {
-	event := func(kind string, at, a, b, ms, again int) rockcheck.Event {
-		return rockcheck.Event{
-			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b,
-			For: time.Duration(ms) * time.Millisecond, Again: time.Duration(again) * time.Millisecond,
-		}
-	}
 	f := run(0x12f47de, []rockcheck.Event{
-		event("changesRace", 3018, 2, 41, 5996, 0), event("cutPlatform", 3001, 11, 37, 1410, 0), event("clockJump", 3014, 7, 28, 12000, 11),
-		event("restartHost", 3024, 19, 28, 103, 0), event("drain", 3002, 59, 51, 100, 0), event("change", 5911, 1, 52, 100, 0),
-		event("cutPlatform", 3449, 4, 45, 317, 0), event("restartHost", 3005, 4, 14, 214, 616),
+		event("changesRace", 3018, 2, 41, 5996), event("cutPlatform", 3001, 11, 37, 1410), again(event("clockJump", 3014, 7, 28, 12000), 11),
+		event("restartHost", 3024, 19, 28, 103), event("drain", 3002, 59, 51, 100), event("change", 5911, 1, 52, 100),
+		event("cutPlatform", 3449, 4, 45, 317), again(event("restartHost", 3005, 4, 14, 214), 616),
 	}, rockcheck.Options{})
 	for _, v := range f.Violations {
 		t.Error(v)
@@ -80,16 +82,10 @@
 // Guards against a departure that one connected host tells another only after 7 s, because the changes that followed it
 // crowd it out of the messages.
 func TestDepartureAmongManyChanges(t *testing.T) {
-	event := func(kind string, at, a, b, ms, again int) rockcheck.Event {
-		return rockcheck.Event{
-			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b,
-			For: time.Duration(ms) * time.Millisecond, Again: time.Duration(again) * time.Millisecond,
-		}
-	}
 	f := run(3, []rockcheck.Event{
-		event("killHost", 3210, 1, 15, 8796, 0), event("restartHost", 3020, 13, 10, 11623, 0), event("cutPlatform", 3011, 49, 16, 5095, 3889),
-		event("freezeEngine", 3059, 1, 2, 550, 0), event("restartHost", 5358, 12, 25, 100, 0), event("cutDataCentres", 3019, 33, 1, 8180, 0),
-		event("leaveReported", 4398, 29, 39, 101, 0), event("leaveReported", 3005, 31, 6, 128, 0), event("leaveReported", 3003, 13, 12, 684, 0),
+		event("killHost", 3210, 1, 15, 8796), event("restartHost", 3020, 13, 10, 11623), again(event("cutPlatform", 3011, 49, 16, 5095), 3889),
+		event("freezeEngine", 3059, 1, 2, 550), event("restartHost", 5358, 12, 25, 100), event("cutDataCentres", 3019, 33, 1, 8180),
+		event("leaveReported", 4398, 29, 39, 101), event("leaveReported", 3005, 31, 6, 128), event("leaveReported", 3003, 13, 12, 684),
 	}, rockcheck.Options{})
 	for _, v := range f.Violations {
 		t.Error(v)
@@ -99,16 +95,10 @@
 // Guards against a host that restarts while the platform is out and then gives work to a drained backend server, because
 // it could not place the news of the drain before the list told it of that server.
 func TestDepartureBeforeTheList(t *testing.T) {
-	event := func(kind string, at, a, b, ms, again int) rockcheck.Event {
-		return rockcheck.Event{
-			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b,
-			For: time.Duration(ms) * time.Millisecond, Again: time.Duration(again) * time.Millisecond,
-		}
-	}
 	f := run(4, []rockcheck.Event{
-		event("stopApplication", 3006, 2, 0, 101, 0), event("killHost", 3068, 37, 1, 100, 0), event("platformOut", 3004, 6, 24, 3116, 0),
-		event("flood", 3224, 25, 3, 1097, 2488), event("killHost", 3000, 6, 3, 139, 0), event("refuse", 3014, 3, 0, 355, 0),
-		event("drain", 3057, 5, 2, 101, 3037), event("flood", 6098, 0, 14, 103, 0),
+		event("stopApplication", 3006, 2, 0, 101), event("killHost", 3068, 37, 1, 100), event("platformOut", 3004, 6, 24, 3116),
+		again(event("flood", 3224, 25, 3, 1097), 2488), event("killHost", 3000, 6, 3, 139), event("refuse", 3014, 3, 0, 355),
+		again(event("drain", 3057, 5, 2, 101), 3037), event("flood", 6098, 0, 14, 103),
 	}, rockcheck.Options{})
 	for _, v := range f.Violations {
 		t.Error(v)
@@ -117,11 +107,6 @@
 
 // Guards against a harness that gives the answer of a killed host's call to the call with the same number of the next one.
 func TestAnswerOfKilledHostIsLost(t *testing.T) {
-	event := func(kind string, at, a, b, ms int) rockcheck.Event {
-		return rockcheck.Event{
-			Kind: rockcheck.KindNamed(kind), At: time.Duration(at) * time.Millisecond, A: a, B: b, For: time.Duration(ms) * time.Millisecond,
-		}
-	}
 	f := run(3, []rockcheck.Event{
 		event("flood", 3000, 22, 45, 795), event("restartHost", 3027, 8, 1, 120), event("poison", 3000, 7, 25, 103), event("cutPlatform", 3001, 10, 4, 438),
 	}, rockcheck.Options{})
--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -145,7 +145,6 @@
 	r.State = rocktable.RequestRunning
 	if s.Role == rocktable.RoleApplication {
 		s.InFlight++
-		s.SentSince++
 	}
 	w.Outbox.CallStarts = append(w.Outbox.CallStarts, rocktable.CallStart{Request: r.ID, Server: s.ID, Address: s.Address, Timeout: left})
 }
--- a/core/rockmember/probe.go
+++ b/core/rockmember/probe.go
@@ -122,7 +122,7 @@
 }
 
 func takeStatus(now time.Time, s *rocktable.BackendServer, status rocktable.EngineStatus) {
-	s.Status, s.StatusAt, s.SentSince, s.Unreached = status, now, 0, false
+	s.Status, s.StatusAt, s.Unreached = status, now, false
 	if s.Incarnation != status.Incarnation {
 		s.Trips, s.BreakerUntil = 0, time.Time{} // a new process starts with a clean record
 	}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -171,7 +171,6 @@
 	for _, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		s.InFlight++
-		s.SentSince++
 	}
 	if r.Alone {
 		if s := w.Suspects.Get(r.Fingerprint); s != nil {
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -28,8 +28,6 @@
 	Status     EngineStatus // last report, which lags
 	StatusAt   time.Time    // when this host took the report over
 	StatusSeq  uint64       // order of reports, set by the prober
-	SentSince  int          // starts by this host since the report
-	PeerSent   int          // starts by peers since the report, as they told
 	InFlight   int          // attempts of this host that use it now
 	PeerFlight int          // attempts of peers that use it now, as they told
 	Own        int          // InFlight at the time of the last report
--- a/io/rockcontrol/control.go
+++ b/io/rockcontrol/control.go
@@ -78,9 +78,6 @@
 	return c
 }
 
-// SetCarrier sets the carrier of a control thread that is not running yet, for carriers that need the Control themselves.
-func (c *Control) SetCarrier(carry func(now time.Time, out rocktable.Outbox)) { c.carry = carry }
-
 // NextRequest returns the id of a new request.
 func (c *Control) NextRequest() rocktable.RequestID {
 	return rocktable.RequestID(c.lastRequest.Add(1))
