--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -105,7 +105,7 @@
 	switch {
 	case w.Draining:
 		return rockreason.ShuttingDown
-	case !w.Ready:
+	case !w.Ready && w.NoticeAt.IsZero():
 		return rockreason.NotReady
 	case w.Ranks.Get(r.Rank) == nil:
 		return rockreason.UnknownRank
--- a/core/rockadmit/release.go
+++ b/core/rockadmit/release.go
@@ -14,6 +14,7 @@
 			continue
 		}
 		s.InFlight--
+		s.Reserved = max(0, s.Reserved-a.Memory*float64(stage.LastLayer-stage.FirstLayer+1))
 		if s.Exclusive == a.Request {
 			s.Exclusive = 0
 		}
--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -66,7 +66,10 @@
 		timeout = defaultTimeout
 	}
 	r.Call.Deadline = now.Add(timeout)
-	if r.Call.Idempotent {
+	if !r.Deadline.IsZero() {
+		r.Call.Deadline = r.Deadline
+	}
+	if r.Call.Idempotent || r.Call.Unclaimed {
 		start(now, w, r)
 		return
 	}
@@ -80,13 +83,13 @@
 	switch {
 	case w.Draining:
 		return rockreason.ShuttingDown
-	case !w.Ready:
+	case !w.Ready && w.NoticeAt.IsZero():
 		return rockreason.NotReady
 	case full:
 		return rockreason.HostFull
 	case service == nil:
 		return rockreason.UnknownService
-	case r.Call.Key == "" && !isIdempotent(r.Call, service):
+	case r.Call.Key == "" && !r.Call.Unclaimed && !isIdempotent(r.Call, service):
 		return rockreason.MissingKey
 	case pick(w, r, service) == nil:
 		return rockreason.NoServer
@@ -95,6 +98,9 @@
 }
 
 func isIdempotent(c *rocktable.Call, service *rocktable.Service) bool {
+	if c.Unclaimed {
+		return c.Idempotent // the route says so, whatever the method
+	}
 	return c.Idempotent || service.Config.Idempotent || c.Method == "GET" || c.Method == "HEAD"
 }
 
@@ -114,6 +120,9 @@
 // pick returns the live backend server of the service with the fewest calls of this host, or nil.
 func pick(w *rocktable.World, r *rocktable.Request, service *rocktable.Service) *rocktable.BackendServer {
 	var best *rocktable.BackendServer
+	if service.Config.Listed {
+		return pickListed(w, r, service)
+	}
 	n := len(service.Config.Servers)
 	for i := range n {
 		s := w.ServerNamed(service.Config.Servers[(service.Next+i)%n])
@@ -146,7 +155,8 @@
 	if s.Role == rocktable.RoleApplication {
 		s.InFlight++
 	}
-	w.Outbox.CallStarts = append(w.Outbox.CallStarts, rocktable.CallStart{Request: r.ID, Server: s.ID, Address: s.Address, Timeout: left})
+	r.Deadline = r.Call.Deadline
+	w.Outbox.CallStarts = append(w.Outbox.CallStarts, rocktable.CallStart{Request: r.ID, Server: s.ID, Name: s.Name, Address: s.Address, Timeout: left})
 }
 
 // endUnserved ends a call for which no backend server is left.
@@ -190,9 +200,12 @@
 		w.Outbox.Answers = append(w.Outbox.Answers, rocktable.Answer{Request: r.ID, Recorded: &row})
 	case !e.Sent:
 		retryElsewhere(now, w, r, e)
+	case r.Call.Unclaimed && !r.Call.Idempotent:
+		r.MayHaveRun = true
+		w.Answer(r.ID, rockreason.OutcomeUnknown)
 	default:
 		r.MayHaveRun = true
-		if r.Call.Runs >= maxRuns {
+		if r.Call.Runs >= runLimit(r) {
 			w.Answer(r.ID, rockreason.BackendFailed)
 			return
 		}
--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -35,6 +35,9 @@
 	for _, r := range w.Inbox.ConfigResults {
 		takeResult(now, w, r)
 	}
+	for _, p := range w.Inbox.ConfigPushes {
+		takePush(now, w, p)
+	}
 	for _, m := range w.Inbox.Peers {
 		takePeer(now, w, m)
 	}
@@ -43,7 +46,7 @@
 	}
 	runChanges(now, w)
 	readRow(now, w)
-	w.Ready = !w.Draining && (w.Ready || isCurrent(w))
+	w.Ready = !w.Draining && w.NoticeAt.IsZero() && (w.Ready || isCurrent(w))
 }
 
 // isCurrent reports whether a host that has just started has the highest version known to the platform or its peers.
@@ -52,6 +55,9 @@
 	if w.ConfigVersion == 0 || w.ConfigVersion < st.Highest {
 		return false
 	}
+	if w.Limits.Pushed && w.ListState.ReadAt.IsZero() {
+		return false // without backend servers it would refuse everything
+	}
 	return st.Read || st.Failed && peersTold(w)
 }
 
@@ -71,6 +77,9 @@
 }
 
 func readRow(now time.Time, w *rocktable.World) {
+	if w.Limits.Pushed {
+		return
+	}
 	st := &w.ConfigState
 	if st.Op != 0 && now.Sub(st.OpAt) >= opLimit {
 		st.Op, st.Failed = 0, true
@@ -126,6 +135,9 @@
 	st := &w.ConfigState
 	st.PeerRead = true
 	st.Highest = max(st.Highest, m.ConfigVersion)
+	if w.Limits.Pushed {
+		return // peers' messages carry no routes
+	}
 	if m.Configuration != nil {
 		Accept(now, w, m.ConfigVersion, *m.Configuration)
 	}
--- a/core/rockdrain/drain.go
+++ b/core/rockdrain/drain.go
@@ -28,10 +28,17 @@
 			rockmember.Drain(now, w, s)
 		}
 	}
-	if len(w.Inbox.Shutdowns) > 0 && !w.Draining {
-		w.Draining, w.Ready, w.DrainedAt = true, false, now
+	if len(w.Inbox.Shutdowns) > 0 && w.NoticeAt.IsZero() {
+		w.Ready, w.NoticeAt = false, now
 		rockmember.LeaveSelf(w)
 	}
+	if !w.NoticeAt.IsZero() && !w.Draining {
+		if end := w.NoticeAt.Add(w.Limits.DrainNotice); now.Before(end) {
+			w.WakeAt(end)
+		} else {
+			w.Draining, w.DrainedAt = true, now
+		}
+	}
 	rockmember.SendUrgent(now, w)
 	if !w.Draining {
 		return
--- a/core/rocklease/order.go
+++ b/core/rocklease/order.go
@@ -123,6 +123,9 @@
 			wanted[s.ID] = p
 		}
 	}
+	for id, p := range w.Plan.All() {
+		wanted[id] = *p
+	}
 	return wanted
 }
 
@@ -159,7 +162,7 @@
 	}
 	o.Server, o.Fencing, o.SentAt, o.Pending = s.ID, l.Fencing, now, true
 	w.Outbox.Orders = append(w.Outbox.Orders, rocktable.OrderSend{
-		Server: s.ID, Address: s.Address, Order: p, Fencing: l.Fencing, Until: until,
+		Server: s.ID, Name: s.Name, Address: s.Address, Order: p, Fencing: l.Fencing, Incarnation: s.Incarnation, Until: until,
 	})
 	return true
 }
--- /dev/null
+++ b/core/rocklookup/route.go
@@ -0,0 +1,68 @@
+package rocklookup
+
+import (
+	"sassafrasrock/core/rockconfig"
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// Destination is where a request goes that names its target by host name and path.
+type Destination struct {
+	Route      rocktable.RouteConfig
+	Caller     rocktable.CallerID // 0 on a public route without a known token
+	CallerName string
+	Rank       rocktable.RankID     // NoRank for calls
+	Pipeline   rocktable.PipelineID // 0 for a call
+	Service    rocktable.ServiceID  // 0 for a model request
+}
+
+// Route returns the destination of a request, or the reason for a refusal; draw, from 0 to 1, chooses among the targets of a route that is split.
+func Route(s *rocktable.Snapshot, host, path, tokenSHA256 string, draw float64) (Destination, rockreason.Code) {
+	if s.ConfigVersion == 0 {
+		return Destination{}, rockreason.NotReady
+	}
+	route, ok := s.Routes.Find(host, path)
+	if !ok {
+		return Destination{}, rockreason.UnknownPath
+	}
+	d := Destination{Route: route, Rank: rocktable.NoRank}
+	id, known := s.Callers[tokenSHA256]
+	if !known && len(s.CallerConfigs) > 0 && !route.Public {
+		return Destination{}, rockreason.Unauthorized
+	}
+	cfg := s.CallerConfigs[id]
+	d.Caller, d.CallerName = id, cfg.Name
+	target := pickTarget(route.Targets, draw)
+	if d.Pipeline = s.Pipelines[target]; d.Pipeline == 0 {
+		if d.Service = s.Services[target]; d.Service == 0 {
+			return Destination{}, rockreason.UnknownService
+		}
+		return d, ""
+	}
+	priority := route.Priority
+	if cfg.Priority != nil {
+		priority = *cfg.Priority
+	}
+	if d.Rank, ok = s.Ranks[rockconfig.RankName(priority, route.TargetMs, route.GapMs)]; !ok {
+		return Destination{}, rockreason.UnknownRank
+	}
+	return d, ""
+}
+
+// pickTarget returns the target whose part of the weights holds the draw.
+func pickTarget(targets []rocktable.RouteTarget, draw float64) string {
+	sum := 0
+	for _, t := range targets {
+		sum += max(0, t.Weight)
+	}
+	at := draw * float64(sum)
+	for _, t := range targets {
+		if at -= float64(max(0, t.Weight)); at < 0 {
+			return t.Name
+		}
+	}
+	if len(targets) == 0 {
+		return ""
+	}
+	return targets[0].Name
+}
--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -25,6 +25,9 @@
 func run(now time.Time, w *rocktable.World) {
 	for _, list := range w.Inbox.HostLists {
 		w.ListState.Pending = false
+		if list.Pushed {
+			notePush(now, w, list.OK)
+		}
 		if list.OK {
 			w.ListState.ReadAt = now
 			takeList(now, w, list.Entries)
@@ -39,7 +42,10 @@
 	for _, p := range w.Inbox.Probes {
 		takeProbe(now, w, p)
 	}
-	if !w.ListState.Pending && !now.Before(w.ListState.Next) {
+	if w.Limits.Pushed {
+		dropMissing(now, w)
+		w.ListState.Next = now.Add(checkEvery)
+	} else if !w.ListState.Pending && !now.Before(w.ListState.Next) {
 		w.ListState.Pending = true
 		w.ListState.Next = now.Add(listEvery(w))
 		w.Outbox.ListReads++
@@ -117,6 +123,10 @@
 	if e.Role == "application" {
 		s.Role = rocktable.RoleApplication
 	}
+	s.Service = e.Service
+	if e.Status != nil {
+		takeListedStatus(now, w, s, e)
+	}
 	// The list lags, so only the change to leaving is news; a lift or a restart must not be undone by an old entry.
 	leaving := e.State == "leaving"
 	if leaving && !s.ListedLeaving {
@@ -152,7 +162,7 @@
 		}
 	}
 	for id, s := range w.Servers.All() {
-		gone := s.State == rocktable.StateDown || s.State == rocktable.StateLeaving && s.FailedProbes > 0
+		gone := s.State == rocktable.StateDown || s.State == rocktable.StateLeaving && (s.FailedProbes > 0 || w.Limits.Pushed)
 		if s.Listed || s.Drained || s.InFlight > 0 || !gone {
 			s.DownSince = time.Time{}
 			continue
--- a/core/rockmember/news.go
+++ b/core/rockmember/news.go
@@ -113,7 +113,7 @@
 	}
 	turned := turnOf(n.StatusSeq) != turnOf(s.StatusSeq)
 	s.StatusSeq = n.StatusSeq
-	if n.Status.Incarnation != 0 && (!s.Probing || turned) {
+	if n.Status.Incarnation != 0 && (!s.Probing || turned) && !w.Limits.Pushed {
 		takeStatus(now, s, n.Status)
 	}
 	takeServerState(now, w, s, n, turned)
@@ -209,7 +209,7 @@
 	}
 	w.Gossip.Recount = false
 	for _, s := range w.Servers.All() {
-		s.PeerFlight = 0
+		s.PeerFlight, s.PeerMemory = 0, 0
 	}
 	for _, c := range w.Callers.All() {
 		c.PeerDemand = 0
@@ -218,6 +218,7 @@
 		for _, n := range h.Sent {
 			if s := w.ServerNamed(n.Server); s != nil {
 				s.PeerFlight += n.InFlight
+				s.PeerMemory += n.Memory
 			}
 		}
 		for _, n := range h.Demand {
--- a/core/rockmember/probe.go
+++ b/core/rockmember/probe.go
@@ -140,6 +140,9 @@
 func abs(n int) int { return max(n, -n) }
 
 func sendProbes(now time.Time, w *rocktable.World) {
+	if w.Limits.Pushed {
+		return // entries of the list carry reports
+	}
 	for _, s := range w.Servers.All() {
 		if !s.Probing || s.Address == "" {
 			continue
--- /dev/null
+++ b/core/rockplace/place.go
@@ -0,0 +1,296 @@
+package rockplace
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// planEvery is the time between comparisons of the plan with the backend servers.
+	planEvery = 250 * time.Millisecond
+	// settleTime is the time without a new backend server after which the first plan is made: they register within some seconds.
+	settleTime = 800 * time.Millisecond
+	// emptyPart is the part of a backend server's memory that it keeps for requests when it takes layers over from one that was lost.
+	emptyPart = 0.2
+	// secondCopy is the memory for requests, as a multiple of what the mean request takes, that each backend server must keep before a data centre holds another copy of the layers.
+	secondCopy = 400
+)
+
+// System plans the layers of backend servers.
+var System = rocktable.System{
+	Name: "rockplace",
+	Doc:  "Plans which backend server of the data centre holds which layers, and gives the layers of lost ones to others.",
+	Run:  run,
+}
+
+func run(now time.Time, w *rocktable.World) {
+	st := &w.PlanState
+	if len(w.Inbox.Arrivals) > 0 {
+		st.Served = true
+	}
+	if !w.Lease.Held {
+		// Another host plans; what this one planned is old when it holds the lease again.
+		w.Plan = rocktable.Table[rocktable.BackendServerID, rocktable.Placement]{}
+		st.Changed, st.Fresh = time.Time{}, false
+		return
+	}
+	if now.Before(st.Next) && len(w.Inbox.HostLists)+len(w.Inbox.Peers)+len(w.Inbox.ConfigPushes) == 0 {
+		w.WakeAt(st.Next)
+		return
+	}
+	st.Next = now.Add(planEvery)
+	for _, p := range w.Pipelines.All() {
+		if p.Config.Engine.IsWholePath() {
+			w.WakeAt(st.Next)
+			planPipeline(now, w, p)
+		}
+	}
+}
+
+// holder is a backend server with the layers that it holds or is to hold.
+type holder struct {
+	server *rocktable.BackendServer
+	memory float64 // MB
+	from   int
+	to     int // exclusive; equal to from for none
+}
+
+func (h *holder) layers() int { return h.to - h.from }
+
+// planPipeline brings the plan of a pipeline in line with the backend servers of the group.
+func planPipeline(now time.Time, w *rocktable.World, p *rocktable.Pipeline) {
+	st := &w.PlanState
+	group := groupOf(w, p)
+	dropGone(w, group)
+	if len(group) == 0 {
+		return
+	}
+	if n := len(group); n != st.Count {
+		st.Count, st.Changed = n, now
+	}
+	held := slices.ContainsFunc(group, func(h *holder) bool { return h.layers() > 0 })
+	if !held || st.Fresh && !st.Served {
+		if now.Sub(st.Changed) < settleTime {
+			return
+		}
+		if st.Planned != st.Count || !held {
+			st.Fresh, st.Planned = true, st.Count
+			layOut(p.Config, group)
+			keep(w, p, group)
+		}
+		return
+	}
+	mend(p.Config, group)
+	keep(w, p, group)
+}
+
+// groupOf returns the backend servers that together hold the pipeline: those of the data centre if they can, otherwise all.
+func groupOf(w *rocktable.World, p *rocktable.Pipeline) []*holder {
+	var own, all []*holder
+	home := w.SelfHost().DataCentre
+	for _, s := range w.Servers.All() {
+		kind, ok := p.Config.Engine.Kind(s.Kind)
+		if !ok || s.Service != p.Config.Name || s.State != rocktable.StateLive {
+			continue
+		}
+		h := &holder{server: s, memory: kind.MemoryMB}
+		if planned := w.Plan.Get(s.ID); planned != nil {
+			h.from, h.to = planned.FirstLayer, planned.LastLayer+1
+		} else if s.Status.Model == p.Config.Model && s.Status.LastLayer >= s.Status.FirstLayer {
+			h.from, h.to = s.Status.FirstLayer, s.Status.LastLayer+1
+		}
+		all = append(all, h)
+		if s.DataCentre == home {
+			own = append(own, h)
+		}
+	}
+	byName := func(a, b *holder) int { return cmp.Compare(a.server.Name, b.server.Name) }
+	slices.SortFunc(own, byName)
+	slices.SortFunc(all, byName)
+	if _, ok := share(p.Config, own, 1); ok {
+		return own
+	}
+	return all
+}
+
+// dropGone forgets what backend servers were to hold that have left the group or started again without layers.
+func dropGone(w *rocktable.World, group []*holder) {
+	live := make(map[rocktable.BackendServerID]bool, len(group))
+	for _, h := range group {
+		live[h.server.ID] = true
+	}
+	for id := range w.Plan.All() {
+		if !live[id] {
+			w.Plan.Delete(id)
+		}
+	}
+}
+
+// share returns the memory, in tokens, that each backend server keeps for requests when the group holds so many copies of the layers, and whether it can hold them.
+func share(cfg rocktable.PipelineConfig, group []*holder, copies int) (float64, bool) {
+	if !holds(cfg, group, copies, 0) {
+		return 0, false
+	}
+	low, high := 0.0, 1.0
+	for holds(cfg, group, copies, high) && high < 1e12 {
+		low, high = high, 2*high
+	}
+	for range 40 {
+		if mid := (low + high) / 2; holds(cfg, group, copies, mid) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return low, true
+}
+
+// holds reports whether the group can hold so many copies of the layers with memory for that many tokens on each backend server.
+func holds(cfg rocktable.PipelineConfig, group []*holder, copies int, tokens float64) bool {
+	done, at := 0, 0
+	for _, h := range group {
+		n := room(cfg, h, tokens)
+		if at+n >= cfg.Layers {
+			done, at = done+1, 0
+			continue
+		}
+		at += n
+	}
+	return done >= copies
+}
+
+// room returns the layers that a backend server can hold with memory for that many tokens.
+func room(cfg rocktable.PipelineConfig, h *holder, tokens float64) int {
+	each := cfg.Engine.LayerMB + tokens*cfg.Engine.TokenBytes/1e6/float64(cfg.Layers)
+	return min(cfg.Layers, int(h.memory/each))
+}
+
+// copiesOf returns the copies of the layers that the group is to hold, and the memory for requests that is left.
+func copiesOf(cfg rocktable.PipelineConfig, group []*holder) (copies int, tokens float64) {
+	enough := secondCopy * (cfg.Engine.PromptTokens + cfg.Engine.AnswerTokens)
+	tokens, _ = share(cfg, group, 1)
+	for copies = 1; ; copies++ {
+		more, ok := share(cfg, group, copies+1)
+		if !ok || more < enough {
+			return copies, tokens
+		}
+		tokens = more
+	}
+}
+
+// layOut gives every backend server of the group its layers anew, one after the other.
+func layOut(cfg rocktable.PipelineConfig, group []*holder) {
+	_, tokens := copiesOf(cfg, group)
+	at := 0
+	for _, h := range group {
+		h.from = at
+		h.to = min(cfg.Layers, at+room(cfg, h, tokens))
+		if at = h.to; at == cfg.Layers {
+			at = 0
+		}
+	}
+}
+
+// mend gives layers to backend servers without any, and layers that nobody holds to those beside them.
+func mend(cfg rocktable.PipelineConfig, group []*holder) {
+	_, tokens := copiesOf(cfg, group)
+	for _, h := range group {
+		if h.layers() == 0 {
+			if n := room(cfg, h, tokens); n > 0 {
+				h.from = weakest(cfg, group, n)
+				h.to = h.from + n
+			}
+		}
+	}
+	for range cfg.Layers {
+		from, to := firstGap(cfg, group)
+		if from == to || !fill(cfg, group, from, to) {
+			return
+		}
+	}
+}
+
+// weakest returns the first of n layers that need another holder most: those that nobody holds, then those whose holders have the least memory.
+func weakest(cfg rocktable.PipelineConfig, group []*holder, n int) int {
+	need := make([]float64, cfg.Layers)
+	for l := range need {
+		memory := 0.0
+		for _, h := range group {
+			if h.from <= l && l < h.to {
+				memory += (h.memory - float64(h.layers())*cfg.Engine.LayerMB) / float64(h.layers())
+			}
+		}
+		need[l] = 1 / max(1, memory)
+	}
+	best, most := 0, -1.0
+	for from := 0; from+n <= cfg.Layers; from++ {
+		sum := 0.0
+		for _, v := range need[from : from+n] {
+			sum += v
+		}
+		if sum > most {
+			best, most = from, sum
+		}
+	}
+	return best
+}
+
+// firstGap returns the first layers that nobody holds; the range is empty if there are none.
+func firstGap(cfg rocktable.PipelineConfig, group []*holder) (from, to int) {
+	held := make([]bool, cfg.Layers)
+	for _, h := range group {
+		for l := h.from; l < h.to; l++ {
+			held[l] = true
+		}
+	}
+	from = slices.Index(held, false)
+	if from < 0 {
+		return 0, 0
+	}
+	for to = from; to < cfg.Layers && !held[to]; to++ {
+	}
+	return from, to
+}
+
+// fill extends one of the holders beside a gap by one layer, the one with the most memory left for requests, and reports whether one could.
+func fill(cfg rocktable.PipelineConfig, group []*holder, from, to int) bool {
+	var best *holder
+	most := 0.0
+	for _, h := range group {
+		if h.layers() == 0 || h.to != from && h.from != to {
+			continue
+		}
+		left := h.memory - float64(h.layers()+1)*cfg.Engine.LayerMB
+		if left < emptyPart*h.memory {
+			continue
+		}
+		if part := left / float64(h.layers()+1); best == nil || part > most {
+			best, most = h, part
+		}
+	}
+	switch {
+	case best == nil:
+		return false
+	case best.to == from:
+		best.to++
+	default:
+		best.from--
+	}
+	return true
+}
+
+// keep writes what the backend servers of this data centre are to hold into the plan.
+func keep(w *rocktable.World, p *rocktable.Pipeline, group []*holder) {
+	home := w.SelfHost().DataCentre
+	for _, h := range group {
+		if h.server.DataCentre != home || h.layers() == 0 {
+			continue
+		}
+		w.Plan.Put(h.server.ID, rocktable.Placement{
+			Server: h.server.Name, Model: p.Config.Model, Version: p.Config.Version, FirstLayer: h.from, LastLayer: h.to - 1,
+		})
+	}
+}
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -28,6 +28,7 @@
 	OutcomeUnknown    Code = "outcomeUnknown"
 	BackendFailed     Code = "backendFailed"
 	Stalled           Code = "stalled"
+	TimedOut          Code = "timedOut"
 	RetryBudget       Code = "retryBudget"
 	CallerLeft        Code = "callerLeft"
 	StoppedNow        Code = "stoppedNow"
@@ -214,6 +215,12 @@
 		Text:     "No token came within the stall limit, and no retry was left.",
 		Operator: "Check the links and the load of the backend servers.",
 	},
+	{
+		Code: TimedOut, Kind: Failure, Status: 504, Ran: MayHaveRun, TryAgain: true,
+		Title:    "Deadline passed",
+		Text:     "The answer was not whole by the deadline of the caller or of the route.",
+		Operator: "Check the load of the backend servers, or raise the route's timeout.",
+	},
 	{
 		Code: RetryBudget, Kind: Failure, Status: 502, Ran: MayHaveRun, TryAgain: true,
 		Title:    "Retry budget spent",
--- a/core/rockretry/limit.go
+++ b/core/rockretry/limit.go
@@ -16,6 +16,8 @@
 	// minStep and minOpen are the shortest stall limits: a retry costs more than a short pause.
 	minStep = 2 * time.Second
 	minOpen = 5 * time.Second
+	// minEvent is the shortest wait for an event of a stream that a whole path runs.
+	minEvent = 700 * time.Millisecond
 )
 
 // StepLimit returns the longest wait for one step of one stage in a rank.
@@ -24,6 +26,13 @@
 // OpenLimit returns the longest wait for the first token in a rank, and the longest wait of a requeued request for a place.
 func OpenLimit(c rocktable.RankConfig) time.Duration { return max(4*c.FirstToken(), minOpen) }
 
+// EventLimit returns the longest wait for the next event of a stream whose engines run a whole path. Callers give such a
+// stream up after a few seconds of silence, so that it has to go on elsewhere before that.
+func EventLimit(c rocktable.RankConfig) time.Duration { return max(3*c.Gap(), minEvent) }
+
+// FirstEventLimit is EventLimit for the first event.
+func FirstEventLimit(c rocktable.RankConfig) time.Duration { return max(2*c.FirstToken(), minEvent) }
+
 // raiseLimit adds to the concurrency limit of a backend server, if it is in use, up to its slots.
 func raiseLimit(s *rocktable.BackendServer) {
 	if s.Limit == 0 {
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -34,12 +34,13 @@
 			expireFront(now, w, key, lane)
 		}
 	}
+	expireDeadlines(now, w)
 }
 
 func takeCallerGone(w *rocktable.World, id rocktable.RequestID) {
 	r := w.Requests.Get(id)
-	if r == nil || r.Call != nil {
-		return // rockclaim ends application calls
+	if r == nil || r.Call != nil && !r.Call.Unclaimed {
+		return // rockclaim ends application calls with a claim
 	}
 	if a := w.Attempts.Get(r.Attempt); a != nil {
 		a.Canceled = true
@@ -170,12 +171,16 @@
 func fail(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.Ended) {
 	w.Count(e.Reason)
 	r.RanBefore = r.RanBefore || !isNotRun(e)
+	if !isNotRun(e) {
+		r.Ran++
+	}
 	r.MayHaveRun = r.RanBefore
 	s := w.Servers.Get(e.Server)
 	if s != nil && e.Reason != rockreason.StageRefused {
 		noteResult(now, s, 1)
 	}
-	if s != nil && (e.Reason == rockreason.StageUnreachable || e.Crashed) {
+	// A pushed report comes only at a change, so that the circuit breaker alone keeps work away there.
+	if s != nil && (e.Reason == rockreason.StageUnreachable || e.Crashed) && !w.Limits.Pushed {
 		s.Unreached = true
 	}
 	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
@@ -205,6 +210,8 @@
 		return e.Reason
 	case rockcrash.IsQuarantined(now, w, r.Fingerprint):
 		return rockreason.BackendFailed
+	case r.Once && r.RanBefore, r.MaxAttempts > 0 && r.Ran >= r.MaxAttempts:
+		return rockreason.BackendFailed
 	case r.Attempts >= maxAttempts, isLate(now, w, r):
 		if e.Reason == rockreason.StageStalled {
 			return rockreason.Stalled
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -47,6 +47,9 @@
 	home    rocktable.DataCentreID
 	region  string
 	regions *rocktable.Table[rocktable.DataCentreID, rocktable.DataCentre]
+
+	pipeline *rocktable.Pipeline // whose engines run a whole path; nil for others
+	memory   float64             // that it reserves for each layer, in tokens
 }
 
 func newJob(now time.Time, w *rocktable.World, r *rocktable.Request) job {
@@ -56,11 +59,17 @@
 		j.region = dc.Region
 	}
 	j.warm, j.warmth = warmServers(w, r)
+	if p := w.Pipelines.Get(r.Pipeline); p != nil && p.Config.Engine.IsWholePath() {
+		j.pipeline, j.memory = p, memoryOf(p, r)
+	}
 	return j
 }
 
 // cost returns the cost of a stage: expected wait + work / speed + link, less the cached part of the prompt.
 func (j *job) cost(s *rocktable.BackendServer) serverCost {
+	if j.pipeline != nil {
+		return j.wholePathCost(s)
+	}
 	slots := float64(max(1, s.Status.Slots))
 	slotSpeed := s.Status.TokensPerSecond / slots
 	if slotSpeed <= 0 {
@@ -128,6 +137,9 @@
 	if rockretry.IsBreakerHalfOpen(s) {
 		return false
 	}
+	if p := w.Pipelines.Get(r.Pipeline); p != nil && p.Config.Engine.IsWholePath() {
+		return s.InFlight < s.Status.Slots && hasMemory(p, s, r)
+	}
 	if s.InFlight >= s.Status.Slots || float64(s.InFlight) >= slotPart(w, s) {
 		return false
 	}
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -37,6 +37,9 @@
 
 // carries reports whether a backend server holds layers of the pipeline's model.
 func carries(s *rocktable.BackendServer, p *rocktable.Pipeline) bool {
+	if s.Service != "" && s.Service != p.Config.Name {
+		return false
+	}
 	return s.Status.Model == p.Config.Model && s.Status.Version == p.Config.Version
 }
 
@@ -202,7 +205,7 @@
 		e := f.edges[w.Rand.IntN(len(f.edges))]
 		s := f.Servers[e.server]
 		path = append(path, rocktable.Stage{
-			Server: s.ID, Address: s.Address, FirstLayer: f.Bounds[from], LastLayer: f.Bounds[e.to] - 1, Incarnation: s.Incarnation,
+			Server: s.ID, Name: s.Name, Address: s.Address, FirstLayer: f.Bounds[from], LastLayer: f.Bounds[e.to] - 1, Incarnation: s.Incarnation,
 			Resume: s.Status.Resume,
 		})
 		spent += e.cost
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -168,9 +168,11 @@
 	r.Epoch++
 	r.Attempts++
 	r.Attempt, r.State, r.MayHaveRun = id, rocktable.RequestRunning, true
+	memory := memoryOf(w.Pipelines.Get(r.Pipeline), r)
 	for _, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		s.InFlight++
+		s.Reserved += memory * float64(stage.LastLayer-stage.FirstLayer+1)
 	}
 	if r.Alone {
 		if s := w.Suspects.Get(r.Fingerprint); s != nil {
@@ -178,8 +180,12 @@
 		}
 	}
 	notePrefixes(w, r, path)
-	w.Attempts.Put(id, rocktable.Attempt{ID: id, Request: r.ID, Epoch: r.Epoch, Path: path, Started: now, Progress: now, Alone: r.Alone})
+	w.Attempts.Put(id, rocktable.Attempt{ID: id, Request: r.ID, Epoch: r.Epoch, Path: path, Started: now, Progress: now, Alone: r.Alone, Memory: memory})
 	rank := w.Ranks.Get(r.Rank)
+	step, open := rockretry.StepLimit(rank.Config), rockretry.OpenLimit(rank.Config)
+	if p := w.Pipelines.Get(r.Pipeline); p.Config.Engine.IsWholePath() {
+		step, open = rockretry.EventLimit(rank.Config), rockretry.FirstEventLimit(rank.Config)
+	}
 	w.Outbox.Starts = append(w.Outbox.Starts, rocktable.Start{
 		Request:   r.ID,
 		Attempt:   id,
@@ -188,7 +194,8 @@
 		Path:      path,
 		Priority:  r.Rank,
 		Alone:     r.Alone,
-		StepLimit: rockretry.StepLimit(rank.Config),
-		OpenLimit: rockretry.OpenLimit(rank.Config),
+		StepLimit: step,
+		OpenLimit: open,
+		Deadline:  r.Deadline,
 	})
 }
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -36,6 +36,7 @@
 	Alone     bool
 	StepLimit time.Duration // longest wait for one step of one stage
 	OpenLimit time.Duration // longest wait for the first token
+	Deadline  time.Time     // of the request; zero means none
 }
 
 // Cancel ends an attempt early.
@@ -70,6 +71,7 @@
 type CallStart struct {
 	Request RequestID
 	Server  BackendServerID
+	Name    string // of the backend server
 	Address string
 	Timeout time.Duration
 }
@@ -106,11 +108,13 @@
 
 // OrderSend sends an order to an engine.
 type OrderSend struct {
-	Server  BackendServerID
-	Address string
-	Order   Placement
-	Fencing uint64
-	Until   time.Time // not sent later than this, by the local monotonic clock
+	Server      BackendServerID
+	Name        string // of the backend server
+	Address     string
+	Order       Placement
+	Fencing     uint64
+	Incarnation uint64    // of the backend server that the order is meant for
+	Until       time.Time // not sent later than this, by the local monotonic clock
 }
 
 // StateChange is a change of state worth a log line.
--- a/core/rocktable/calls.go
+++ b/core/rocktable/calls.go
@@ -9,6 +9,7 @@
 	Method      string
 	Path        string
 	Idempotent  bool
+	Unclaimed   bool   // the caller's id makes it one call, so that no claim row is needed; handed over at most once unless it is idempotent
 	Key         string // caller's idempotency key
 	Digest      uint64 // of method, path and body, to refuse a key used for something else
 	ClaimKey    string // key of the claim row
--- a/core/rocktable/config.go
+++ b/core/rocktable/config.go
@@ -9,6 +9,33 @@
 	Callers   []CallerConfig   `json:"callers" validate:"dive"`
 	Services  []ServiceConfig  `json:"services" validate:"dive"`
 	Drained   []string         `json:"drained,omitempty"` // names of backend servers that get no new work
+	Routes    []RouteConfig    `json:"routes,omitempty"`  // of a front end that chooses the target by host name and path
+}
+
+// RouteConfig maps requests to a service or pipeline by host name and path.
+type RouteConfig struct {
+	Name       string        `json:"name"`
+	Host       string        `json:"host"`
+	Prefix     string        `json:"prefix"` // begins and ends with a slash; the longest one that matches is in force
+	Targets    []RouteTarget `json:"targets"`
+	Streaming  bool          `json:"streaming,omitempty"`  // the answer is a series of events
+	Repeatable bool          `json:"repeatable,omitempty"` // a request may run more than once
+	Resumable  bool          `json:"resumable,omitempty"`  // a stream may go on at another backend server after its last event
+	Public     bool          `json:"public,omitempty"`     // needs no token
+	Attempts   int           `json:"attempts"`             // backend servers to which one request may be sent
+	TimeoutMs  int           `json:"timeoutMs"`            // to the end of the answer; 0 means no limit
+	TargetMs   int           `json:"targetMs"`             // to the answer, or to the first event of a stream
+	GapMs      int           `json:"gapMs,omitempty"`      // longest pause between two events that keeps the promise
+	Priority   int           `json:"priority"`             // 0 is the most urgent
+}
+
+// Timeout returns the longest time to the end of an answer, or 0 for no limit.
+func (c RouteConfig) Timeout() time.Duration { return time.Duration(c.TimeoutMs) * time.Millisecond }
+
+// RouteTarget is a service or pipeline that takes a share of a route's requests.
+type RouteTarget struct {
+	Name   string `json:"name"`
+	Weight int    `json:"weight"`
 }
 
 // PipelineConfig carries one model over backend servers.
@@ -18,6 +45,48 @@
 	Version    string      `json:"version" validate:"required,max=64"`
 	Layers     int         `json:"layers" validate:"min=1,max=1024"`
 	Placements []Placement `json:"placements,omitempty" validate:"dive"`
+
+	// Engine describes engines that run a whole path by themselves; its zero value means engines that run one stage for each session.
+	Engine EngineConfig `json:"engine,omitzero"`
+}
+
+// EngineConfig is what the operators publish of the engines of a pipeline. Times are those of a backend server with pace 1 that runs all layers.
+type EngineConfig struct {
+	LayerMB       float64      `json:"layerMb"`       // memory that the weights of one layer take
+	TokenBytes    float64      `json:"tokenBytes"`    // memory that one token of a request takes over all layers
+	StepMs        float64      `json:"stepMs"`        // of one token step
+	SequenceMs    float64      `json:"sequenceMs"`    // added to a step for each request that generates
+	ContextMs     float64      `json:"contextMs"`     // added to a step for each 1,000 tokens of context of each request
+	ReadPerSecond float64      `json:"readPerSecond"` // prompt tokens
+	ActivationMB  float64      `json:"activationMb"`  // moved between two stages for one token
+	PipeMbps      float64      `json:"pipeMbps"`      // between two data centres, shared by all; 0 means no limit
+	StepsPerEvent int          `json:"stepsPerEvent"` // tokens in one event of a stream
+	LoadSeconds   float64      `json:"loadSeconds"`   // of all layers
+	AnswerTokens  float64      `json:"answerTokens"`  // mean
+	PromptTokens  float64      `json:"promptTokens"`  // mean
+	StallLimitMs  float64      `json:"stallLimitMs"`  // after which an engine gives up work that waits for a dead stage
+	Kinds         []KindConfig `json:"kinds"`         // kinds of accelerators
+}
+
+// IsWholePath reports whether the engines run a whole path by themselves.
+func (c EngineConfig) IsWholePath() bool { return len(c.Kinds) > 0 }
+
+// Kind returns the kind of accelerator with this name, and whether there is one.
+func (c EngineConfig) Kind(name string) (KindConfig, bool) {
+	for _, kind := range c.Kinds {
+		if kind.Name == name {
+			return kind, true
+		}
+	}
+	return KindConfig{}, false
+}
+
+// KindConfig is a kind of accelerator.
+type KindConfig struct {
+	Name       string  `json:"name"`
+	MemoryMB   float64 `json:"memoryMb"`   // for weights and requests
+	Pace       float64 `json:"pace"`       // factor of the times of steps and context
+	ReadFactor float64 `json:"readFactor"` // factor of the times of reading a prompt
 }
 
 // Placement asks a backend server to hold a range of layers.
@@ -52,6 +121,8 @@
 type CallerConfig struct {
 	Name            string   `json:"name" validate:"required,max=64"`
 	TokenSHA256     string   `json:"tokenSha256" validate:"required,len=64,hexadecimal"`
+	MoreSHA256      []string `json:"-"`                                          // of further tokens, where a front end knows several
+	Priority        *int     `json:"-"`                                          // goes before the priority of a route; nil means none
 	Weight          float64  `json:"weight,omitempty" validate:"min=0,max=1000"` // 0 means 1
 	TokensPerSecond float64  `json:"tokensPerSecond,omitempty" validate:"min=0"` // over all hosts; 0 means no limit
 	Burst           float64  `json:"burst,omitempty" validate:"min=0"`           // tokens; 0 means 10 s of the limit
@@ -63,6 +134,7 @@
 	Name       string   `json:"name" validate:"required,max=64"`
 	Servers    []string `json:"backendServers" validate:"required,min=1"`
 	Idempotent bool     `json:"idempotent,omitempty"` // every method may be repeated
+	Listed     bool     `json:"-"`                    // its backend servers are those that the platform lists for it
 	TimeoutMs  int      `json:"timeoutMs,omitempty" validate:"min=0,max=600000"`
 }
 
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -14,6 +14,7 @@
 	Ended         []Ended
 	Probes        []ProbeResult
 	HostLists     []HostList
+	ConfigPushes  []ConfigPush
 	Peers         []PeerMessage
 	PeerFailures  []PeerFailure
 	ConfigChanges []ConfigChange
@@ -76,6 +77,7 @@
 // HostList is an answer of the platform's host list.
 type HostList struct {
 	OK      bool
+	Pushed  bool // by the platform at each change; an entry that is missing has left
 	Entries []ListedHost
 }
 
@@ -87,6 +89,15 @@
 	DataCentre string `json:"dataCentre"`
 	Region     string `json:"region"`
 	State      string `json:"state"` // live or leaving
+
+	Service string        `json:"service,omitempty"` // service or pipeline that the backend server belongs to
+	Status  *EngineStatus `json:"status,omitempty"`  // report that the list carries, so that it need not be probed
+}
+
+// ConfigPush is a configuration that the platform sent at its change.
+type ConfigPush struct {
+	Version       uint64
+	Configuration Configuration
 }
 
 // PeerMessage is what one host tells another.
@@ -139,6 +150,7 @@
 type SentNews struct {
 	Server   string
 	InFlight int
+	Memory   float64 // reserved there, in tokens x layers
 }
 
 // DemandNews tells how many tokens per second a caller asks of the sender.
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -40,6 +40,11 @@
 
 	RanBefore bool // an earlier attempt may have run
 
+	Ran         int       // attempts that ended and may have run
+	Once        bool      // must not run again once it may have run
+	MaxAttempts int       // backend servers to which it may be sent; 0 means the limit of rockretry
+	Deadline    time.Time // by which its answer has ended; zero means none
+
 	Estimate float64   // tokens that it was counted with while it waited
 	Waiting  bool      // in a queue
 	InFront  bool      // in Lane.Front
@@ -51,6 +56,7 @@
 // Stage is one part of a path: a backend server and the layers it runs.
 type Stage struct {
 	Server     BackendServerID
+	Name       string // of the backend server
 	Address    string
 	FirstLayer int
 	LastLayer  int // inclusive
@@ -69,7 +75,8 @@
 	Progress time.Time // last sign of progress
 	Tokens   int
 	Canceled bool
-	Alone    bool // its backend servers have no other work of this host
+	Alone    bool    // its backend servers have no other work of this host
+	Memory   float64 // reserved for each layer of its path, in tokens
 }
 
 // Suspect is a request content that was in flight when a backend server crashed.
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -18,6 +18,7 @@
 	Address      string // IP and TCP port
 	DataCentre   DataCentreID
 	Role         BackendRole
+	Service      string // service or pipeline for which the platform lists it, if it says so
 	Kind         string // kind of accelerator
 	Listed       bool
 	State        State
@@ -30,6 +31,8 @@
 	StatusSeq  uint64       // order of reports, set by the prober
 	InFlight   int          // attempts of this host that use it now
 	PeerFlight int          // attempts of peers that use it now, as they told
+	Reserved   float64      // memory of this host's attempts, in tokens x layers
+	PeerMemory float64      // memory of peers' attempts, as they told
 	Own        int          // InFlight at the time of the last report
 	Others     int          // sessions in the last report less Own
 	Limit      float64      // concurrency limit of this host, in attempts; 0 until the first decrease
@@ -58,6 +61,7 @@
 	Changed      uint64 // World.ChangeSeq of the last change that peers should learn
 
 	ListedLeaving bool      // the platform's list last said that it is leaving
+	Missing       bool      // it left because the platform's list no longer had it
 	ToldLoad      int       // active and queued sessions when Changed last rose
 	DownSince     time.Time // zero unless it is down
 }
@@ -86,6 +90,7 @@
 	ChecksFencing   bool    `json:"checksFencing"`
 	SubRanges       bool    `json:"subRanges"` // a session may begin after FirstLayer
 	Resume          bool    `json:"resume"`    // a session whose stream was lost can be resumed
+	Sequence        uint64  `json:"sequence"`  // orders that it accepted since its start; an order may name the number it expects
 }
 
 // Pipeline is a model carried over layer ranges.
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -11,6 +11,7 @@
 	Host          string
 	Ready         bool
 	Draining      bool
+	Stopping      bool // the signal to stop has come; requests are still taken until Draining
 	ConfigVersion uint64
 	Config        Configuration
 	Callers       map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
@@ -18,11 +19,13 @@
 	Models        map[string]PipelineID
 	Ranks         map[string]RankID
 	Services      map[string]ServiceID
+	Pipelines     map[string]PipelineID // by name
+	Routes        RouteIndex
 }
 
 // IsCurrent reports whether the World still agrees with the snapshot.
 func (s *Snapshot) IsCurrent(w *World) bool {
-	return s != nil && s.ConfigVersion == w.ConfigVersion && s.Ready == w.Ready && s.Draining == w.Draining
+	return s != nil && s.ConfigVersion == w.ConfigVersion && s.Ready == w.Ready && s.Draining == w.Draining && s.Stopping != w.NoticeAt.IsZero()
 }
 
 // TakeSnapshot copies what traffic goroutines need.
@@ -31,6 +34,7 @@
 		Host:          w.SelfHost().Name,
 		Ready:         w.Ready,
 		Draining:      w.Draining,
+		Stopping:      !w.NoticeAt.IsZero(),
 		ConfigVersion: w.ConfigVersion,
 		Config:        w.Config.Configuration,
 		Callers:       make(map[string]CallerID, w.Callers.Len()),
@@ -38,13 +42,19 @@
 		Models:        make(map[string]PipelineID, w.Pipelines.Len()),
 		Ranks:         make(map[string]RankID, w.Ranks.Len()),
 		Services:      make(map[string]ServiceID, w.Services.Len()),
+		Pipelines:     make(map[string]PipelineID, w.Pipelines.Len()),
+		Routes:        NewRouteIndex(w.Config.Configuration.Routes),
 	}
 	for id, row := range w.Callers.All() {
 		s.Callers[row.Config.TokenSHA256] = id
+		for _, sum := range row.Config.MoreSHA256 {
+			s.Callers[sum] = id
+		}
 		s.CallerConfigs[id] = row.Config
 	}
 	for id, row := range w.Pipelines.All() {
 		s.Models[row.Config.Model] = id
+		s.Pipelines[row.Config.Name] = id
 	}
 	for id, row := range w.Ranks.All() {
 		s.Ranks[row.Config.Name] = id
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -32,6 +32,8 @@
 	LeaveLimit    time.Duration // from the first word of leaving to the last new work
 	LeaseTTL      time.Duration
 	OrderTimeout  time.Duration // longest that an order may be under way
+	DrainNotice   time.Duration // from the signal to stop until new requests are refused, for a load balancer that turns away late
+	Pushed        bool          // the platform pushes its list and the configuration, so that neither is read
 }
 
 // DefaultLimits returns the limits of a host whose settings name none.
@@ -75,6 +77,8 @@
 	Prefixes    Table[uint64, PrefixHint] // by hash of the prefix
 	Suspects    Table[uint64, Suspect]
 	Orders      Table[BackendServerID, Order]
+	Plan        Table[BackendServerID, Placement] // layers that backend servers of this data centre are to hold, by rockplace
+	PlanState   PlanState
 	Tallies     Table[ShareKey, Tally]
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
 	Claims      Table[RequestID, Claim]
@@ -82,6 +86,8 @@
 	Lease       Lease
 	Gossip      Gossip
 
+	NextDeadline time.Time // earliest Request.Deadline that may have come; zero if none is known
+
 	RetryBudget float64           // of this host: retries earned less retries used; rockretry adds an allowance
 	PrefixOrder []uint64          // keys of Prefixes, oldest first
 	CrashSigns  []BackendServerID // backend servers whose CrashAt is set
@@ -92,6 +98,7 @@
 	ListState     ListState
 	Draining      bool // graceful shutdown has begun
 	DrainedAt     time.Time
+	NoticeAt      time.Time // when the signal to stop came; zero before
 	Ready         bool
 
 	ChangeSeq uint64                     // rises with each change that peers should learn
@@ -135,11 +142,23 @@
 	Highest  uint64
 }
 
+// PlanState is the progress of the planner of placements.
+type PlanState struct {
+	Next    time.Time // of the next comparison of the plan with the backend servers
+	Count   int       // backend servers of the group
+	Changed time.Time // last change of Count
+	Planned int       // Count at the last whole plan
+	Fresh   bool      // this host made the whole plan under the lease that it holds
+	Served  bool      // requests have arrived at this host
+}
+
 // ListState is the progress of reads of the platform's host list.
 type ListState struct {
 	Pending bool
 	Next    time.Time
 	ReadAt  time.Time // last answer; zero before the first
+	LostAt  time.Time // since when the platform's pushes are interrupted; zero while they come
+	BackAt  time.Time // when they last came back
 }
 
 // Gossip is the progress of messages to peers and of the choice of probers.
--- a/core/rocktick/tick.go
+++ b/core/rocktick/tick.go
@@ -12,6 +12,7 @@
 	"sassafrasrock/core/rocklease"
 	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rockoutcome"
+	"sassafrasrock/core/rockplace"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rockroute"
@@ -23,6 +24,7 @@
 	rockconfig.System,
 	rockmember.System,
 	rockdrain.System,
+	rockplace.System,
 	rocklease.System,
 	rockcrash.System,
 	rockclaim.System,
--- a/io/rockdaemon/carry.go
+++ b/io/rockdaemon/carry.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockplatform"
@@ -28,6 +30,9 @@
 // carry hands the actions of a tick to goroutines; it runs on the control thread and does not block.
 func (d *Daemon) carry(_ time.Time, out rocktable.Outbox) {
 	d.metrics.CountAll(out.Counts)
+	if d.relay != nil {
+		d.relay.Carry(out)
+	}
 	d.traffic.Carry(out)
 	for range out.ListReads {
 		go d.readHosts()
@@ -112,11 +117,36 @@
 	if time.Now().Before(o.Until) {
 		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.Table().OrderTimeout)
 		defer cancel()
+		expects, err := d.ordersBefore(ctx, o)
+		if err != nil {
+			d.log.Info("order not sent", "backendServer", o.Name, "error", err.Error())
+			d.control.Post(func(in *rocktable.Inbox) { in.OrdersEnded = append(in.OrdersEnded, end) })
+			return
+		}
 		reply, err := d.engine.Order(ctx, o.Address, rockengine.OrderRequest{
 			Order: "load", Model: o.Order.Model, Version: o.Order.Version,
 			FirstLayer: o.Order.FirstLayer, LastLayer: o.Order.LastLayer, Adapter: o.Order.Adapter, Fencing: o.Fencing,
+			Server: o.Name, Expects: expects,
 		})
 		end.OK, end.Refused = err == nil && reply.OK, err == nil && reply.Fenced
+		d.log.Info("order sent", "backendServer", o.Name, "firstLayer", o.Order.FirstLayer, "lastLayer", o.Order.LastLayer,
+			"fencing", o.Fencing, "expects", expects, "ok", end.OK, "reply", reply.Text, "error", err)
 	}
 	d.control.Post(func(in *rocktable.Inbox) { in.OrdersEnded = append(in.OrdersEnded, end) })
 }
+
+// errRestarted says that another process has taken the place of the engine that an order was meant for.
+var errRestarted = eris.New("the engine has started again")
+
+// ordersBefore returns the number of orders that an engine has accepted. An engine that compares it refuses an order that was
+// decided on before another one, also when it arrives late.
+func (d *Daemon) ordersBefore(ctx context.Context, o rocktable.OrderSend) (uint64, error) {
+	if d.relay == nil {
+		return 0, nil // engines of single stages compare fencing numbers
+	}
+	status, _, err := d.engine.Status(ctx, o.Address)
+	if err == nil && status.Incarnation != o.Incarnation {
+		err = errRestarted
+	}
+	return status.Sequence, err
+}
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -21,6 +21,7 @@
 	"sassafrasrock/io/rockoperator"
 	"sassafrasrock/io/rockpeer"
 	"sassafrasrock/io/rockplatform"
+	"sassafrasrock/io/rockrelay"
 	"sassafrasrock/io/rockservice"
 	"sassafrasrock/io/rocksettings"
 	"sassafrasrock/io/rocktraffic"
@@ -46,6 +47,9 @@
 	platform  *rockplatform.Platform
 	engine    *rockengine.Engine
 	service   *rockservice.Client
+	relay     *rockrelay.Relay // nil unless engines run a whole path
+	front     func(d *Daemon) http.Handler
+	tasks     []func(ctx context.Context, d *Daemon)
 	peer      *rockpeer.Peer
 	callers   *http.Server
 	operators *rockoperator.Server
@@ -72,8 +76,33 @@
 // WithService replaces the client of application and plain services.
 func WithService(s *rockservice.Client) Option { return func(d *Daemon) { d.service = s } }
 
+// WithRelay makes the daemon serve requests over engines that take a whole path, with these function fields set: Open and Blame.
+func WithRelay(r *rockrelay.Relay) Option { return func(d *Daemon) { d.relay = r } }
+
+// WithFront replaces the handler of callers' requests.
+func WithFront(front func(d *Daemon) http.Handler) Option {
+	return func(d *Daemon) { d.front = front }
+}
+
+// WithTask adds work that runs until the daemon stops.
+func WithTask(task func(ctx context.Context, d *Daemon)) Option {
+	return func(d *Daemon) { d.tasks = append(d.tasks, task) }
+}
+
+// Relay returns the relay that WithRelay set, or nil.
+func (d *Daemon) Relay() *rockrelay.Relay { return d.relay }
+
+// Snapshot returns the latest snapshot of the control state.
+func (d *Daemon) Snapshot() *rocktable.Snapshot { return d.control.Snapshot() }
+
+// Post adds events for the next tick.
+func (d *Daemon) Post(fill func(in *rocktable.Inbox)) { d.control.Post(fill) }
+
 // New binds the addresses of a daemon; it serves when Run is called.
 func New(settings rocksettings.Daemon, options ...Option) (*Daemon, error) {
+	if settings.PeerTLS == nil {
+		return nil, eris.New("peerTls is missing")
+	}
 	trust, err := rockpeer.LoadTrust(settings.PeerTLS.CertFile, settings.PeerTLS.KeyFile, settings.PeerTLS.CAFile)
 	if err != nil {
 		return nil, err
@@ -151,6 +180,10 @@
 		Now:         time.Now,
 		Stopped:     d.control.Done(),
 	}
+	if d.relay != nil {
+		d.relay.Snapshot, d.relay.Post, d.relay.NextRequest = d.control.Snapshot, d.control.Post, d.control.NextRequest
+		d.relay.Count, d.relay.Now, d.relay.Stopped, d.relay.Log = d.metrics.Count, time.Now, d.control.Done(), d.log
+	}
 	d.metrics.GaugeSnapshot(d.control.Snapshot)
 	d.peer.Count = d.metrics.Count
 	d.peer.Receive = func(m rocktable.PeerMessage) {
@@ -161,6 +194,9 @@
 		Status: d.control.Status, Count: d.metrics.Count, BodyLimit: d.settings.MaxBody(),
 	}
 	d.callers = front.HTTPServer()
+	if d.front != nil {
+		d.callers.Handler = d.front(d)
+	}
 }
 
 // Run serves until the context ends, which starts the graceful shutdown, and until its last request has ended or now is closed.
@@ -178,6 +214,9 @@
 	parts.Go(func() { d.control.Run(running) })
 	parts.Go(func() { failed <- d.peer.Run(running) })
 	parts.Go(func() { failed <- d.operators.Serve(running, d.operatorsListener) })
+	for _, task := range d.tasks {
+		parts.Go(func() { task(running, d) })
+	}
 	go func() { failed <- d.callers.Serve(d.callersListener) }()
 	d.log.Info("daemon started", "host", d.settings.Host, "callers", d.CallersAddress, "operators", d.OperatorsAddress, "peers", d.PeersAddress)
 
--- a/io/rockdaemon/main.go
+++ b/io/rockdaemon/main.go
@@ -54,7 +54,7 @@
 	return ExitOK
 }
 
-// runUntilSignal serves until SIGTERM or SIGINT; a second signal ends it at once.
+// runUntilSignal makes a daemon of the settings and serves until a signal.
 func runUntilSignal(settings rocksettings.Daemon, stderr io.Writer) error {
 	var level slog.Level
 	if settings.LogLevel != "" {
@@ -67,6 +67,11 @@
 	if err != nil {
 		return err
 	}
+	return RunUntilSignal(d)
+}
+
+// RunUntilSignal runs a daemon until SIGTERM or SIGINT; a second signal ends it at once.
+func RunUntilSignal(d *Daemon) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ctx, stop := context.WithCancel(context.Background())
--- a/io/rockengine/message.go
+++ b/io/rockengine/message.go
@@ -59,6 +59,9 @@
 	Adapter    string `json:"adapter,omitempty"`
 	Role       string `json:"role,omitempty"`
 	Fencing    uint64 `json:"fencing"`
+
+	Server  string `json:"-"` // name of the engine that is to take the order
+	Expects uint64 `json:"-"` // orders that it accepted before, for engines that compare
 }
 
 // OrderReply is the engine's answer to an order.
--- a/io/rockpeer/trust.go
+++ b/io/rockpeer/trust.go
@@ -4,9 +4,11 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/hex"
 	"math/big"
 	"os"
 	"time"
@@ -24,6 +26,40 @@
 type Trust struct {
 	Certificate tls.Certificate
 	Roots       *x509.CertPool
+
+	// Known reports whether a host with this fingerprint belongs to the system; it is used in place of Roots where it is set.
+	Known func(fingerprint string) bool
+}
+
+// NewPinnedTrust makes a key and a certificate for a host and returns its fingerprint; peers are those that known names.
+func NewPinnedTrust(now time.Time, host string, known func(fingerprint string) bool) (Trust, string, error) {
+	root, err := NewThrowAwayRoot(now)
+	if err != nil {
+		return Trust{}, "", err
+	}
+	trust, err := root.Issue(host)
+	if err != nil {
+		return Trust{}, "", err
+	}
+	trust.Known = known
+	return trust, fingerprint(trust.Certificate.Certificate[0]), nil
+}
+
+// fingerprint returns the SHA-256 of a certificate in hexadecimal.
+func fingerprint(certificate []byte) string {
+	sum := sha256.Sum256(certificate)
+	return hex.EncodeToString(sum[:])
+}
+
+// errUnknownHost says that a peer's certificate is none that a host of the system has now.
+var errUnknownHost = eris.New("no host has this certificate")
+
+// checkPinned checks the certificate of the other side by its fingerprint.
+func (t Trust) checkPinned(certificates [][]byte, _ [][]*x509.Certificate) error {
+	if len(certificates) == 0 || !t.Known(fingerprint(certificates[0])) {
+		return errUnknownHost
+	}
+	return nil
 }
 
 // LoadTrust reads a certificate, its key and the trust root from PEM files.
@@ -105,6 +141,16 @@
 
 // tlsConfig returns the configuration for both ends: each shows its certificate and checks the other's against the root.
 func (t Trust) tlsConfig() *tls.Config {
+	if t.Known != nil {
+		return &tls.Config{
+			Certificates:          []tls.Certificate{t.Certificate},
+			ClientAuth:            tls.RequireAnyClientCert,
+			InsecureSkipVerify:    true, // checkPinned compares fingerprints instead of a chain
+			VerifyPeerCertificate: t.checkPinned,
+			NextProtos:            []string{protocolName},
+			MinVersion:            tls.VersionTLS13,
+		}
+	}
 	return &tls.Config{
 		Certificates: []tls.Certificate{t.Certificate},
 		RootCAs:      t.Roots,
--- a/io/rockprocess/fleet_test.go
+++ b/io/rockprocess/fleet_test.go
@@ -137,7 +137,7 @@
 	h := &host{settings: rocksettings.Daemon{
 		Host: name, DataCentre: "yoff", Region: "dakar", PlatformURL: "http://" + f.platform,
 		CallersAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0", PeersAddress: "127.0.0.1:0",
-		PeerTLS: rocksettings.TLSFiles{
+		PeerTLS: &rocksettings.TLSFiles{
 			CertFile: filepath.Join(trust, name+".crt"), KeyFile: filepath.Join(trust, name+".key"), CAFile: filepath.Join(trust, rockpeer.RootFile),
 		},
 		BodyLimit: p.bodyLimit, Limits: p.limits,
--- /dev/null
+++ b/io/rockrelay/stream.go
@@ -0,0 +1,234 @@
+package rockrelay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// maxEvent limits one event of a stream, in bytes.
+	maxEvent = 1 << 20
+	// blameTimeout bounds the question which backend server a stalled request waits for.
+	blameTimeout = 150 * time.Millisecond
+)
+
+var (
+	errStalled  = errors.New("no event within the limit")
+	errTooLarge = errors.New("an event is longer than the limit")
+	errCaller   = errors.New("the caller does not take the answer")
+	errTorn     = errors.New("the answer ended inside an event")
+)
+
+// stream is what the caller has got of a streamed answer.
+type stream struct {
+	begun  bool
+	lastID string // of the last event passed on
+	events int
+	first  time.Time
+	last   time.Time
+	gap    time.Duration
+}
+
+// runAttempt runs one attempt on a path and reports its end.
+func (x *exchange) runAttempt(ctx context.Context, start rocktable.Start) {
+	ctx, cancel := x.beginAttempt(ctx, start.Attempt)
+	defer cancel()
+	a := Attempt{
+		Request: x.req, Server: start.Path[0].Name, Address: start.Path[0].Address, Path: start.Path,
+		Caller: x.dest.CallerName, Priority: int(start.Priority), Deadline: start.Deadline, LastEventID: x.resumeID(),
+	}
+	before := x.stream.events
+	watch := newWatch(cancel, start.OpenLimit, x.dest.Route.Resumable)
+	resp, err := x.t.Open(ctx, a)
+	if err == nil {
+		err = x.pass(start, resp, watch)
+	}
+	watch.stop()
+	switch {
+	case watch.fired():
+		err = errStalled
+	case ctx.Err() != nil:
+		err = ctx.Err() // control or the caller ended it
+	}
+	e := x.ended(ctx, start, a, resp, err)
+	e.Tokens = x.stream.events - before
+	if err != nil {
+		x.log("attempt failed", "attempt", start.Attempt, "reason", e.Reason, "server", a.Server, "stages", len(a.Path),
+			"faultServer", e.Server, "events", x.stream.events, "error", err)
+	}
+	x.t.Post(func(in *rocktable.Inbox) { in.Ended = append(in.Ended, e) })
+}
+
+// resumeID returns the event after which the next attempt goes on.
+func (x *exchange) resumeID() string {
+	if x.stream.lastID != "" {
+		return x.stream.lastID
+	}
+	return x.req.LastEventID
+}
+
+// ended returns the report of an attempt's end.
+func (x *exchange) ended(ctx context.Context, start rocktable.Start, a Attempt, resp *Response, err error) rocktable.Ended {
+	e := rocktable.Ended{Attempt: start.Attempt, FirstToken: x.stream.first, LargestGap: x.stream.gap}
+	switch {
+	case err == nil:
+	case errors.Is(err, context.Canceled), errors.Is(err, errCaller):
+		e.Reason = rockreason.CallerLeft
+	case errors.Is(err, errStalled):
+		e.Reason, e.Server = rockreason.StageStalled, x.blame(ctx, a)
+	case errors.Is(err, ErrNotSent):
+		e.Reason, e.Server, e.Crashed = rockreason.StageUnreachable, start.Path[0].Server, true
+	case resp != nil && resp.NotRun:
+		e.Reason, e.Server = rockreason.StageRefused, serverAt(start.Path, resp.Fault)
+	default:
+		e.Reason, e.Server, e.Crashed = rockreason.StageDied, start.Path[0].Server, resp == nil || resp.Status < 300
+		if resp != nil && resp.Fault != "" {
+			e.Server = serverAt(start.Path, resp.Fault)
+		}
+	}
+	return e
+}
+
+// blame returns the backend server that a stalled attempt waits for, or 0 if none is known.
+func (x *exchange) blame(ctx context.Context, a Attempt) rocktable.BackendServerID {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameTimeout)
+	defer cancel()
+	address, err := x.t.Blame(ctx, a)
+	if err != nil {
+		x.log("no report of a stalled attempt", "server", a.Server, "error", err)
+		return a.Path[0].Server // it does not even tell
+	}
+	if address == "" {
+		return 0
+	}
+	return serverAt(a.Path, address)
+}
+
+// serverAt returns the backend server of the path at an address, or the first one if the address is not on it.
+func serverAt(path []rocktable.Stage, address string) rocktable.BackendServerID {
+	for _, stage := range path {
+		if stage.Address == address {
+			return stage.Server
+		}
+	}
+	return path[0].Server
+}
+
+// pass sends the events of an answer to the caller as they come.
+func (x *exchange) pass(start rocktable.Start, resp *Response, watch *watch) error {
+	defer resp.Body.Close()
+	if resp.Status < 200 || resp.Status > 299 {
+		return statusError(resp.Status)
+	}
+	lines := bufio.NewReaderSize(resp.Body, 4096)
+	for {
+		event, err := readEvent(lines)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return x.passEnd(resp, event)
+			}
+			return err
+		}
+		watch.reset(start.StepLimit)
+		if id, ok := eventID(event); ok && !isAfter(id, x.stream.lastID) {
+			x.t.Count(rockreason.RepeatedIndex)
+			continue
+		} else if ok {
+			x.stream.lastID = id
+		}
+		x.note(start)
+		x.begin(resp)
+		if err := x.sink.Write(event); err != nil {
+			return errors.Join(errCaller, err)
+		}
+	}
+}
+
+// passEnd handles the end of an answer that was read without an error.
+func (x *exchange) passEnd(resp *Response, rest []byte) error {
+	if len(rest) > 0 {
+		return errTorn
+	}
+	x.begin(resp)
+	return nil
+}
+
+// begin sends the status and headers, once for the whole answer.
+func (x *exchange) begin(resp *Response) {
+	if x.stream.begun {
+		return
+	}
+	x.stream.begun = true
+	x.sink.Begin(resp.Status, maps.Clone(resp.Header))
+}
+
+// note records an event and reports the first one to control.
+func (x *exchange) note(start rocktable.Start) {
+	now := x.t.Now()
+	s := &x.stream
+	s.events++
+	if !s.last.IsZero() {
+		s.gap = max(s.gap, now.Sub(s.last))
+	}
+	s.last = now
+	if !s.first.IsZero() {
+		return
+	}
+	s.first = now
+	x.t.Post(func(in *rocktable.Inbox) {
+		in.Progress = append(in.Progress, rocktable.Progress{Attempt: start.Attempt, Tokens: 1, FirstToken: now})
+	})
+}
+
+type statusError int
+
+func (e statusError) Error() string { return "status " + http.StatusText(int(e)) }
+
+// readEvent returns the next event with the empty line that ends it; at the end of the answer it returns what is left and io.EOF.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return event, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return event, nil
+		}
+		if len(event) > maxEvent {
+			return nil, errTooLarge
+		}
+	}
+}
+
+// eventID returns the id of an event, and whether it has one.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest)), true
+		}
+	}
+	return "", false
+}
+
+// isAfter reports whether an event id follows another one; ids that are no numbers are taken as they come.
+func isAfter(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	return errA != nil || errB != nil || a > b
+}
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -23,7 +23,9 @@
 	PeersAddress        string    `json:"peersAddress" validate:"required,listen"`                       // UDP
 	PeersAdvertised     string    `json:"peersAdvertisedAddress,omitempty" validate:"omitempty,address"` // told to other hosts; empty means peersAddress
 	PlatformURL         string    `json:"platformUrl" validate:"required,http_url"`
-	PeerTLS             TLSFiles  `json:"peerTls"`
+	PeerTLS             *TLSFiles `json:"peerTls,omitempty"`                                  // nil where the daemon makes a key at its start
+	ReadyAddress        string    `json:"readyAddress,omitempty" validate:"omitempty,listen"` // for a load balancer that asks there; empty means callersAddress
+	MetricsAddress      string    `json:"metricsAddress,omitempty" validate:"omitempty,listen"`
 	OperatorTLS         *TLSFiles `json:"operatorTls,omitempty"`                                                 // nil means plain HTTP
 	OperatorTokenSHA256 string    `json:"operatorTokenSha256,omitempty" validate:"omitempty,len=64,hexadecimal"` // empty means no token
 	BodyLimit           int64     `json:"bodyLimitBytes,omitempty" validate:"min=0,max=1073741824"`              // 0 means DefaultBodyLimit
@@ -51,6 +53,9 @@
 	LeaveLimitMs   int `json:"leaveLimitMs,omitempty" validate:"min=0,max=3000"`
 	LeaseTTLMs     int `json:"leaseTtlMs,omitempty" validate:"min=0,max=300000"`
 	OrderTimeoutMs int `json:"orderTimeoutMs,omitempty" validate:"min=0,max=120000"`
+	// From the signal to stop until new requests are refused.
+	DrainNoticeMs int  `json:"drainNoticeMs,omitempty" validate:"min=0,max=60000"`
+	Pushed        bool `json:"platformPushes,omitempty"` // the platform pushes its list and the configuration
 }
 
 // Table returns the limits with the defaults filled in.
@@ -67,6 +72,8 @@
 	setMs(&limits.LeaveLimit, l.LeaveLimitMs)
 	setMs(&limits.LeaseTTL, l.LeaseTTLMs)
 	setMs(&limits.OrderTimeout, l.OrderTimeoutMs)
+	setMs(&limits.DrainNotice, l.DrainNoticeMs)
+	limits.Pushed = l.Pushed
 	return limits
 }
 
