Count the way between data centres for each pair of stages of a path

Cause: a server of another data centre cost a little more wherever it stood, so that a path crossed the pipe between data centres 4 to 6 times, 14 ms of the pipe for each prompt, and the pipes were full.

--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -18,14 +18,19 @@
 	Bounds  []int   // layer boundaries at which a stage may begin or end, ascending; the last is the end of the model
 	Begin   [][]int // positions in Servers that may begin a stage, by position in Bounds
 
-	costs []serverCost // of the current search, by position in Servers
-	best  []float64    // least cost from a boundary to the end, by position in Bounds
-	edges []edge       // scratch of walk
+	costs    []serverCost             // of the current search, by position in Servers
+	best     []float64                // least cost from a boundary to the end, by position in Bounds
+	onward   []onward                 // by position in Bounds and in centres
+	centres  []rocktable.DataCentreID // data centres of the servers
+	centreOf []int                    // position in centres, by position in Servers
+	cross    float64                  // cost in seconds of the way between stages in two data centres, for the current search
+	edges    []edge                   // scratch of walk
 }
 
 // serverCost is the cost of a stage in seconds: once, and for each layer.
 type serverCost struct {
 	usable   bool
+	enter    float64 // if it is the first stage
 	once     float64
 	perLayer float64
 }
@@ -100,6 +105,14 @@
 }
 
 func (f *Field) setBegin() {
+	for _, s := range f.Servers {
+		c := slices.Index(f.centres, s.DataCentre)
+		if c < 0 {
+			c = len(f.centres)
+			f.centres = append(f.centres, s.DataCentre)
+		}
+		f.centreOf = append(f.centreOf, c)
+	}
 	f.Begin = make([][]int, len(f.Bounds))
 	f.costs = make([]serverCost, 0, len(f.Servers))
 	f.Begin[0] = make([]int, 0, len(f.Servers))
@@ -116,7 +129,7 @@
 
 // IsCovered reports whether the live backend servers cover every layer, whatever their load.
 func (f *Field) IsCovered() bool {
-	f.costs = f.costs[:0]
+	f.costs, f.cross = f.costs[:0], 0
 	for range f.Servers {
 		f.costs = append(f.costs, serverCost{usable: true, once: 1})
 	}
@@ -129,6 +142,7 @@
 	f.costs = f.costs[:0]
 	job := newJob(now, w, r)
 	job.others = othersPart(f.Servers)
+	f.cross = job.crossing()
 	for _, s := range f.Servers {
 		if !usable(w, s, r) {
 			f.costs = append(f.costs, serverCost{})
@@ -147,26 +161,72 @@
 	return path
 }
 
-// search computes the least cost from each boundary to the end of the model.
+// search computes the least cost from each boundary to the end of the model, for a stage before it in each data centre.
 func (f *Field) search() {
 	last := len(f.Bounds) - 1
 	f.best = slices.Grow(f.best[:0], last+1)[:last+1]
+	f.onward = slices.Grow(f.onward[:0], (last+1)*len(f.centres))[:(last+1)*len(f.centres)]
 	f.best[last] = 0
+	for c := range f.centres {
+		f.onward[last*len(f.centres)+c] = onward{by: -1}
+	}
 	for from := last - 1; from >= 0; from-- {
 		f.best[from] = math.Inf(1)
+		row := f.onward[from*len(f.centres) : (from+1)*len(f.centres)]
+		for c := range row {
+			row[c] = onward{least: math.Inf(1), next: math.Inf(1), by: -1}
+		}
 		for _, i := range f.Begin[from] {
-			if f.costs[i].usable {
-				f.best[from] = min(f.best[from], f.leastFrom(i, from))
+			if !f.costs[i].usable {
+				continue
+			}
+			cost := f.leastFrom(i, from)
+			f.best[from] = min(f.best[from], cost+f.costs[i].enter)
+			for c := range row {
+				row[c].add(i, cost+f.crossing(c, i))
 			}
 		}
 	}
 }
 
+// onward is the least cost from a boundary to the end after a stage in one data centre.
+type onward struct {
+	least float64
+	by    int     // server of the first stage of that path
+	next  float64 // least cost of a path whose first stage is on another server
+}
+
+func (o *onward) add(server int, cost float64) {
+	switch {
+	case cost < o.least:
+		o.least, o.next, o.by = cost, o.least, server
+	case cost < o.next:
+		o.next = cost
+	}
+}
+
+// crossing returns the cost of the way from a stage in a data centre to a stage on server i.
+func (f *Field) crossing(centre, i int) float64 {
+	if f.centres[centre] == f.Servers[i].DataCentre {
+		return 0
+	}
+	return f.cross
+}
+
+// rest returns the least cost from a boundary to the end after a stage on server i: the next stage is on another one.
+func (f *Field) rest(to, i int) float64 {
+	o := &f.onward[to*len(f.centres)+f.centreOf[i]]
+	if o.by == i {
+		return o.next
+	}
+	return o.least
+}
+
 // leastFrom returns the least cost to the end of the model of a path whose next stage is on server i.
 func (f *Field) leastFrom(i, from int) float64 {
 	least := math.Inf(1)
 	for to := from + 1; f.canEnd(i, to); to++ {
-		least = min(least, f.stageCost(i, from, to)+f.best[to])
+		least = min(least, f.stageCost(i, from, to)+f.rest(to, i))
 	}
 	return least
 }
@@ -185,7 +245,7 @@
 func (f *Field) walk(w *rocktable.World, limit float64) []rocktable.Stage {
 	const slack = 1e-9 // for sums in another order
 	var path []rocktable.Stage
-	spent := 0.0
+	spent, prev := 0.0, -1
 	for from := 0; from < len(f.Bounds)-1; {
 		f.edges = f.edges[:0]
 		for _, i := range f.Begin[from] {
@@ -194,7 +254,12 @@
 			}
 			for to := from + 1; f.canEnd(i, to); to++ {
 				cost := f.stageCost(i, from, to)
-				if spent+cost+f.best[to] <= limit*(1+slack) {
+				if prev < 0 {
+					cost += f.costs[i].enter
+				} else {
+					cost += f.crossing(f.centreOf[prev], i)
+				}
+				if spent+cost+f.rest(to, i) <= limit*(1+slack) {
 					f.edges = append(f.edges, edge{server: i, to: to, cost: cost})
 				}
 			}
@@ -209,6 +274,7 @@
 			Resume: s.Status.Resume,
 		})
 		spent += e.cost
+		prev = e.server
 		from = e.to
 	}
 	return path
--- a/core/rockroute/memory.go
+++ b/core/rockroute/memory.go
@@ -12,6 +12,10 @@
 	fullPart = 0.92
 	// crowdPart is the least part of the memory that counts as free in the cost, so that the cost stays finite.
 	crowdPart = 0.05
+	// stageSeconds is the time of a token between two stages in one data centre.
+	stageSeconds = 0.0002
+	// pipeWait is the factor of the time of a prompt between two data centres: all requests share the pipe, one after the other.
+	pipeWait = 4
 	// hopSeconds is the time of a token between two data centres, twice one way.
 	hopSeconds = 0.001
 )
@@ -51,6 +55,19 @@
 	return s.Reserved+s.PeerMemory+memoryOf(p, r)*layers <= fullPart*total
 }
 
+// crossing returns the cost of the way between stages in two data centres.
+func (j *job) crossing() float64 {
+	if j.pipeline == nil {
+		return 0
+	}
+	e := j.pipeline.Config.Engine
+	cost := j.steps * hopSeconds
+	if e.PipeMbps > 0 {
+		cost += pipeWait * (j.prompt + j.steps) * e.ActivationMB * 8 / e.PipeMbps
+	}
+	return cost
+}
+
 // wholePathCost returns the cost of a stage by the times that the operators publish of the engines: the work of a request
 // alone, more with the memory in use, and the way to another data centre.
 func (j *job) wholePathCost(s *rocktable.BackendServer) serverCost {
@@ -70,12 +87,9 @@
 	crowd := max(crowdPart, 1-usedMemory(j.pipeline, s))
 	c := serverCost{usable: true, perLayer: work / layers / crowd / (works * works)}
 	if s.DataCentre != j.home && s.DataCentre != 0 {
-		c.once = j.steps * hopSeconds
-		if e.PipeMbps > 0 {
-			c.once += (j.prompt + j.steps) * e.ActivationMB * 8 / e.PipeMbps
-		}
-		c.once *= j.distance(s)
+		c.enter = j.steps / float64(max(1, e.StepsPerEvent)) * hopSeconds * j.distance(s)
 	}
+	c.once = j.steps * stageSeconds
 	if slices.Contains(j.r.Avoid, s.ID) {
 		c.once += avoidCost
 	}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"sassafrasrock/core/rockreason"
@@ -47,6 +49,7 @@
 		Request: x.req, Server: start.Path[0].Name, Address: start.Path[0].Address, Path: start.Path,
 		Caller: x.dest.CallerName, Priority: int(start.Priority), Deadline: start.Deadline, LastEventID: x.resumeID(),
 	}
+	x.log("attempt started", "attempt", start.Attempt, "path", pathText(start.Path), "after", a.LastEventID)
 	before := x.stream.events
 	watch := newWatch(cancel, start.OpenLimit, x.dest.Route.Resumable)
 	resp, err := x.t.Open(ctx, a)
@@ -69,6 +72,18 @@
 	x.t.Post(func(in *rocktable.Inbox) { in.Ended = append(in.Ended, e) })
 }
 
+// pathText returns a path for the log.
+func pathText(path []rocktable.Stage) string {
+	var text strings.Builder
+	for i, s := range path {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		fmt.Fprintf(&text, "%s=%d-%d", s.Name, s.FirstLayer, s.LastLayer)
+	}
+	return text.String()
+}
+
 // resumeID returns the event after which the next attempt goes on.
 func (x *exchange) resumeID() string {
 	if x.stream.lastID != "" {
