--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -33,7 +33,7 @@
 	}
 	hosts := 0
 	if len(w.Inbox.Arrivals) > 0 {
-		hosts = hostCount(w)
+		hosts = HostCount(w)
 	}
 	for _, a := range w.Inbox.Arrivals {
 		if a.Request.Call != nil {
--- a/core/rockadmit/limit.go
+++ b/core/rockadmit/limit.go
@@ -16,8 +16,8 @@
 	leastShare = 0.1
 )
 
-// hostCount returns the number of hosts among which limits are divided. Hosts that do not answer count while the platform lists them, so that both sides of a partition keep to their part.
-func hostCount(w *rocktable.World) int {
+// HostCount returns the number of hosts among which limits are divided. Hosts that do not answer count while the platform lists them, so that both sides of a partition keep to their part.
+func HostCount(w *rocktable.World) int {
 	n := 0
 	for _, h := range w.Hosts.All() {
 		if h.State == rocktable.StateLive || h.Listed && h.State != rocktable.StateLeaving {
--- a/core/rockadmit/limit_test.go
+++ b/core/rockadmit/limit_test.go
@@ -17,11 +17,11 @@
 	}
 	w.HostNamed("entry-2").State = rocktable.StateDown    // cut off
 	w.HostNamed("entry-3").State = rocktable.StateLeaving // takes no new work
-	if got := hostCount(w); got != 4 {
+	if got := HostCount(w); got != 4 {
 		t.Errorf("limits are divided among %d hosts, want 4", got)
 	}
 	w.HostNamed("entry-2").Listed = false // replaced
-	if got := hostCount(w); got != 3 {
+	if got := HostCount(w); got != 3 {
 		t.Errorf("limits are divided among %d hosts, want 3", got)
 	}
 	c := &rocktable.Caller{}
--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -205,7 +206,7 @@
 		w.Answer(r.ID, rockreason.OutcomeUnknown)
 	default:
 		r.MayHaveRun = true
-		if r.Call.Runs >= runLimit(r) {
+		if r.Call.Runs >= runLimit(r) || !rockretry.SpendShared(now, w, r) {
 			w.Answer(r.ID, rockreason.BackendFailed)
 			return
 		}
@@ -251,6 +252,10 @@
 	w.Count(rockreason.ServerUnreachable)
 	r.Call.Runs--
 	r.Avoid = append(r.Avoid, e.Server)
+	if e.Reason == rockreason.StageRefused && !rockretry.SpendShared(now, w, r) {
+		endUnserved(now, w, r)
+		return
+	}
 	start(now, w, r)
 }
 
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -20,6 +20,7 @@
 }
 
 func run(now time.Time, w *rocktable.World) {
+	noteArrivals(now, w)
 	for _, p := range w.Inbox.Progress {
 		takeProgress(now, w, p)
 	}
@@ -217,6 +218,13 @@
 			return rockreason.Stalled
 		}
 		return rockreason.BackendFailed
+	case e.Reason == rockreason.StageUnreachable && w.Limits.RetryWindow > 0 && isNotRun(e):
+		return "" // the next one is the first that arrives
+	case !SpendShared(now, w, r):
+		if !r.MayHaveRun {
+			return rockreason.Shed
+		}
+		return rockreason.RetryBudget
 	case e.Reason == rockreason.StageRefused && isNotRun(e):
 		// A refusal costs the backend server nothing, so that it needs no budget.
 		return ""
--- /dev/null
+++ b/core/rockretry/window.go
@@ -0,0 +1,78 @@
+package rockretry
+
+import (
+	"time"
+
+	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// windowParts is the number of parts in which a window is counted; one more is kept, so that each span of its length is covered.
+	windowParts = 10
+	// windowSafety is the part of the shared budget that hosts use: their counts and that of their number differ a little.
+	windowSafety = 0.8
+)
+
+// target names what the request is sent to, for the shared budget.
+func target(r *rocktable.Request) rocktable.RetryKey {
+	if r.Call != nil {
+		return rocktable.RetryKey{Service: r.Call.Service}
+	}
+	return rocktable.RetryKey{Pipeline: r.Pipeline}
+}
+
+// noteArrivals counts the requests of the tick, which earn their part of the shared budget.
+func noteArrivals(now time.Time, w *rocktable.World) {
+	if w.Limits.RetryWindow <= 0 {
+		return
+	}
+	for i := range w.Inbox.Arrivals {
+		window := windowOf(now, w, target(&w.Inbox.Arrivals[i].Request))
+		window.Requests[0]++
+	}
+}
+
+// windowOf returns the counts of a target, shifted to the present part; part 0 is the newest.
+func windowOf(now time.Time, w *rocktable.World, key rocktable.RetryKey) *rocktable.RetryWindow {
+	window := w.Retries.GetOrPut(key)
+	part := w.Limits.RetryWindow / windowParts
+	if window.Requests == nil {
+		window.Requests, window.Repeats = make([]int, windowParts+1), make([]int, windowParts+1)
+		window.PartAt = now
+	}
+	for now.Sub(window.PartAt) >= part {
+		if now.Sub(window.PartAt) > 2*w.Limits.RetryWindow {
+			clear(window.Requests)
+			clear(window.Repeats)
+			window.PartAt = now
+			break
+		}
+		copy(window.Requests[1:], window.Requests)
+		copy(window.Repeats[1:], window.Repeats)
+		window.Requests[0], window.Repeats[0] = 0, 0
+		window.PartAt = window.PartAt.Add(part)
+	}
+	return window
+}
+
+// SpendShared takes one repeat from this host's part of the budget that all hosts share, and reports whether there was one.
+// A host that has just started may have used its part before, so that its allowance grows during the first window.
+func SpendShared(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
+	if w.Limits.RetryWindow <= 0 {
+		return true
+	}
+	window := windowOf(now, w, target(r))
+	requests, repeats := 0, 0
+	for i := range window.Requests {
+		requests += window.Requests[i]
+		repeats += window.Repeats[i]
+	}
+	age := min(1, now.Sub(w.Started).Seconds()/w.Limits.RetryWindow.Seconds())
+	allowed := w.Limits.RetryRatio*float64(requests) + age*w.Limits.RetryBurst/float64(rockadmit.HostCount(w))
+	if float64(repeats+1) > windowSafety*allowed {
+		return false
+	}
+	window.Repeats[0]++
+	return true
+}
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -32,6 +32,9 @@
 	LeaveLimit    time.Duration // from the first word of leaving to the last new work
 	LeaseTTL      time.Duration
 	OrderTimeout  time.Duration // longest that an order may be under way
+	RetryWindow   time.Duration // of the budget of repeats that all hosts share; 0 means that there is none
+	RetryRatio    float64       // repeats for each request in the window, over all hosts
+	RetryBurst    float64       // repeats in the window besides, over all hosts
 	DrainNotice   time.Duration // from the signal to stop until new requests are refused, for a load balancer that turns away late
 	Pushed        bool          // the platform pushes its list and the configuration, so that neither is read
 }
@@ -81,6 +84,7 @@
 	PlanState   PlanState
 	Tallies     Table[ShareKey, Tally]
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
+	Retries     Table[RetryKey, RetryWindow]
 	Claims      Table[RequestID, Claim]
 	SeenClaims  Table[string, SeenClaim] // by claim key
 	Lease       Lease
@@ -142,6 +146,19 @@
 	Highest  uint64
 }
 
+// RetryKey identifies what a budget of repeats is for: a pipeline or a service.
+type RetryKey struct {
+	Pipeline PipelineID
+	Service  ServiceID
+}
+
+// RetryWindow counts the requests and repeats of this host in the last window, by parts of it; part 0 is the newest.
+type RetryWindow struct {
+	Requests []int
+	Repeats  []int
+	PartAt   time.Time // when part 0 began
+}
+
 // PlanState is the progress of the planner of placements.
 type PlanState struct {
 	Next    time.Time // of the next comparison of the plan with the backend servers
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -53,6 +53,10 @@
 	LeaveLimitMs   int `json:"leaveLimitMs,omitempty" validate:"min=0,max=3000"`
 	LeaseTTLMs     int `json:"leaseTtlMs,omitempty" validate:"min=0,max=300000"`
 	OrderTimeoutMs int `json:"orderTimeoutMs,omitempty" validate:"min=0,max=120000"`
+	// The budget of repeats that all hosts share: in each window, a ratio of the requests and a number besides.
+	RetryWindowMs int     `json:"retryWindowMs,omitempty" validate:"min=0,max=600000"`
+	RetryRatio    float64 `json:"retryRatio,omitempty" validate:"min=0,max=10"`
+	RetryBurst    float64 `json:"retryBurst,omitempty" validate:"min=0,max=1000000"`
 	// From the signal to stop until new requests are refused.
 	DrainNoticeMs int  `json:"drainNoticeMs,omitempty" validate:"min=0,max=60000"`
 	Pushed        bool `json:"platformPushes,omitempty"` // the platform pushes its list and the configuration
@@ -73,7 +77,8 @@
 	setMs(&limits.LeaseTTL, l.LeaseTTLMs)
 	setMs(&limits.OrderTimeout, l.OrderTimeoutMs)
 	setMs(&limits.DrainNotice, l.DrainNoticeMs)
-	limits.Pushed = l.Pushed
+	setMs(&limits.RetryWindow, l.RetryWindowMs)
+	limits.RetryRatio, limits.RetryBurst, limits.Pushed = l.RetryRatio, l.RetryBurst, l.Pushed
 	return limits
 }
 
