--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -60,19 +60,22 @@
 	}
 	x.log("attempt started", "attempt", start.Attempt, "path", pathText(start.Path), "after", a.LastEventID)
 	before := x.stream.events
-	watch := newWatch(cancel, start.OpenLimit, x.dest.Route.Resumable)
+	watch := newWatch(cancel, start.OpenLimit, x.asker(ctx, a))
 	resp, err := x.t.Open(ctx, a)
 	if err == nil {
 		err = x.pass(start, resp, watch)
 	}
-	watch.stop()
+	fault, stalled := watch.stop()
 	switch {
-	case watch.fired():
+	case stalled:
 		err = errStalled
 	case ctx.Err() != nil:
 		err = ctx.Err() // control or the caller ended it
 	}
-	e := x.ended(ctx, start, a, resp, err)
+	e := x.ended(start, resp, err)
+	if stalled {
+		e.Server = fault
+	}
 	e.Tokens = x.stream.events - before
 	if err != nil {
 		x.log("attempt failed", "attempt", start.Attempt, "reason", e.Reason, "server", a.Server, "stages", len(a.Path),
@@ -102,14 +105,14 @@
 }
 
 // ended returns the report of an attempt's end.
-func (x *exchange) ended(ctx context.Context, start rocktable.Start, a Attempt, resp *Response, err error) rocktable.Ended {
+func (x *exchange) ended(start rocktable.Start, resp *Response, err error) rocktable.Ended {
 	e := rocktable.Ended{Attempt: start.Attempt, FirstToken: x.stream.first, LargestGap: x.stream.gap}
 	switch {
 	case err == nil:
 	case errors.Is(err, context.Canceled), errors.Is(err, errCaller):
 		e.Reason = rockreason.CallerLeft
 	case errors.Is(err, errStalled):
-		e.Reason, e.Server = rockreason.StageStalled, x.blame(ctx, a)
+		e.Reason, e.Crashed = rockreason.StageStalled, true
 	case errors.Is(err, ErrNotSent):
 		e.Reason, e.Server, e.Crashed = rockreason.StageUnreachable, start.Path[0].Server, true
 	case resp != nil && resp.NotRun:
@@ -123,19 +126,24 @@
 	return e
 }
 
-// blame returns the backend server that a stalled attempt waits for, or 0 if none is known.
-func (x *exchange) blame(ctx context.Context, a Attempt) rocktable.BackendServerID {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameTimeout)
-	defer cancel()
-	address, err := x.t.Blame(ctx, a)
-	if err != nil {
-		x.log("no report of a stalled attempt", "server", a.Server, "error", err)
-		return a.Path[0].Server // it does not even tell
+// asker returns the question which backend server a silent attempt waits for; it is nil where the attempt cannot go on elsewhere.
+func (x *exchange) asker(ctx context.Context, a Attempt) func() (rocktable.BackendServerID, bool) {
+	if !x.dest.Route.Resumable {
+		return nil
 	}
-	if address == "" {
-		return 0
+	return func() (rocktable.BackendServerID, bool) {
+		ctx, cancel := context.WithTimeout(ctx, blameTimeout)
+		defer cancel()
+		address, err := x.t.Blame(ctx, a)
+		switch {
+		case err != nil:
+			x.log("no report of a silent attempt", "server", a.Server, "error", err.Error())
+			return a.Path[0].Server, true // it does not even tell
+		case address == "":
+			return 0, false
+		}
+		return serverAt(a.Path, address), true
 	}
-	return serverAt(a.Path, address)
 }
 
 // serverAt returns the backend server of the path at an address, or the first one if the address is not on it.
