--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -15,6 +15,11 @@
 	// firstOpen and longestOpen limit the time for which the circuit breaker of a backend server that can't be reached stays open. Each further trip doubles it.
 	firstOpen   = time.Second
 	longestOpen = 16 * time.Second
+	// firstFull and longestFull are the same after a refusal by a backend server that may only be short of memory.
+	firstFull   = 100 * time.Millisecond
+	longestFull = 2 * time.Second
+	// testLimit is the time for which one attempt tests a backend server of a whole path whose circuit breaker was open.
+	testLimit = 1500 * time.Millisecond
 )
 
 // FailuresOf returns the part of the recent attempts that failed because of a backend server, from 0 to 1.
@@ -34,13 +39,29 @@
 
 // tripBreaker opens the circuit breaker of a backend server whose connection was lost or refused. Probes and gossip take seconds to find it down; until then its places look free, and under load all waiting work would go there.
 func tripBreaker(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt) {
+	trip(now, s, a, firstOpen, longestOpen)
+}
+
+// noteFull opens the circuit breaker of a backend server that refused a request on a whole path for a short time.
+func noteFull(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt) {
+	trip(now, s, a, firstFull, longestFull)
+}
+
+func trip(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt, first, longest time.Duration) {
 	// Attempts that began before the last trip tell nothing new.
 	if a.Started.Before(s.TrippedAt) {
 		return
 	}
 	s.Trips++
 	s.TrippedAt = now
-	s.BreakerUntil = now.Add(min(longestOpen, firstOpen<<min(s.Trips-1, 8)))
+	s.BreakerUntil = now.Add(min(longest, first<<min(s.Trips-1, 8)))
+}
+
+// NoteTest keeps other work away from a backend server whose circuit breaker was open while an attempt tests it.
+func NoteTest(now time.Time, s *rocktable.BackendServer) {
+	if s.Trips > 0 {
+		s.BreakerUntil = now.Add(testLimit)
+	}
 }
 
 // closeBreakers closes the circuit breakers of backend servers that gave a token to an attempt that began after their last trip.
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -125,6 +125,9 @@
 	if s := w.Servers.Get(e.Server); s != nil && (e.Crashed || e.Reason == rockreason.StageUnreachable) {
 		tripBreaker(now, s, a)
 	}
+	if s := w.Servers.Get(e.Server); s != nil && e.Reason == rockreason.StageRefused && isWholePath(w, r) {
+		noteFull(now, s, a)
+	}
 	rockadmit.Release(w, a)
 	r.Attempt = 0
 	switch {
@@ -198,6 +201,11 @@
 	rockadmit.Requeue(now, w, r)
 }
 
+func isWholePath(w *rocktable.World, r *rocktable.Request) bool {
+	p := w.Pipelines.Get(r.Pipeline)
+	return p != nil && p.Config.Engine.IsWholePath()
+}
+
 // isNotRun reports whether the attempt is known not to have run: the stage said that it did not start or was not reached, and no token came.
 func isNotRun(e rocktable.Ended) bool {
 	return e.Tokens == 0 && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageUnreachable)
@@ -228,7 +236,7 @@
 	case e.Reason == rockreason.StageRefused && isNotRun(e):
 		// A refusal costs the backend server nothing, so that it needs no budget.
 		return ""
-	case !spend(w, r, s):
+	case w.Limits.RetryWindow == 0 && !spend(w, r, s):
 		return rockreason.RetryBudget
 	}
 	return ""
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -130,6 +130,9 @@
 	if s.Exclusive != 0 && s.Exclusive != r.ID {
 		return false
 	}
+	if p := w.Pipelines.Get(r.Pipeline); p != nil && p.Config.Engine.IsWholePath() {
+		return s.InFlight < s.Status.Slots && hasMemory(p, s, r)
+	}
 	// Without this a request spends its attempts within milliseconds on backend servers that are restarting.
 	if s.Unreached {
 		return false
@@ -137,9 +140,6 @@
 	if rockretry.IsBreakerHalfOpen(s) {
 		return false
 	}
-	if p := w.Pipelines.Get(r.Pipeline); p != nil && p.Config.Engine.IsWholePath() {
-		return s.InFlight < s.Status.Slots && hasMemory(p, s, r)
-	}
 	if s.InFlight >= s.Status.Slots || float64(s.InFlight) >= slotPart(w, s) {
 		return false
 	}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -172,6 +172,9 @@
 	for _, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		s.InFlight++
+		if memory > 0 {
+			rockretry.NoteTest(now, s)
+		}
 		s.Reserved += memory * float64(stage.LastLayer-stage.FirstLayer+1)
 	}
 	if r.Alone {
