Let the cost of a link rise with its load, and reserve what a usual answer needs

Cause: with most memory in use the cost of memory outweighed the fixed cost of the way between data centres; paths went to and fro, the pipes filled, requests took longer and used more memory. It did not recover after the faults.

--- a/core/rockadmit/release.go
+++ b/core/rockadmit/release.go
@@ -8,11 +8,14 @@
 
 // Release removes an attempt and gives its places on backend servers back.
 func Release(w *rocktable.World, a *rocktable.Attempt) {
-	for _, stage := range a.Path {
+	for i, stage := range a.Path {
 		s := w.Servers.Get(stage.Server)
 		if s == nil {
 			continue
 		}
+		if i == 0 {
+			s.Entered--
+		}
 		s.InFlight--
 		s.Reserved = max(0, s.Reserved-a.Memory*float64(stage.LastLayer-stage.FirstLayer+1))
 		if s.Exclusive == a.Request {
--- a/core/rockinvariant/invariant.go
+++ b/core/rockinvariant/invariant.go
@@ -58,7 +58,7 @@
 	},
 	{
 		Name:  "concurrency",
-		Doc:   "No start leaves a backend server with more attempts of this host than its slots.",
+		Doc:   "No start leaves a backend server with more attempts of this host than its slots; where engines run a whole path, slots count where a request enters, and reserved memory on every stage.",
 		Check: checkConcurrency,
 	},
 	{
--- a/core/rockinvariant/model.go
+++ b/core/rockinvariant/model.go
@@ -4,11 +4,18 @@
 	"fmt"
 	"time"
 
+	"sassafrasrock/core/rockroute"
 	"sassafrasrock/core/rocktable"
 )
 
 func checkConcurrency(_ time.Time, w *rocktable.World) error {
 	for _, start := range w.Outbox.Starts {
+		if start.Pipeline.Engine.IsWholePath() {
+			if err := checkWholePath(w, start); err != nil {
+				return err
+			}
+			continue
+		}
 		for _, stage := range start.Path {
 			s := w.Servers.Get(stage.Server)
 			if s != nil && s.InFlight > s.Status.Slots {
@@ -19,6 +26,21 @@
 	return nil
 }
 
+// checkWholePath checks a start on engines that run a whole path: slots count where a request enters, memory on every stage.
+func checkWholePath(w *rocktable.World, start rocktable.Start) error {
+	for i, stage := range start.Path {
+		s := w.Servers.Get(stage.Server)
+		switch {
+		case s == nil:
+		case i == 0 && s.Entered > s.Status.Slots:
+			return fmt.Errorf("attempt %d: %d attempts enter at backend server %s, which has %d slots", start.Attempt, s.Entered, s.Name, s.Status.Slots)
+		case s.Reserved > rockroute.Memory(start.Pipeline, s):
+			return fmt.Errorf("attempt %d: %.0f tokens x layers are reserved on backend server %s, which has fewer", start.Attempt, s.Reserved, s.Name)
+		}
+	}
+	return nil
+}
+
 func checkAlone(now time.Time, w *rocktable.World) error {
 	for _, start := range w.Outbox.Starts {
 		if err := checkStartAlone(now, w, start); err != nil {
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -40,6 +40,7 @@
 	recentSuspects = 2
 	ownServers     = 2
 	sentRows       = 6
+	pushedRows     = 40 // where no reports are told, so that there is room
 	demandRows     = 3
 	// leastDemand is the demand in tokens per second below which a caller's limit is divided as if it asked nothing.
 	leastDemand = 0.1
@@ -254,6 +255,10 @@
 	} else {
 		addHeartbeats(now, w, d, relayedNearOut, relayedFarOut)
 	}
+	if w.Limits.Pushed {
+		addLoad(w, d) // every host gets the reports from the platform
+		return d.PeerMessage
+	}
 	addOwn(w, d)
 	addLoad(w, d)
 	addTurns(w, d, w.Servers.Len(), false)
@@ -393,9 +398,13 @@
 		}
 	}
 	slices.SortFunc(used, func(a, b *rocktable.BackendServer) int { return cmp.Compare(b.InFlight, a.InFlight) })
-	for _, s := range used[:min(len(used), sentRows)] {
-		if d.take(7 + len(s.Name)) {
-			d.Sent = append(d.Sent, rocktable.SentNews{Server: s.Name, InFlight: s.InFlight})
+	rows := sentRows
+	if w.Limits.Pushed {
+		rows = pushedRows
+	}
+	for _, s := range used[:min(len(used), rows)] {
+		if d.take(14 + len(s.Name)) {
+			d.Sent = append(d.Sent, rocktable.SentNews{Server: s.Name, InFlight: s.InFlight, Entered: s.Entered, Memory: s.Reserved})
 		}
 	}
 }
--- a/core/rockmember/news.go
+++ b/core/rockmember/news.go
@@ -209,7 +209,7 @@
 	}
 	w.Gossip.Recount = false
 	for _, s := range w.Servers.All() {
-		s.PeerFlight, s.PeerMemory = 0, 0
+		s.PeerFlight, s.PeerEnter, s.PeerMemory = 0, 0, 0
 	}
 	for _, c := range w.Callers.All() {
 		c.PeerDemand = 0
@@ -218,6 +218,7 @@
 		for _, n := range h.Sent {
 			if s := w.ServerNamed(n.Server); s != nil {
 				s.PeerFlight += n.InFlight
+				s.PeerEnter += n.Entered
 				s.PeerMemory += n.Memory
 			}
 		}
--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -170,78 +170,67 @@
 	return min(cfg.Layers, int(h.memory/each))
 }
 
-// copiesOf returns the copies of the layers that the group is to hold, and the memory for requests that is left.
-func copiesOf(cfg rocktable.PipelineConfig, group []*holder) (copies int, tokens float64) {
+// evenMemory returns the memory for requests, in tokens, that each backend server keeps if the group holds as many copies of
+// the layers as leave enough for a busy backend server, at least one.
+func evenMemory(cfg rocktable.PipelineConfig, group []*holder) float64 {
 	enough := secondCopy * (cfg.Engine.PromptTokens + cfg.Engine.AnswerTokens)
-	tokens, _ = share(cfg, group, 1)
-	for copies = 1; ; copies++ {
-		more, ok := share(cfg, group, copies+1)
+	tokens, _ := share(cfg, group, 1)
+	for copies := 2; ; copies++ {
+		more, ok := share(cfg, group, copies)
 		if !ok || more < enough {
-			return copies, tokens
+			return tokens
 		}
 		tokens = more
 	}
 }
 
-// layOut gives every backend server of the group its layers anew, one after the other.
+// layOut gives every backend server of the group its layers anew. The fastest kinds hold as many as leave them their memory
+// for requests. The slowest kind that is needed holds the rest at the beginning of the model, each part on several backend
+// servers: a request enters where its first layer is, and a backend server takes only so many at once.
 func layOut(cfg rocktable.PipelineConfig, group []*holder) {
-	copies, tokens := copiesOf(cfg, group)
-	sizes := sizesOf(cfg, group, copies*cfg.Layers, memoryPart*tokens)
-	at := 0
-	for i, h := range group {
-		h.from = at
-		h.to = min(cfg.Layers, at+sizes[i])
-		if at = h.to; at == cfg.Layers {
-			at = 0
-		}
-	}
-	mend(cfg, group)
-}
-
-// sizesOf divides a number of layers among the backend servers: the fastest kinds hold as many as leave them the memory for
-// that many tokens, and the slowest kind that is needed shares the rest evenly.
-func sizesOf(cfg rocktable.PipelineConfig, group []*holder, layers int, tokens float64) []int {
-	sizes := make([]int, len(group))
+	tokens := memoryPart * evenMemory(cfg, group)
+	left := cfg.Layers
 	kinds := slices.Clone(cfg.Engine.Kinds)
 	slices.SortStableFunc(kinds, func(a, b rocktable.KindConfig) int { return cmp.Compare(a.Pace, b.Pace) })
 	for _, kind := range kinds {
-		var of []int
-		sum := 0
-		for i, h := range group {
-			if h.server.Kind == kind.Name {
-				of = append(of, i)
-				sum += room(cfg, h, tokens)
-			}
+		of := ofKind(group, kind.Name)
+		if len(of) == 0 || left == 0 {
+			continue
+		}
+		each := room(cfg, of[0], tokens)
+		if each == 0 {
+			continue
 		}
-		take := min(sum, layers)
-		for n, i := range of {
-			sizes[i] = take * room(cfg, group[i], tokens) / max(1, sum)
-			if sum <= layers {
-				sizes[i] = room(cfg, group[i], tokens)
-			} else if n < take-rounded(cfg, group, of, take, sum, tokens) {
-				sizes[i]++
+		parts := min(len(of), (left+each-1)/each)
+		whole := min(left, parts*each)
+		for i := range parts {
+			n := (whole + parts - 1 - i) / parts
+			for j := i; j < len(of); j += parts {
+				of[j].from, of[j].to = left-n, left
 			}
+			left -= n
 		}
-		layers -= take
 	}
-	return sizes
+	mend(cfg, group)
 }
 
-// rounded returns the layers that an even division among the backend servers of one kind gives without its remainders.
-func rounded(cfg rocktable.PipelineConfig, group []*holder, of []int, take, sum int, tokens float64) int {
-	n := 0
-	for _, i := range of {
-		n += take * room(cfg, group[i], tokens) / max(1, sum)
+// ofKind returns the backend servers of one kind.
+func ofKind(group []*holder, kind string) []*holder {
+	var of []*holder
+	for _, h := range group {
+		if h.server.Kind == kind {
+			of = append(of, h)
+		}
 	}
-	return n
+	return of
 }
 
 // mend gives layers to backend servers without any, and layers that nobody holds to those beside them.
 func mend(cfg rocktable.PipelineConfig, group []*holder) {
-	_, tokens := copiesOf(cfg, group)
+	tokens := memoryPart * evenMemory(cfg, group)
 	for _, h := range group {
 		if h.layers() == 0 {
-			if n := room(cfg, h, memoryPart*tokens); n > 0 {
+			if n := room(cfg, h, tokens); n > 0 {
 				h.from = weakest(cfg, group, n)
 				h.to = h.from + n
 			}
--- a/core/rockretry/window.go
+++ b/core/rockretry/window.go
@@ -11,7 +11,7 @@
 	// windowParts is the number of parts in which a window is counted; one more is kept, so that each span of its length is covered.
 	windowParts = 10
 	// windowSafety is the part of the shared budget that hosts use: their counts and that of their number differ a little.
-	windowSafety = 0.8
+	windowSafety = 0.75
 )
 
 // target names what the request is sent to, for the shared budget.
@@ -68,9 +68,10 @@
 		requests += window.Requests[i]
 		repeats += window.Repeats[i]
 	}
-	age := min(1, now.Sub(w.Started).Seconds()/w.Limits.RetryWindow.Seconds())
-	allowed := w.Limits.RetryRatio*float64(requests) + age*w.Limits.RetryBurst/float64(rockadmit.HostCount(w))
-	if float64(repeats+1) > windowSafety*allowed {
+	// Nothing in the first half of the window, then more and more.
+	age := min(1, max(0, 2*now.Sub(w.Started).Seconds()/w.Limits.RetryWindow.Seconds()-1))
+	allowed := w.Limits.RetryRatio*float64(requests) + w.Limits.RetryBurst/float64(rockadmit.HostCount(w))
+	if float64(repeats+1) > windowSafety*age*allowed {
 		return false
 	}
 	window.Repeats[0]++
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -131,7 +131,7 @@
 		return false
 	}
 	if p := w.Pipelines.Get(r.Pipeline); p != nil && p.Config.Engine.IsWholePath() {
-		return s.InFlight < s.Status.Slots && hasMemory(p, s, r)
+		return hasMemory(p, s, r)
 	}
 	// Without this a request spends its attempts within milliseconds on backend servers that are restarting.
 	if s.Unreached {
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -23,13 +23,14 @@
 	onward   []onward                 // by position in Bounds and in centres
 	centres  []rocktable.DataCentreID // data centres of the servers
 	centreOf []int                    // position in centres, by position in Servers
-	cross    float64                  // cost in seconds of the way between stages in two data centres, for the current search
+	cross    []float64                // cost in seconds of the way from a data centre to another, by positions in centres
 	edges    []edge                   // scratch of walk
 }
 
 // serverCost is the cost of a stage in seconds: once, and for each layer.
 type serverCost struct {
 	usable   bool
+	noEntry  bool    // has no place for another request whose first stage it is
 	enter    float64 // if it is the first stage
 	once     float64
 	perLayer float64
@@ -129,7 +130,7 @@
 
 // IsCovered reports whether the live backend servers cover every layer, whatever their load.
 func (f *Field) IsCovered() bool {
-	f.costs, f.cross = f.costs[:0], 0
+	f.costs, f.cross = f.costs[:0], make([]float64, len(f.centres)*len(f.centres))
 	for range f.Servers {
 		f.costs = append(f.costs, serverCost{usable: true, once: 1})
 	}
@@ -142,7 +143,7 @@
 	f.costs = f.costs[:0]
 	job := newJob(now, w, r)
 	job.others = othersPart(f.Servers)
-	f.cross = job.crossing()
+	f.setCrossing(&job, w)
 	for _, s := range f.Servers {
 		if !usable(w, s, r) {
 			f.costs = append(f.costs, serverCost{})
@@ -181,6 +182,9 @@
 				continue
 			}
 			cost := f.leastFrom(i, from)
+			if from == 0 && f.costs[i].noEntry {
+				continue
+			}
 			f.best[from] = min(f.best[from], cost+f.costs[i].enter)
 			for c := range row {
 				row[c].add(i, cost+f.crossing(c, i))
@@ -207,10 +211,7 @@
 
 // crossing returns the cost of the way from a stage in a data centre to a stage on server i.
 func (f *Field) crossing(centre, i int) float64 {
-	if f.centres[centre] == f.Servers[i].DataCentre {
-		return 0
-	}
-	return f.cross
+	return f.cross[centre*len(f.centres)+f.centreOf[i]]
 }
 
 // rest returns the least cost from a boundary to the end after a stage on server i: the next stage is on another one.
@@ -249,7 +250,7 @@
 	for from := 0; from < len(f.Bounds)-1; {
 		f.edges = f.edges[:0]
 		for _, i := range f.Begin[from] {
-			if !f.costs[i].usable || uses(path, f.Servers[i].ID) {
+			if !f.costs[i].usable || prev < 0 && f.costs[i].noEntry || uses(path, f.Servers[i].ID) {
 				continue
 			}
 			for to := from + 1; f.canEnd(i, to); to++ {
--- a/core/rockroute/memory.go
+++ b/core/rockroute/memory.go
@@ -9,23 +9,28 @@
 
 const (
 	// fullPart is the part of a backend server's memory up to which requests are sent there: an engine that runs out of memory preempts streams.
-	fullPart = 0.92
+	fullPart = 0.95
+	// answerPart is the mean part of an answer that has been generated while its request runs.
+	answerPart = 0.5
 	// crowdPart is the least part of the memory that counts as free in the cost, so that the cost stays finite.
 	crowdPart = 0.05
 	// stageSeconds is the time of a token between two stages in one data centre.
 	stageSeconds = 0.0002
-	// pipeWait is the factor of the time of a prompt between two data centres: all requests share the pipe, one after the other.
-	pipeWait = 4
 	// hopSeconds is the time of a token between two data centres, twice one way.
 	hopSeconds = 0.001
 )
 
-// memoryOf returns the memory that a request reserves for each layer of its path, in tokens; 0 where engines manage it.
+// memoryOf returns the memory that a request reserves for each layer of its path, in tokens; 0 where engines manage it. An
+// answer fills its memory as it grows, and most are much shorter than the request allows.
 func memoryOf(p *rocktable.Pipeline, r *rocktable.Request) float64 {
 	if p == nil || !p.Config.Engine.IsWholePath() {
 		return 0
 	}
-	return float64(r.Prompt + r.MaxTokens)
+	answer := float64(r.MaxTokens)
+	if usual := p.Config.Engine.AnswerTokens; usual > 0 {
+		answer = min(answer, usual)
+	}
+	return float64(r.Prompt) + answerPart*answer
 }
 
 // Memory returns the memory that a backend server has for requests with the layers it holds, in tokens x layers.
@@ -55,19 +60,6 @@
 	return s.Reserved+s.PeerMemory+memoryOf(p, r)*layers <= fullPart*total
 }
 
-// crossing returns the cost of the way between stages in two data centres.
-func (j *job) crossing() float64 {
-	if j.pipeline == nil {
-		return 0
-	}
-	e := j.pipeline.Config.Engine
-	cost := j.steps * hopSeconds
-	if e.PipeMbps > 0 {
-		cost += pipeWait * (j.prompt + j.steps) * e.ActivationMB * 8 / e.PipeMbps
-	}
-	return cost
-}
-
 // wholePathCost returns the cost of a stage by the times that the operators publish of the engines: the work of a request
 // alone, more with the memory in use, and the way to another data centre.
 func (j *job) wholePathCost(s *rocktable.BackendServer) serverCost {
@@ -84,8 +76,9 @@
 		work += j.prompt / e.ReadPerSecond * kind.ReadFactor
 	}
 	works := 1 - min(maxFailures, rockretry.FailuresOf(j.now, s))
-	crowd := max(crowdPart, 1-usedMemory(j.pipeline, s))
-	c := serverCost{usable: true, perLayer: work / layers / crowd / (works * works)}
+	used := usedMemory(j.pipeline, s)
+	crowd := max(crowdPart, 1-used*used)
+	c := serverCost{usable: true, noEntry: s.Entered+s.PeerEnter >= s.Status.Slots, perLayer: work / layers / crowd / (works * works)}
 	if s.DataCentre != j.home && s.DataCentre != 0 {
 		c.enter = j.steps / float64(max(1, e.StepsPerEvent)) * hopSeconds * j.distance(s)
 	}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -169,6 +169,8 @@
 	r.Attempts++
 	r.Attempt, r.State, r.MayHaveRun = id, rocktable.RequestRunning, true
 	memory := memoryOf(w.Pipelines.Get(r.Pipeline), r)
+	notePipes(now, w, w.Pipelines.Get(r.Pipeline).Config.Engine, r, path)
+	w.Servers.Get(path[0].Server).Entered++
 	for _, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		s.InFlight++
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -150,6 +150,7 @@
 type SentNews struct {
 	Server   string
 	InFlight int
+	Entered  int     // attempts whose first stage it is
 	Memory   float64 // reserved there, in tokens x layers
 }
 
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -31,6 +31,8 @@
 	StatusSeq  uint64       // order of reports, set by the prober
 	InFlight   int          // attempts of this host that use it now
 	PeerFlight int          // attempts of peers that use it now, as they told
+	Entered    int          // attempts of this host whose first stage it is
+	PeerEnter  int          // the same of peers, as they told
 	Reserved   float64      // memory of this host's attempts, in tokens x layers
 	PeerMemory float64      // memory of peers' attempts, as they told
 	Own        int          // InFlight at the time of the last report
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -84,6 +84,7 @@
 	PlanState   PlanState
 	Tallies     Table[ShareKey, Tally]
 	Changes     Table[string, PendingChange] // configuration changes under way, by change id
+	Pipes       Table[PipeKey, Pipe]
 	Retries     Table[RetryKey, RetryWindow]
 	Claims      Table[RequestID, Claim]
 	SeenClaims  Table[string, SeenClaim] // by claim key
@@ -146,6 +147,15 @@
 	Highest  uint64
 }
 
+// PipeKey identifies the link from one data centre to another.
+type PipeKey struct{ From, To DataCentreID }
+
+// Pipe is the load that this host puts on the link between stages of two data centres.
+type Pipe struct {
+	Seconds float64 // of the link's time for the prompts sent in the last seconds, decaying
+	At      time.Time
+}
+
 // RetryKey identifies what a budget of repeats is for: a pipeline or a service.
 type RetryKey struct {
 	Pipeline PipelineID
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -197,11 +197,15 @@
 }
 
 func sentNewsToProto(n rocktable.SentNews) *v1.SentNews {
-	return &v1.SentNews{Server: n.Server, InFlight: clampUint32(n.InFlight)}
+	return &v1.SentNews{
+		Server: n.Server, InFlight: clampUint32(n.InFlight), Entered: clampUint32(n.Entered), Memory: uint64(max(0, n.Memory)),
+	}
 }
 
 func sentNewsFromProto(m *v1.SentNews) rocktable.SentNews {
-	return rocktable.SentNews{Server: m.GetServer(), InFlight: int(m.GetInFlight())}
+	return rocktable.SentNews{
+		Server: m.GetServer(), InFlight: int(m.GetInFlight()), Entered: int(m.GetEntered()), Memory: float64(m.GetMemory()),
+	}
 }
 
 func demandNewsToProto(n rocktable.DemandNews) *v1.DemandNews {
