--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -29,6 +29,10 @@
 	// its acknowledgement and the headers of three packets add 180 bytes to each. With 800 bytes there is no room for
 	// heartbeats of other data centres: in trials with 340 hosts 2% of them were taken for down, with 1,000 0.1%.
 	messageBytes = 1000
+	// pushedBytes and pushedFar replace messageBytes and the random number of far peers where the platform pushes reports: each
+	// host has to know the memory that all others have reserved at a backend server, or together they reserve too much.
+	pushedBytes = 1800
+	pushedFar   = 5
 	// headerBytes is the size of the numbers in the message's own fields.
 	headerBytes = 40
 
@@ -86,7 +90,11 @@
 	self.HeardAt = now
 	forgetLoad(now, w)
 	near, far, down := peers(w)
-	chosen := append(choose(w, leastRecent(near), nearPeers), choose(w, leastRecent(partners(w, far)), 1+w.Rand.IntN(2))...)
+	farPeers := 1 + w.Rand.IntN(2)
+	if w.Limits.Pushed {
+		farPeers = pushedFar
+	}
+	chosen := append(choose(w, leastRecent(near, nearPeers), nearPeers), choose(w, leastRecent(partners(w, far), max(nearPeers, farPeers)), farPeers)...)
 	// One message to a host that is down each round lets both sides of a healed partition find each other.
 	chosen = append(chosen, choose(w, down, 1)...)
 	if len(chosen) > 0 {
@@ -178,9 +186,9 @@
 // leastRecent returns the hosts that got no message for the longest time, one more than a round tells.
 // Choices among more leave some host without a message for several times the mean, and peers then take this host for
 // down: with half of 33 hosts the longest time was 41 s, with a silence limit of 25 s.
-func leastRecent(hosts []*rocktable.Host) []*rocktable.Host {
+func leastRecent(hosts []*rocktable.Host, n int) []*rocktable.Host {
 	slices.SortStableFunc(hosts, func(a, b *rocktable.Host) int { return a.SentAt.Compare(b.SentAt) })
-	return hosts[:min(len(hosts), nearPeers+1)]
+	return hosts[:min(len(hosts), n+1)]
 }
 
 // choose returns up to n random hosts, and reorders the slice.
@@ -240,7 +248,11 @@
 		hosts:       map[rocktable.HostID]bool{w.Self: true, to.ID: true},
 		servers:     make(map[rocktable.BackendServerID]bool),
 	}
-	d.left = messageBytes - headerBytes - len(d.Sender) - len(d.Address) - len(d.DataCentre) - len(d.Region)
+	d.left = messageBytes
+	if w.Limits.Pushed {
+		d.left = pushedBytes
+	}
+	d.left -= headerBytes + len(d.Sender) + len(d.Address) + len(d.DataCentre) + len(d.Region)
 	g := &w.Gossip
 	floor := g.Floors[g.Round%len(g.Floors)]
 	// One row with its address lets a host that started while the platform is out learn all backend servers.
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -79,11 +79,21 @@
 	e.Tokens = x.stream.events - before
 	if err != nil {
 		x.log("attempt failed", "attempt", start.Attempt, "reason", e.Reason, "server", a.Server, "stages", len(a.Path),
-			"faultServer", e.Server, "events", x.stream.events, "error", err)
+			"fault", nameOf(start.Path, e.Server), "events", x.stream.events, "error", err)
 	}
 	x.t.Post(func(in *rocktable.Inbox) { in.Ended = append(in.Ended, e) })
 }
 
+// nameOf returns the name of a backend server of a path, or nothing.
+func nameOf(path []rocktable.Stage, id rocktable.BackendServerID) string {
+	for _, stage := range path {
+		if stage.Server == id {
+			return stage.Name
+		}
+	}
+	return ""
+}
+
 // pathText returns a path for the log.
 func pathText(path []rocktable.Stage) string {
 	var text strings.Builder
