Mend a data centre's layers with backend servers that others can spare

Cause: after a departure the neighbours took one layer more each, which left them 88,000 of 150,000 tokens of memory, and the data centre stayed at that; while every host was restarted in turn nobody held the lease for 18 s; after a cut the layers of lapsed entries were given away. A gap goes first to a backend server whose layers others hold too, layers that were taken over are given back, the lease passes on at the signal to stop and is usable at once where engines compare the number of orders, lapsed entries keep their layers for 3 s.

--- a/core/rocklease/lease.go
+++ b/core/rocklease/lease.go
@@ -15,6 +15,8 @@
 	retryAfter = time.Second
 	// releaseLimit bounds the attempts to release the lease at shutdown; it expires by itself afterwards.
 	releaseLimit = 10 * time.Second
+	// leavingDelay is the time that a holder that leaves gets to give the lease up.
+	leavingDelay = 100 * time.Millisecond
 	// beatsPerTTL is the number of ticks asked for in one TTL, to detect pauses.
 	beatsPerTTL = 15
 	// clockMargin is the share of the TTL by which the holder stops early, for clocks that run at different rates.
@@ -46,16 +48,29 @@
 		lose(w, "expired")
 	}
 	takeOrders(now, w)
-	if w.Draining {
+	if w.Draining || !w.NoticeAt.IsZero() {
 		release(now, w)
 		return
 	}
+	if w.Limits.Pushed {
+		noteLeaving(now, w)
+	}
 	if w.ConfigVersion > 0 {
 		proceed(now, w)
 		reconcile(now, w)
 	}
 }
 
+// noteLeaving reads the lease at once when its holder says that it leaves: it gives the lease up then.
+func noteLeaving(now time.Time, w *rocktable.World) {
+	l := &w.Lease
+	for _, m := range w.Inbox.Peers {
+		if m.State == rocktable.StateLeaving && l.Seen.Holder == holderOf(m.Sender, m.Incarnation) && l.Next.After(now.Add(leavingDelay)) {
+			l.Next = now.Add(leavingDelay)
+		}
+	}
+}
+
 // checkPause gives the lease up when this tick comes much later than asked for; it is read again before it is used.
 func checkPause(now time.Time, w *rocktable.World) {
 	l := &w.Lease
@@ -81,7 +96,11 @@
 }
 
 func holderName(w *rocktable.World) string {
-	return w.SelfHost().Name + "#" + strconv.FormatUint(w.Incarnation, 10)
+	return holderOf(w.SelfHost().Name, w.Incarnation)
+}
+
+func holderOf(host string, incarnation uint64) string {
+	return host + "#" + strconv.FormatUint(incarnation, 10)
 }
 
 // proceed sends the next operation on the lease row, if it is due.
@@ -196,7 +215,7 @@
 }
 
 func acquire(now time.Time, w *rocktable.World) {
-	if w.Draining {
+	if w.Draining || !w.NoticeAt.IsZero() {
 		return
 	}
 	write(now, w, rocktable.LeaseRow{
@@ -218,8 +237,12 @@
 	}
 	if l.Fencing != l.Wanted.Fencing {
 		l.Fencing = l.Wanted.Fencing
-		// The last holder sent its last order before its lease ended; that order may still be under way.
-		l.UsableAt = now.Add(w.Limits.OrderTimeout)
+		// The last holder sent its last order before its lease ended; that order may still be under way. Engines that run a
+		// whole path refuse an order that does not know of the one before it.
+		l.UsableAt = now
+		if !wholePathOnly(w) {
+			l.UsableAt = now.Add(w.Limits.OrderTimeout)
+		}
 	}
 	if !l.Held {
 		l.Held = true
@@ -228,18 +251,28 @@
 	w.WakeAt(l.Beat)
 }
 
+// wholePathOnly reports whether the engines of all pipelines run a whole path.
+func wholePathOnly(w *rocktable.World) bool {
+	for _, p := range w.Pipelines.All() {
+		if !p.Config.Engine.IsWholePath() {
+			return false
+		}
+	}
+	return w.Pipelines.Len() > 0
+}
+
 // release gives the lease up for the shutdown, after the orders under way have ended.
 func release(now time.Time, w *rocktable.World) {
 	l := &w.Lease
 	for _, o := range w.Orders.All() {
-		if o.Pending && now.Sub(w.DrainedAt) < releaseLimit {
+		if o.Pending && now.Sub(stoppedAt(w)) < releaseLimit {
 			return
 		}
 	}
 	if l.Released {
 		return
 	}
-	if now.Sub(w.DrainedAt) >= releaseLimit || !l.Held && l.Pending == 0 {
+	if now.Sub(stoppedAt(w)) >= releaseLimit || !l.Held && l.Pending == 0 {
 		l.Held, l.Released = false, true
 		return
 	}
@@ -252,3 +285,11 @@
 	write(now, w, row)
 	l.Next = now.Add(retryAfter)
 }
+
+// stoppedAt returns when the shutdown began.
+func stoppedAt(w *rocktable.World) time.Time {
+	if w.NoticeAt.IsZero() {
+		return w.DrainedAt
+	}
+	return w.NoticeAt
+}
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -90,11 +90,12 @@
 	self.HeardAt = now
 	forgetLoad(now, w)
 	near, far, down := peers(w)
+	chosen := choose(w, leastRecent(near, nearPeers), nearPeers)
 	farPeers := 1 + w.Rand.IntN(2)
 	if w.Limits.Pushed {
 		farPeers = pushedFar
 	}
-	chosen := append(choose(w, leastRecent(near, nearPeers), nearPeers), choose(w, leastRecent(partners(w, far), max(nearPeers, farPeers)), farPeers)...)
+	chosen = append(chosen, choose(w, leastRecent(partners(w, far), max(nearPeers, farPeers)), farPeers)...)
 	// One message to a host that is down each round lets both sides of a healed partition find each other.
 	chosen = append(chosen, choose(w, down, 1)...)
 	if len(chosen) > 0 {
--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -13,10 +13,14 @@
 	planEvery = 250 * time.Millisecond
 	// settleTime is the time without a new backend server after which the first plan is made: they register within some seconds.
 	settleTime = 800 * time.Millisecond
-	// emptyPart is the part of a backend server's memory that it keeps for requests when it takes layers over from one that was lost.
-	emptyPart = 0.2
+	// strainPart is the part of its planned memory for requests that a backend server keeps when it takes layers over from one
+	// that was lost. With less it would hold up all requests that pass through its other layers.
+	strainPart = 0.5
 	// memoryPart is the part of the memory for requests that the most even plan would leave, which the plan keeps. What it takes goes to layers on the fastest kinds, because each token passes all layers one after the other.
 	memoryPart = 0.6
+	// lapseLimit is the time for which the layers of a backend server whose entry is missing are not given to its neighbours:
+	// entries lapse while a data centre is cut off, and it is back with its layers afterwards.
+	lapseLimit = 3 * time.Second
 	// secondCopy is the memory for requests, as a multiple of what the mean request takes, that each backend server must keep before a data centre holds another copy of the layers.
 	secondCopy = 400
 )
@@ -57,7 +61,8 @@
 	server *rocktable.BackendServer
 	memory float64 // MB
 	from   int
-	to     int // exclusive; equal to from for none
+	to     int  // exclusive; equal to from for none
+	lapsed bool // its entry is missing for a short time; it may still hold its layers and be back
 }
 
 func (h *holder) layers() int { return h.to - h.from }
@@ -65,7 +70,7 @@
 // planPipeline brings the plan of a pipeline in line with the backend servers of the group.
 func planPipeline(now time.Time, w *rocktable.World, p *rocktable.Pipeline) {
 	st := &w.PlanState
-	group := groupOf(w, p)
+	group := groupOf(now, w, p)
 	dropGone(w, group)
 	if len(group) == 0 {
 		return
@@ -90,15 +95,16 @@
 }
 
 // groupOf returns the backend servers that together hold the pipeline: those of the data centre if they can, otherwise all.
-func groupOf(w *rocktable.World, p *rocktable.Pipeline) []*holder {
+func groupOf(now time.Time, w *rocktable.World, p *rocktable.Pipeline) []*holder {
 	var own, all []*holder
 	home := w.SelfHost().DataCentre
 	for _, s := range w.Servers.All() {
 		kind, ok := p.Config.Engine.Kind(s.Kind)
-		if !ok || s.Service != p.Config.Name || s.State != rocktable.StateLive {
+		lapsed := s.State == rocktable.StateLeaving && !s.ListedLeaving && !s.Drained && now.Sub(s.LeavingSince) < lapseLimit
+		if !ok || s.Service != p.Config.Name || s.State != rocktable.StateLive && !lapsed {
 			continue
 		}
-		h := &holder{server: s, memory: kind.MemoryMB}
+		h := &holder{server: s, memory: kind.MemoryMB, lapsed: lapsed}
 		if planned := w.Plan.Get(s.ID); planned != nil {
 			h.from, h.to = planned.FirstLayer, planned.LastLayer+1
 		} else if s.Status.Model == p.Config.Model && s.Status.LastLayer >= s.Status.FirstLayer {
@@ -229,7 +235,7 @@
 func mend(cfg rocktable.PipelineConfig, group []*holder) {
 	tokens := memoryPart * evenMemory(cfg, group)
 	for _, h := range group {
-		if h.layers() == 0 {
+		if h.layers() == 0 && !h.lapsed {
 			if n := room(cfg, h, tokens); n > 0 {
 				h.from = weakest(cfg, group, n)
 				h.to = h.from + n
@@ -238,19 +244,48 @@
 	}
 	for range cfg.Layers {
 		from, to := firstGap(cfg, group)
-		if from == to || !fill(cfg, group, from, to) {
+		if from == to || !move(cfg, group, from, to, tokens) && !fill(cfg, group, from, to, tokens) {
+			break
+		}
+	}
+	for _, h := range group {
+		trim(cfg, group, h, tokens)
+	}
+}
+
+// trim takes layers from the ends of a backend server that holds more than its memory for requests allows, as long as another
+// one reports that it holds them: it took them over for one that is back or was replaced.
+func trim(cfg rocktable.PipelineConfig, group []*holder, h *holder, tokens float64) {
+	for !h.lapsed && h.layers() > max(1, room(cfg, h, tokens)) {
+		switch {
+		case isReported(group, h, h.from):
+			h.from++
+		case isReported(group, h, h.to-1):
+			h.to--
+		default:
 			return
 		}
 	}
 }
 
+// isReported reports whether another backend server that keeps the layer reports that it holds it.
+func isReported(group []*holder, except *holder, layer int) bool {
+	for _, h := range group {
+		s := &h.server.Status
+		if h != except && !h.lapsed && h.from <= layer && layer < h.to && s.Model != "" && s.FirstLayer <= layer && layer <= s.LastLayer {
+			return true
+		}
+	}
+	return false
+}
+
 // weakest returns the first of n layers that need another holder most: those that nobody holds, then those whose holders have the least memory.
 func weakest(cfg rocktable.PipelineConfig, group []*holder, n int) int {
 	need := make([]float64, cfg.Layers)
 	for l := range need {
 		memory := 0.0
 		for _, h := range group {
-			if h.from <= l && l < h.to {
+			if h.from <= l && l < h.to && !h.lapsed {
 				memory += (h.memory - float64(h.layers())*cfg.Engine.LayerMB) / float64(h.layers())
 			}
 		}
@@ -286,18 +321,52 @@
 	return from, to
 }
 
+// move gives a gap to a backend server whose layers all are on others too, the one with the most of these, and reports whether there is one.
+func move(cfg rocktable.PipelineConfig, group []*holder, from, to int, tokens float64) bool {
+	var best *holder
+	most := 0
+	for _, h := range group {
+		if h.lapsed || h.layers() == 0 || room(cfg, h, tokens) == 0 {
+			continue
+		}
+		if n := fewestOthers(group, h); n > most {
+			best, most = h, n
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.from, best.to = from, min(to, from+room(cfg, best, tokens))
+	return true
+}
+
+// fewestOthers returns the least number of other backend servers that hold a layer of a backend server.
+func fewestOthers(group []*holder, h *holder) int {
+	fewest := len(group)
+	for l := h.from; l < h.to; l++ {
+		n := 0
+		for _, o := range group {
+			if o != h && !o.lapsed && o.from <= l && l < o.to {
+				n++
+			}
+		}
+		fewest = min(fewest, n)
+	}
+	return fewest
+}
+
 // fill extends one of the holders beside a gap by one layer, the one with the most memory left for requests, and reports whether one could.
-func fill(cfg rocktable.PipelineConfig, group []*holder, from, to int) bool {
+func fill(cfg rocktable.PipelineConfig, group []*holder, from, to int, tokens float64) bool {
 	var best *holder
 	most := 0.0
 	for _, h := range group {
-		if h.layers() == 0 || h.to != from && h.from != to {
+		if h.lapsed || h.layers() == 0 || h.to != from && h.from != to {
 			continue
 		}
-		left := h.memory - float64(h.layers()+1)*cfg.Engine.LayerMB
-		if left < emptyPart*h.memory {
+		if h.layers()+1 > room(cfg, h, strainPart*tokens) {
 			continue
 		}
+		left := h.memory - float64(h.layers()+1)*cfg.Engine.LayerMB
 		if part := left / float64(h.layers()+1); best == nil || part > most {
 			best, most = h, part
 		}
@@ -317,7 +386,7 @@
 func keep(w *rocktable.World, p *rocktable.Pipeline, group []*holder) {
 	home := w.SelfHost().DataCentre
 	for _, h := range group {
-		if h.server.DataCentre != home || h.layers() == 0 {
+		if h.lapsed || h.server.DataCentre != home || h.layers() == 0 {
 			continue
 		}
 		w.Plan.Put(h.server.ID, rocktable.Placement{
--- a/core/rockroute/pipe.go
+++ b/core/rockroute/pipe.go
@@ -40,13 +40,18 @@
 			if from == to {
 				continue
 			}
-			load := hosts * pipeLoad(j.now, w.Pipes.Get(rocktable.PipeKey{From: f.centres[from], To: f.centres[to]}))
+			load := hosts * pipeLoad(j.now, w.Pipes.Get(pipeKey(f.centres[from], f.centres[to])))
 			wait := pipeTime(e, j.prompt+j.steps) / max(freePipe, 1-load)
 			f.cross[from*n+to] = pipeWeight*wait + j.steps*hopSeconds
 		}
 	}
 }
 
+// pipeKey returns the key of the link between two data centres, which both directions share.
+func pipeKey(a, b rocktable.DataCentreID) rocktable.PipeKey {
+	return rocktable.PipeKey{One: min(a, b), Other: max(a, b)}
+}
+
 // pipeLoad returns the part of a link's time that this host uses.
 func pipeLoad(now time.Time, p *rocktable.Pipe) float64 {
 	if p == nil {
@@ -61,7 +66,7 @@
 	for _, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		if last != nil && s != nil && last.DataCentre != s.DataCentre {
-			p := w.Pipes.GetOrPut(rocktable.PipeKey{From: last.DataCentre, To: s.DataCentre})
+			p := w.Pipes.GetOrPut(pipeKey(last.DataCentre, s.DataCentre))
 			p.Seconds = p.Seconds*math.Exp(-now.Sub(p.At).Seconds()/pipeWindow) + pipeTime(e, float64(r.Prompt+r.Tokens)+e.AnswerTokens)
 			p.At = now
 		}
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -147,8 +147,8 @@
 	Highest  uint64
 }
 
-// PipeKey identifies the link from one data centre to another.
-type PipeKey struct{ From, To DataCentreID }
+// PipeKey identifies the link between two data centres; One is the lower id.
+type PipeKey struct{ One, Other DataCentreID }
 
 // Pipe is the load that this host puts on the link between stages of two data centres.
 type Pipe struct {
