Pass routes, engines and tokens on between hosts

Cause: the messages between hosts had no fields for them, TestPeerMessageKeepsEveryField failed, and a host that the store turned away could not learn of a new configuration.

--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -135,9 +135,6 @@
 	st := &w.ConfigState
 	st.PeerRead = true
 	st.Highest = max(st.Highest, m.ConfigVersion)
-	if w.Limits.Pushed {
-		return // peers' messages carry no routes
-	}
 	if m.Configuration != nil {
 		Accept(now, w, m.ConfigVersion, *m.Configuration)
 	}
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -411,11 +411,20 @@
 		}
 	}
 	slices.SortFunc(used, func(a, b *rocktable.BackendServer) int { return cmp.Compare(b.InFlight, a.InFlight) })
-	rows := sentRows
 	if w.Limits.Pushed {
-		rows = pushedRows
+		addMemory(d, used)
+		return
+	}
+	for _, s := range used[:min(len(used), sentRows)] {
+		if d.take(7 + len(s.Name)) {
+			d.Sent = append(d.Sent, rocktable.SentNews{Server: s.Name, InFlight: s.InFlight})
+		}
 	}
-	for _, s := range used[:min(len(used), rows)] {
+}
+
+// addMemory adds the load at backend servers with the places and the memory that it takes.
+func addMemory(d *draft, used []*rocktable.BackendServer) {
+	for _, s := range used[:min(len(used), pushedRows)] {
 		if d.take(14 + len(s.Name)) {
 			d.Sent = append(d.Sent, rocktable.SentNews{Server: s.Name, InFlight: s.InFlight, Entered: s.Entered, Memory: s.Reserved})
 		}
--- a/core/rocktable/config.go
+++ b/core/rocktable/config.go
@@ -61,10 +61,8 @@
 	ActivationMB  float64      `json:"activationMb"`  // moved between two stages for one token
 	PipeMbps      float64      `json:"pipeMbps"`      // between two data centres, shared by all; 0 means no limit
 	StepsPerEvent int          `json:"stepsPerEvent"` // tokens in one event of a stream
-	LoadSeconds   float64      `json:"loadSeconds"`   // of all layers
 	AnswerTokens  float64      `json:"answerTokens"`  // mean
 	PromptTokens  float64      `json:"promptTokens"`  // mean
-	StallLimitMs  float64      `json:"stallLimitMs"`  // after which an engine gives up work that waits for a dead stage
 	Kinds         []KindConfig `json:"kinds"`         // kinds of accelerators
 }
 
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -33,6 +33,9 @@
 // reasonTimeout limits the wait for requests that are cut off to be answered with the reason; a stop at once must not take longer.
 const reasonTimeout = 300 * time.Millisecond
 
+// ErrNoTrust says that the settings name no certificates and none were given.
+var ErrNoTrust = eris.New("no certificate for the peer protocol")
+
 // Daemon is one host of the system.
 type Daemon struct {
 	CallersAddress   string // as bound
@@ -101,7 +104,7 @@
 // New binds the addresses of a daemon; it serves when Run is called.
 func New(settings rocksettings.Daemon, options ...Option) (*Daemon, error) {
 	if settings.PeerTLS == nil {
-		return nil, eris.New("peerTls is missing")
+		return nil, eris.Wrap(ErrNoTrust, "peerTls")
 	}
 	trust, err := rockpeer.LoadTrust(settings.PeerTLS.CertFile, settings.PeerTLS.KeyFile, settings.PeerTLS.CAFile)
 	if err != nil {
--- a/io/rockdaemon/order_test.go
+++ b/io/rockdaemon/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 		return rockengine.OrderReply{OK: true}, nil
 	}}
 	w := rocktable.NewWorld(time.Now(), rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: "yoff"}, 1)
-	d := &Daemon{engine: engine, control: rockcontrol.New(w)}
+	d := &Daemon{log: slog.New(slog.DiscardHandler), engine: engine, control: rockcontrol.New(w)}
 	d.order(rocktable.OrderSend{Until: time.Now().Add(until)})
 	if left <= until {
 		t.Errorf("the order has %s, want %s", left, d.settings.Limits.Table().OrderTimeout)
--- a/io/rockschema/configuration.go
+++ b/io/rockschema/configuration.go
@@ -15,6 +15,7 @@
 		Callers:   each(cfg.Callers, callerToProto),
 		Services:  each(cfg.Services, serviceToProto),
 		Drained:   cfg.Drained,
+		Routes:    each(cfg.Routes, routeToProto),
 	}
 }
 
@@ -26,6 +27,7 @@
 		Callers:   each(m.GetCallers(), callerFromProto),
 		Services:  each(m.GetServices(), serviceFromProto),
 		Drained:   m.GetDrained(),
+		Routes:    each(m.GetRoutes(), routeFromProto),
 	}
 }
 
@@ -36,6 +38,7 @@
 		Version:    c.Version,
 		Layers:     clampInt32(c.Layers),
 		Placements: each(c.Placements, placementToProto),
+		Engine:     engineToProto(c.Engine),
 	}
 }
 
@@ -46,6 +49,7 @@
 		Version:    m.GetVersion(),
 		Layers:     int(m.GetLayers()),
 		Placements: each(m.GetPlacements(), placementFromProto),
+		Engine:     engineFromProto(m.GetEngine()),
 	}
 }
 
@@ -97,6 +101,8 @@
 		TokensPerSecond: c.TokensPerSecond,
 		Burst:           c.Burst,
 		Ranks:           c.Ranks,
+		MoreSha256:      c.MoreSHA256,
+		Priority:        priorityToProto(c.Priority),
 	}
 }
 
@@ -108,6 +114,8 @@
 		TokensPerSecond: m.GetTokensPerSecond(),
 		Burst:           m.GetBurst(),
 		Ranks:           m.GetRanks(),
+		MoreSHA256:      m.GetMoreSha256(),
+		Priority:        priorityFromProto(m),
 	}
 }
 
@@ -117,6 +125,7 @@
 		BackendServers: c.Servers,
 		Idempotent:     c.Idempotent,
 		TimeoutMs:      clampInt32(c.TimeoutMs),
+		Listed:         c.Listed,
 	}
 }
 
@@ -126,6 +135,7 @@
 		Servers:    m.GetBackendServers(),
 		Idempotent: m.GetIdempotent(),
 		TimeoutMs:  int(m.GetTimeoutMs()),
+		Listed:     m.GetListed(),
 	}
 }
 
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -173,6 +173,7 @@
 		ChecksFencing:   s.ChecksFencing,
 		SubRanges:       s.SubRanges,
 		Resume:          s.Resume,
+		Sequence:        s.Sequence,
 	}
 }
 
@@ -193,6 +194,7 @@
 		ChecksFencing:   m.GetChecksFencing(),
 		SubRanges:       m.GetSubRanges(),
 		Resume:          m.GetResume(),
+		Sequence:        m.GetSequence(),
 	}
 }
 
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -23,7 +23,7 @@
 	PeersAddress        string    `json:"peersAddress" validate:"required,listen"`                       // UDP
 	PeersAdvertised     string    `json:"peersAdvertisedAddress,omitempty" validate:"omitempty,address"` // told to other hosts; empty means peersAddress
 	PlatformURL         string    `json:"platformUrl" validate:"required,http_url"`
-	PeerTLS             *TLSFiles `json:"peerTls,omitempty"`                                  // nil where the daemon makes a key at its start
+	PeerTLS             *TLSFiles `json:"peerTls,omitempty"`                                  // nil where the platform pushes: the daemon makes a key at its start
 	ReadyAddress        string    `json:"readyAddress,omitempty" validate:"omitempty,listen"` // for a load balancer that asks there; empty means callersAddress
 	MetricsAddress      string    `json:"metricsAddress,omitempty" validate:"omitempty,listen"`
 	OperatorTLS         *TLSFiles `json:"operatorTls,omitempty"`                                                 // nil means plain HTTP
@@ -108,6 +108,11 @@
 	if d.OperatorTokenSHA256 != strings.ToLower(d.OperatorTokenSHA256) {
 		c.reject("operatorTokenSha256", strconv.Quote(d.OperatorTokenSHA256), "lower-case hexadecimal digits")
 	}
+	if d.PeerTLS == nil && !d.Limits.Pushed {
+		for _, field := range []string{"certFile", "keyFile", "caFile"} {
+			c.reject("peerTls."+field, "a missing value", "not empty")
+		}
+	}
 	limits := d.Limits.Table()
 	// A single lost heartbeat must not mark a host as down.
 	c.checkAtLeast("limits.hostTimeoutMs", limits.HostTimeout, 3*limits.GossipEvery, "three times gossipEveryMs")
