--- /dev/null
+++ b/core/rockplace/place_test.go
@@ -0,0 +1,230 @@
+package rockplace
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasrock/core/rocktable"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// engines is a pipeline of 80 layers over three kinds of accelerators.
+func engines() rocktable.PipelineConfig {
+	return rocktable.PipelineConfig{
+		Name: "pool", Model: "m", Layers: 80,
+		Engine: rocktable.EngineConfig{
+			LayerMB: 1750, TokenBytes: 590000, StepMs: 1, ReadPerSecond: 164000, PromptTokens: 775, AnswerTokens: 216,
+			Kinds: []rocktable.KindConfig{
+				{Name: "fast", MemoryMB: 72000, Pace: 2.4, ReadFactor: 3.2},
+				{Name: "middle", MemoryMB: 14400, Pace: 5.3, ReadFactor: 7.9},
+				{Name: "slow", MemoryMB: 21600, Pace: 16, ReadFactor: 8.2},
+			},
+		},
+	}
+}
+
+// planner returns the World of a host that holds the lease of its data centre, with backend servers of each kind.
+func planner(cfg rocktable.PipelineConfig, counts map[string]int) *rocktable.World {
+	w := rocktable.NewWorld(start, rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: "yoff"}, 1)
+	w.Lease.Held = true
+	p := w.InternPipeline(cfg.Name)
+	p.Config = cfg
+	for _, kind := range cfg.Engine.Kinds {
+		for i := range counts[kind.Name] {
+			addServer(w, cfg, kind.Name, fmt.Sprintf("%s-%d", kind.Name, i))
+		}
+	}
+	return w
+}
+
+func addServer(w *rocktable.World, cfg rocktable.PipelineConfig, kind, name string) *rocktable.BackendServer {
+	s := w.InternServer(name)
+	s.Service, s.Kind, s.State, s.DataCentre = cfg.Name, kind, rocktable.StateLive, w.SelfHost().DataCentre
+	s.Status = rocktable.EngineStatus{Kind: kind, LastLayer: -1}
+	return s
+}
+
+// plan runs the system until the first plan may be made.
+func plan(w *rocktable.World) {
+	run(start, w)
+	run(start.Add(2*settleTime), w)
+}
+
+// obey makes the backend servers report what they are to hold.
+func obey(w *rocktable.World) {
+	for id, p := range w.Plan.All() {
+		s := w.Servers.Get(id)
+		s.Status.Model, s.Status.FirstLayer, s.Status.LastLayer = p.Model, p.FirstLayer, p.LastLayer
+	}
+}
+
+// holders returns the number of backend servers that are to hold each layer.
+func holders(w *rocktable.World, layers int) []int {
+	n := make([]int, layers)
+	for _, p := range w.Plan.All() {
+		for l := p.FirstLayer; l <= p.LastLayer; l++ {
+			n[l]++
+		}
+	}
+	return n
+}
+
+func uncovered(w *rocktable.World, layers int) int {
+	n := 0
+	for _, count := range holders(w, layers) {
+		if count == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// overfull returns the backend servers that are to hold more than their memory.
+func overfull(w *rocktable.World, cfg rocktable.PipelineConfig) []string {
+	var names []string
+	for id, p := range w.Plan.All() {
+		kind, _ := cfg.Engine.Kind(w.Servers.Get(id).Kind)
+		if float64(p.LastLayer-p.FirstLayer+1)*cfg.Engine.LayerMB > kind.MemoryMB {
+			names = append(names, p.Server)
+		}
+	}
+	return names
+}
+
+// Guards against a plan that leaves a layer out, gives a backend server more layers than its memory, or a layer outside of the
+// model, for fleets that nobody has seen, also after some of them have gone.
+func TestPlanCoversEveryLayer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := engines()
+		cfg.Layers = rapid.IntRange(1, 120).Draw(t, "layers")
+		counts := map[string]int{}
+		for _, kind := range cfg.Engine.Kinds {
+			counts[kind.Name] = rapid.IntRange(0, 20).Draw(t, kind.Name)
+		}
+		w := planner(cfg, counts)
+		group := groupOf(start, w, w.Pipelines.Get(1))
+		_, possible := share(cfg, group, 1)
+		plan(w)
+		check := func(when string) {
+			if names := overfull(w, cfg); len(names) > 0 {
+				t.Fatalf("%s: more layers than memory on %v", when, names)
+			}
+			for _, p := range w.Plan.All() {
+				if p.FirstLayer < 0 || p.LastLayer >= cfg.Layers || p.FirstLayer > p.LastLayer {
+					t.Fatalf("%s: layers %d to %d of %d on %s", when, p.FirstLayer, p.LastLayer, cfg.Layers, p.Server)
+				}
+			}
+		}
+		check("at first")
+		if n := uncovered(w, cfg.Layers); possible && n > 0 {
+			t.Fatalf("%d layers are on no backend server", n)
+		}
+		obey(w)
+		w.PlanState.Served = true
+		now := start.Add(10 * time.Second)
+		for id, s := range w.Servers.All() {
+			if rapid.Bool().Draw(t, "gone") && rapid.Bool().Draw(t, "too") {
+				s.State, s.ListedLeaving, s.LeavingSince = rocktable.StateLeaving, true, now
+				w.Plan.Delete(id)
+			}
+		}
+		run(now.Add(planEvery), w)
+		check("after departures")
+	})
+}
+
+// Guards against a first part of the model on one backend server only, whose slots then limit the whole data centre.
+func TestFirstLayersAreOnSeveral(t *testing.T) {
+	cfg := engines()
+	w := planner(cfg, map[string]int{"fast": 1, "middle": 10, "slow": 4})
+	plan(w)
+	if n := holders(w, cfg.Layers)[0]; n < 2 {
+		t.Errorf("layer 0 is on %d backend servers, want 2 or more", n)
+	}
+}
+
+// Guards against neighbours that are left without memory for requests by the layers of one that has gone, while another holds
+// only layers that others hold too.
+func TestGapGoesToSpareServer(t *testing.T) {
+	cfg := engines()
+	w := planner(cfg, map[string]int{"fast": 1, "middle": 10, "slow": 4})
+	plan(w)
+	obey(w)
+	w.PlanState.Served = true
+	before := make(map[rocktable.BackendServerID]rocktable.Placement)
+	for id, p := range w.Plan.All() {
+		before[id] = *p
+	}
+	gone := w.ServerNamed("middle-3")
+	now := start.Add(10 * time.Second)
+	gone.State, gone.ListedLeaving, gone.LeavingSince = rocktable.StateLeaving, true, now
+	run(now, w)
+	if n := uncovered(w, cfg.Layers); n > 0 {
+		t.Fatalf("%d layers are on no backend server", n)
+	}
+	for id, p := range w.Plan.All() {
+		s := w.Servers.Get(id)
+		if s.Kind != "slow" && *p != before[id] {
+			t.Errorf("%s is to hold %d to %d, before %d to %d", s.Name, p.FirstLayer, p.LastLayer, before[id].FirstLayer, before[id].LastLayer)
+		}
+	}
+}
+
+// Guards against orders that give the layers of a whole data centre away because its entries lapsed while it was cut off.
+func TestLapsedEntriesKeepTheirLayers(t *testing.T) {
+	cfg := engines()
+	w := planner(cfg, map[string]int{"fast": 1, "middle": 10, "slow": 4})
+	plan(w)
+	obey(w)
+	w.PlanState.Served = true
+	now := start.Add(10 * time.Second)
+	s := w.ServerNamed("middle-3")
+	s.State, s.LeavingSince = rocktable.StateLeaving, now
+	others := holders(w, cfg.Layers)
+	run(now.Add(lapseLimit/2), w)
+	for l, n := range holders(w, cfg.Layers) {
+		if n > others[l] {
+			t.Fatalf("layer %d got another holder while an entry was missing for %s", l, lapseLimit/2)
+		}
+	}
+	run(now.Add(2*lapseLimit), w)
+	if n := uncovered(w, cfg.Layers); n > 0 {
+		t.Errorf("%d layers are on no backend server after the limit", n)
+	}
+}
+
+// Guards against a backend server that keeps the layers of one that is back, and with them too little memory for requests.
+func TestLayersAreGivenBack(t *testing.T) {
+	cfg := engines()
+	w := planner(cfg, map[string]int{"fast": 2, "middle": 8})
+	plan(w)
+	obey(w)
+	w.PlanState.Served = true
+	now := start.Add(10 * time.Second)
+	s := w.ServerNamed("middle-3")
+	s.State, s.ListedLeaving, s.LeavingSince = rocktable.StateLeaving, true, now
+	run(now, w)
+	obey(w)
+	strained := w.Plan.Len()
+	now = now.Add(time.Second)
+	addServer(w, cfg, "middle", "middle-9")
+	run(now, w)
+	obey(w)
+	run(now.Add(time.Second), w)
+	if w.Plan.Len() != strained+1 || uncovered(w, cfg.Layers) > 0 {
+		t.Fatalf("%d backend servers hold layers, %d layers are on none", w.Plan.Len(), uncovered(w, cfg.Layers))
+	}
+	tokens := memoryPart * evenMemory(cfg, groupOf(now, w, w.Pipelines.Get(1)))
+	for id, p := range w.Plan.All() {
+		row := w.Servers.Get(id)
+		kind, _ := cfg.Engine.Kind(row.Kind)
+		h := &holder{server: row, memory: kind.MemoryMB}
+		if n := p.LastLayer - p.FirstLayer + 1; n > room(cfg, h, tokens)+1 {
+			t.Errorf("%s keeps %d layers, has room for %d", row.Name, n, room(cfg, h, tokens))
+		}
+	}
+}
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -46,7 +46,9 @@
 		Routes:        NewRouteIndex(w.Config.Configuration.Routes),
 	}
 	for id, row := range w.Callers.All() {
-		s.Callers[row.Config.TokenSHA256] = id
+		if row.Config.TokenSHA256 != "" { // a request without a token is nobody's
+			s.Callers[row.Config.TokenSHA256] = id
+		}
 		for _, sum := range row.Config.MoreSHA256 {
 			s.Callers[sum] = id
 		}
