--- a/core/rocklease/lease.go
+++ b/core/rocklease/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"sassafrasrock/core/rockreason"
@@ -17,6 +18,8 @@
 	releaseLimit = 10 * time.Second
 	// leavingDelay is the time that a holder that leaves gets to give the lease up.
 	leavingDelay = 100 * time.Millisecond
+	// heardLimit is the age of a holder's last heartbeat up to which it is taken for alive.
+	heardLimit = 3 * time.Second
 	// beatsPerTTL is the number of ticks asked for in one TTL, to detect pauses.
 	beatsPerTTL = 15
 	// clockMargin is the share of the TTL by which the holder stops early, for clocks that run at different rates.
@@ -61,6 +64,17 @@
 	}
 }
 
+// isHolderHeard reports whether the last known holder is a live peer, so that the row need not be read; each call to a pushing platform has a price.
+func isHolderHeard(now time.Time, w *rocktable.World) bool {
+	if !w.Limits.Pushed {
+		return false
+	}
+	name, _, _ := strings.Cut(w.Lease.Seen.Holder, "#")
+	h := w.HostNamed(name)
+	return h != nil && !h.Self && !w.Lease.Seen.Over && h.State == rocktable.StateLive &&
+		holderOf(h.Name, h.Incarnation) == w.Lease.Seen.Holder && now.Sub(h.HeardAt) < heardLimit
+}
+
 // noteLeaving reads the lease at once when its holder says that it leaves: it gives the lease up then.
 func noteLeaving(now time.Time, w *rocktable.World) {
 	l := &w.Lease
@@ -118,6 +132,11 @@
 		write(now, w, renewal(w))
 		return
 	}
+	if isHolderHeard(now, w) {
+		l.Next = now.Add(heardLimit / 2)
+		w.WakeAt(l.Next)
+		return
+	}
 	send(now, w, rocktable.TableOp[rocktable.LeaseRow]{})
 }
 
@@ -151,10 +170,12 @@
 		l.Next = now.Add(retryAfter)
 	case rocktable.TableUnclear:
 		// The row is read back; the lease lasts at most until its old end meanwhile.
-		l.Next = now
 		if wrote {
+			l.Next = now
 			send(now, w, rocktable.TableOp[rocktable.LeaseRow]{})
+			return
 		}
+		l.Next = now.Add(retryAfter) // a service that resets connections answers within a millisecond
 	case rocktable.TableConflict:
 		if l.Held {
 			lose(w, "taken")
--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -38,7 +38,8 @@
 }
 
 // tripBreaker opens the circuit breaker of a backend server whose connection was lost or refused. Probes and gossip take seconds to find it down; until then its places look free, and under load all waiting work would go there.
-func tripBreaker(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt) {
+func tripBreaker(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt) {
+	noteCentre(now, w, s)
 	trip(now, s, a, firstOpen, longestOpen)
 }
 
@@ -57,8 +58,9 @@
 	s.BreakerUntil = now.Add(min(longest, first<<min(s.Trips-1, 8)))
 }
 
-// NoteTest keeps other work away from a backend server whose circuit breaker was open while an attempt tests it.
-func NoteTest(now time.Time, s *rocktable.BackendServer) {
+// NoteTest keeps other work away from a backend server, or data centre, whose circuit breaker was open while an attempt tests it.
+func NoteTest(now time.Time, w *rocktable.World, s *rocktable.BackendServer) {
+	testCentre(now, w, s)
 	if s.Trips > 0 {
 		s.BreakerUntil = now.Add(testLimit)
 	}
@@ -67,7 +69,12 @@
 // closeBreakers closes the circuit breakers of backend servers that gave a token to an attempt that began after their last trip.
 func closeBreakers(w *rocktable.World, a *rocktable.Attempt) {
 	for _, stage := range a.Path {
-		if s := w.Servers.Get(stage.Server); s != nil && !a.Started.Before(s.TrippedAt) {
+		s := w.Servers.Get(stage.Server)
+		if s == nil {
+			continue
+		}
+		closeCentre(w, s, a)
+		if !a.Started.Before(s.TrippedAt) {
 			s.Trips = 0
 		}
 	}
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -123,7 +123,7 @@
 		succeed(now, w, r, a, e)
 	}
 	if s := w.Servers.Get(e.Server); s != nil && (e.Crashed || e.Reason == rockreason.StageUnreachable) {
-		tripBreaker(now, s, a)
+		tripBreaker(now, w, s, a)
 	}
 	if s := w.Servers.Get(e.Server); s != nil && e.Reason == rockreason.StageRefused && isWholePath(w, r) {
 		noteFull(now, s, a)
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -68,7 +68,7 @@
 	for i, f := range fields {
 		f.setBounds(pipelines[i].Config.Layers)
 		f.setBegin()
-		if closed := f.closed(now, pipelines[i].Config.Layers); closed != nil {
+		if closed := f.closed(now, w, pipelines[i].Config.Layers); closed != nil {
 			fields[i] = closed
 		}
 	}
@@ -76,8 +76,10 @@
 }
 
 // closed returns the field without the backend servers whose circuit breakers are open, or nil if there are none or the others don't cover every layer.
-func (f *Field) closed(now time.Time, layers int) *Field {
-	isOpen := func(s *rocktable.BackendServer) bool { return rockretry.IsBreakerOpen(now, s) }
+func (f *Field) closed(now time.Time, w *rocktable.World, layers int) *Field {
+	isOpen := func(s *rocktable.BackendServer) bool {
+		return rockretry.IsBreakerOpen(now, s) || rockretry.IsCentreOpen(now, w, s)
+	}
 	if !slices.ContainsFunc(f.Servers, isOpen) {
 		return nil
 	}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -175,7 +175,7 @@
 		s := w.Servers.Get(stage.Server)
 		s.InFlight++
 		if memory > 0 {
-			rockretry.NoteTest(now, s)
+			rockretry.NoteTest(now, w, s)
 		}
 		s.Reserved += memory * float64(stage.LastLayer-stage.FirstLayer+1)
 	}
--- a/core/rocktable/hosts.go
+++ b/core/rocktable/hosts.go
@@ -48,4 +48,15 @@
 	ID     DataCentreID
 	Name   string
 	Region string
+
+	Faults    []CentreFault // circuit breakers of its backend servers that opened in the last seconds
+	Trips     int           // of its own circuit breaker since the last success
+	TrippedAt time.Time
+	OpenUntil time.Time // no work goes there until then if others cover it
+}
+
+// CentreFault is a backend server that this host could not use.
+type CentreFault struct {
+	Server BackendServerID
+	At     time.Time
 }
