--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -98,6 +98,9 @@
 // Snapshot returns the latest snapshot of the control state.
 func (d *Daemon) Snapshot() *rocktable.Snapshot { return d.control.Snapshot() }
 
+// Status returns a copy of the control state, or the context's error or rockcontrol.ErrStopped.
+func (d *Daemon) Status(ctx context.Context) (*rocktable.Status, error) { return d.control.Status(ctx) }
+
 // Post adds events for the next tick.
 func (d *Daemon) Post(fill func(in *rocktable.Inbox)) { d.control.Post(fill) }
 
