Divide the budget of repeats among all hosts, also those that leave or start again

Cause: a host counted only live peers; while every host was restarted in turn one took half of the shared budget, then all of it (644 repeats in 10 s, 550 allowed). Ruled out: the sliding window, restarted hosts (none of them spent). Requests that never ran may use half of a host's part.

--- a/core/rockretry/window.go
+++ b/core/rockretry/window.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -12,6 +11,8 @@
 	windowParts = 10
 	// windowSafety is the part of the shared budget that hosts use: their counts and that of their number differ a little.
 	windowSafety = 0.75
+	// freshPart is the part of the budget for requests that never ran.
+	freshPart = 0.5
 )
 
 // target names what the request is sent to, for the shared budget.
@@ -56,7 +57,20 @@
 	return window
 }
 
+// sharers returns the number of hosts that may spend the shared budget: those that leave or start again at the moment have
+// spent their part of the window too.
+func sharers(w *rocktable.World) int {
+	n := 0
+	for _, h := range w.Hosts.All() {
+		if h.Self || h.Listed || h.State != rocktable.StateDown {
+			n++
+		}
+	}
+	return n
+}
+
 // SpendShared takes one repeat from this host's part of the budget that all hosts share, and reports whether there was one.
+// Requests that never ran may use half of it: the rest is for streams that callers already see.
 // A host that has just started may have used its part before, so that its allowance grows during the first window.
 func SpendShared(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
 	if w.Limits.RetryWindow <= 0 {
@@ -70,7 +84,10 @@
 	}
 	// Nothing in the first half of the window, then more and more.
 	age := min(1, max(0, 2*now.Sub(w.Started).Seconds()/w.Limits.RetryWindow.Seconds()-1))
-	allowed := w.Limits.RetryRatio*float64(requests) + w.Limits.RetryBurst/float64(rockadmit.HostCount(w))
+	allowed := w.Limits.RetryRatio*float64(requests) + w.Limits.RetryBurst/float64(sharers(w))
+	if !r.MayHaveRun && r.Call == nil {
+		allowed *= freshPart
+	}
 	if float64(repeats+1) > windowSafety*age*allowed {
 		return false
 	}
--- a/core/rockretry/window_test.go
+++ b/core/rockretry/window_test.go
@@ -74,3 +74,22 @@
 		t.Error("the budget of a pipeline was spent, and none was left for a service")
 	}
 }
+
+// Guards against hosts that each take a larger part while the others are restarted in turn: those spent theirs before.
+func TestSharedBudgetDuringRestarts(t *testing.T) {
+	limits := rocktable.DefaultLimits()
+	limits.RetryWindow, limits.RetryBurst = 10*time.Second, 60
+	w := budgeted(limits)
+	for _, name := range []string{"entry-2", "entry-3", "entry-4", "entry-5", "entry-6"} {
+		h := w.InternHost(name)
+		h.State, h.Listed = rocktable.StateLeaving, true
+	}
+	now := epoch.Add(time.Minute)
+	n := 0
+	for SpendShared(now, w, &rocktable.Request{Pipeline: 1, MayHaveRun: true}) {
+		n++
+	}
+	if n > 10 {
+		t.Errorf("%d repeats of one host of six, want at most 10 of the 60 that all share", n)
+	}
+}
