Move streams that wait for a dead backend server to a detour of their path

Cause: a backend server that died silenced a third of the streams; each ran again from its prompt on a whole new path, which spent the budget of repeats, or ended for want of it. The backend server where a stream entered names the one it waits for after 0.15 s of silence, the path is changed around it, and stages that stay keep their memory. One question in 0.1 s serves all streams.

--- a/core/rockadmit/release.go
+++ b/core/rockadmit/release.go
@@ -6,19 +6,26 @@
 	"sassafrasrock/core/rocktable"
 )
 
-// Release removes an attempt and gives its places on backend servers back.
-func Release(w *rocktable.World, a *rocktable.Attempt) {
-	for i, stage := range a.Path {
+// Hold adds an attempt to the counts of the backend servers of its path, or takes it from them; memory is that of one layer, in tokens.
+func Hold(w *rocktable.World, path []rocktable.Stage, memory float64, sign int) {
+	for i, stage := range path {
 		s := w.Servers.Get(stage.Server)
 		if s == nil {
 			continue
 		}
 		if i == 0 {
-			s.Entered--
+			s.Entered += sign
 		}
-		s.InFlight--
-		s.Reserved = max(0, s.Reserved-a.Memory*float64(stage.LastLayer-stage.FirstLayer+1))
-		if s.Exclusive == a.Request {
+		s.InFlight += sign
+		s.Reserved = max(0, s.Reserved+float64(sign)*memory*float64(stage.LastLayer-stage.FirstLayer+1))
+	}
+}
+
+// Release removes an attempt and gives its places on backend servers back.
+func Release(w *rocktable.World, a *rocktable.Attempt) {
+	Hold(w, a.Path, a.Memory, -1)
+	for _, stage := range a.Path {
+		if s := w.Servers.Get(stage.Server); s != nil && s.Exclusive == a.Request {
 			s.Exclusive = 0
 		}
 	}
--- a/core/rockinvariant/invariant.go
+++ b/core/rockinvariant/invariant.go
@@ -13,7 +13,7 @@
 var All = []rocktable.Invariant{
 	{
 		Name:  "layers",
-		Doc:   "The path of each start covers every layer of the model once, in order.",
+		Doc:   "The path of each start and each move covers every layer of the model once, in order.",
 		Check: checkLayers,
 	},
 	{
@@ -75,16 +75,28 @@
 
 func checkLayers(_ time.Time, w *rocktable.World) error {
 	for _, s := range w.Outbox.Starts {
-		next := 0
-		for _, stage := range s.Path {
-			if stage.FirstLayer != next || stage.LastLayer < stage.FirstLayer {
-				return fmt.Errorf("attempt %d: a stage begins at layer %d, want %d", s.Attempt, stage.FirstLayer, next)
-			}
-			next = stage.LastLayer + 1
+		if err := checkPath(s.Attempt, s.Path, s.Pipeline.Layers); err != nil {
+			return err
+		}
+	}
+	for _, r := range w.Outbox.Repaths {
+		if err := checkPath(r.Attempt, r.Path, r.Pipeline.Layers); err != nil {
+			return err
 		}
-		if next != s.Pipeline.Layers {
-			return fmt.Errorf("attempt %d: the path covers %d layers, want %d", s.Attempt, next, s.Pipeline.Layers)
+	}
+	return nil
+}
+
+func checkPath(attempt rocktable.AttemptID, path []rocktable.Stage, layers int) error {
+	next := 0
+	for _, stage := range path {
+		if stage.FirstLayer != next || stage.LastLayer < stage.FirstLayer {
+			return fmt.Errorf("attempt %d: a stage begins at layer %d, want %d", attempt, stage.FirstLayer, next)
 		}
+		next = stage.LastLayer + 1
+	}
+	if next != layers {
+		return fmt.Errorf("attempt %d: the path covers %d layers, want %d", attempt, next, layers)
 	}
 	return nil
 }
--- a/core/rockretry/limit.go
+++ b/core/rockretry/limit.go
@@ -16,6 +16,8 @@
 	// minStep and minOpen are the shortest stall limits: a retry costs more than a short pause.
 	minStep = 2 * time.Second
 	minOpen = 5 * time.Second
+	// minAsk is the shortest silence after which backend servers are asked.
+	minAsk = 100 * time.Millisecond
 	// minEvent is the shortest wait for an event of a stream that a whole path runs.
 	minEvent = 700 * time.Millisecond
 )
@@ -33,6 +35,10 @@
 // FirstEventLimit is EventLimit for the first event.
 func FirstEventLimit(c rocktable.RankConfig) time.Duration { return max(2*c.FirstToken(), minEvent) }
 
+// AskLimit returns the silence after which the backend servers of a whole path are asked who is at fault: early enough for a
+// detour within the target, and rare while the path works.
+func AskLimit(c rocktable.RankConfig) time.Duration { return max(c.Gap()*3/5, minAsk) }
+
 // raiseLimit adds to the concurrency limit of a backend server, if it is in use, up to its slots.
 func raiseLimit(s *rocktable.BackendServer) {
 	if s.Limit == 0 {
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -24,6 +24,9 @@
 	for _, p := range w.Inbox.Progress {
 		takeProgress(now, w, p)
 	}
+	for _, s := range w.Inbox.Stalls {
+		takeStall(now, w, s)
+	}
 	for _, e := range w.Inbox.Ended {
 		takeEnd(now, w, e)
 	}
@@ -103,6 +106,14 @@
 	r.LargestGap = max(r.LargestGap, gap)
 }
 
+// takeStall opens the circuit breaker of a backend server for which an attempt waits.
+func takeStall(now time.Time, w *rocktable.World, stall rocktable.Stall) {
+	a, s := w.Attempts.Get(stall.Attempt), w.Servers.Get(stall.Server)
+	if a != nil && s != nil {
+		tripBreaker(now, w, s, a)
+	}
+}
+
 func takeEnd(now time.Time, w *rocktable.World, e rocktable.Ended) {
 	a := w.Attempts.Get(e.Attempt)
 	if a == nil {
--- a/core/rockroute/field.go
+++ b/core/rockroute/field.go
@@ -157,9 +157,9 @@
 	if f.Bounds[0] != 0 || math.IsInf(f.best[0], 1) {
 		return nil
 	}
-	path := f.walk(w, nearEqual*f.best[0])
+	path := f.walk(w, walkFrom{limit: nearEqual * f.best[0], prev: -1})
 	if path == nil {
-		path = f.walk(w, f.best[0])
+		path = f.walk(w, walkFrom{limit: f.best[0], prev: -1})
 	}
 	return path
 }
@@ -244,12 +244,19 @@
 	return c.once + c.perLayer*float64(f.Bounds[to]-f.Bounds[from])
 }
 
+// walkFrom is where a walk begins and how much it may cost.
+type walkFrom struct {
+	limit float64
+	from  int // position in Bounds
+	prev  int // server of the stage before it; -1 at the beginning of the model
+	path  []rocktable.Stage
+}
+
 // walk follows random edges whose paths cost at most the limit; nil if it comes to a place where only backend servers that it already used go on.
-func (f *Field) walk(w *rocktable.World, limit float64) []rocktable.Stage {
+func (f *Field) walk(w *rocktable.World, begin walkFrom) []rocktable.Stage {
 	const slack = 1e-9 // for sums in another order
-	var path []rocktable.Stage
-	spent, prev := 0.0, -1
-	for from := 0; from < len(f.Bounds)-1; {
+	path, limit, prev, spent := begin.path, begin.limit, begin.prev, 0.0
+	for from := begin.from; from < len(f.Bounds)-1; {
 		f.edges = f.edges[:0]
 		for _, i := range f.Begin[from] {
 			if !f.costs[i].usable || prev < 0 && f.costs[i].noEntry || uses(path, f.Servers[i].ID) {
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -40,6 +40,7 @@
 
 func run(now time.Time, w *rocktable.World, choose Find) {
 	noteProbes(w)
+	moveStalled(now, w)
 	all := mayHaveFreed(w)
 	var due []*rocktable.Pipeline
 	for _, p := range w.Pipelines.All() {
@@ -170,14 +171,11 @@
 	r.Attempt, r.State, r.MayHaveRun = id, rocktable.RequestRunning, true
 	memory := memoryOf(w.Pipelines.Get(r.Pipeline), r)
 	notePipes(now, w, w.Pipelines.Get(r.Pipeline).Config.Engine, r, path)
-	w.Servers.Get(path[0].Server).Entered++
+	rockadmit.Hold(w, path, memory, 1)
 	for _, stage := range path {
-		s := w.Servers.Get(stage.Server)
-		s.InFlight++
 		if memory > 0 {
-			rockretry.NoteTest(now, w, s)
+			rockretry.NoteTest(now, w, w.Servers.Get(stage.Server))
 		}
-		s.Reserved += memory * float64(stage.LastLayer-stage.FirstLayer+1)
 	}
 	if r.Alone {
 		if s := w.Suspects.Get(r.Fingerprint); s != nil {
@@ -201,6 +199,7 @@
 		Alone:     r.Alone,
 		StepLimit: step,
 		OpenLimit: open,
+		AskLimit:  rockretry.AskLimit(rank.Config),
 		Deadline:  r.Deadline,
 	})
 }
--- /dev/null
+++ b/core/rockroute/whole_test.go
@@ -0,0 +1,154 @@
+package rockroute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rocktable"
+)
+
+var wholeEpoch = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// wholeFleet returns a World with a pipeline of 8 layers whose engines run a whole path: in each data centre, two backend servers for each half.
+func wholeFleet(centres ...string) (*rocktable.World, *rocktable.Pipeline) {
+	limits := rocktable.DefaultLimits()
+	limits.Pushed = true
+	w := rocktable.NewWorld(wholeEpoch, rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: centres[0], Region: "r"}, 1, rocktable.WithLimits(limits))
+	p := w.InternPipeline("pool")
+	p.Config = rocktable.PipelineConfig{Name: "pool", Model: "m", Layers: 8, Engine: rocktable.EngineConfig{
+		LayerMB: 1000, TokenBytes: 1e6, StepMs: 1, ReadPerSecond: 100000, ActivationMB: 0.03, PipeMbps: 13000, AnswerTokens: 100, PromptTokens: 500,
+		Kinds: []rocktable.KindConfig{{Name: "k", MemoryMB: 8000, Pace: 1, ReadFactor: 1}},
+	}}
+	w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{Name: "r", FirstTokenMs: 500, GapMs: 250, Worth: 1}})
+	for _, name := range centres {
+		dc := w.InternDataCentre(name, "r")
+		for half := range 2 {
+			for i := range 2 {
+				s := w.InternServer(fmt.Sprintf("%s-%d-%d", name, half, i))
+				s.Address, s.DataCentre, s.Service, s.Kind, s.State = s.Name+":80", dc.ID, "pool", "k", rocktable.StateLive
+				s.Status = rocktable.EngineStatus{Model: "m", Kind: "k", Slots: 4, FirstLayer: 4 * half, LastLayer: 4*half + 3, SubRanges: true}
+			}
+		}
+	}
+	return w, p
+}
+
+// begin starts a request on a path and returns its attempt, or nil if there is no path.
+func begin(w *rocktable.World, id rocktable.RequestID, prompt, answer int) *rocktable.Attempt {
+	r := w.Requests.Put(id, rocktable.Request{ID: id, Pipeline: 1, Prompt: prompt, MaxTokens: answer, Arrived: wholeEpoch})
+	path := FindPath(wholeEpoch, w, r)
+	if path == nil {
+		return nil
+	}
+	start(wholeEpoch, w, r, path)
+	return w.Attempts.Get(r.Attempt)
+}
+
+func centresOf(w *rocktable.World, path []rocktable.Stage) map[rocktable.DataCentreID]bool {
+	found := make(map[rocktable.DataCentreID]bool)
+	for _, stage := range path {
+		found[w.Servers.Get(stage.Server).DataCentre] = true
+	}
+	return found
+}
+
+// Guards against paths to and fro between data centres, which fill the links between them.
+func TestPathStaysInOneDataCentre(t *testing.T) {
+	w, _ := wholeFleet("a", "b", "c")
+	for id := range rocktable.RequestID(12) {
+		a := begin(w, id+1, 500, 100)
+		if a == nil {
+			t.Fatalf("no path for request %d", id+1)
+		}
+		if n := len(centresOf(w, a.Path)); n != 1 {
+			t.Errorf("the path of request %d lies in %d data centres", id+1, n)
+		}
+	}
+}
+
+// Guards against a half of the model that is lost in one data centre, and requests that are refused though others hold it.
+func TestPathCrossesWhereItMust(t *testing.T) {
+	w, _ := wholeFleet("a", "b")
+	for _, name := range []string{"a-1-0", "a-1-1", "b-0-0", "b-0-1"} {
+		w.ServerNamed(name).State = rocktable.StateLeaving
+	}
+	if a := begin(w, 1, 500, 100); a == nil || len(a.Path) != 2 {
+		t.Errorf("no path over both data centres")
+	}
+}
+
+// Guards against more requests than the memory of a backend server holds, counting what peers have reserved there.
+func TestPathNeedsMemory(t *testing.T) {
+	w, p := wholeFleet("a")
+	s := w.ServerNamed("a-0-0")
+	s.PeerMemory = 0.9 * Memory(p.Config, s)
+	for id := range rocktable.RequestID(20) {
+		a := begin(w, id+1, 1000, 100)
+		if a == nil {
+			break
+		}
+		if a.Path[0].Server == s.ID {
+			t.Fatalf("request %d went to a backend server without memory for it", id+1)
+		}
+	}
+	for _, row := range w.Servers.All() {
+		if row.Reserved > Memory(p.Config, row) {
+			t.Errorf("%s: %.0f reserved of %.0f", row.Name, row.Reserved, Memory(p.Config, row))
+		}
+	}
+}
+
+// Guards against requests that enter at a backend server beyond its slots, also those of peers.
+func TestPathNeedsASlotWhereItEnters(t *testing.T) {
+	w, _ := wholeFleet("a")
+	full := w.ServerNamed("a-0-0")
+	full.PeerEnter = full.Status.Slots
+	for id := range rocktable.RequestID(8) {
+		a := begin(w, id+1, 10, 10)
+		if a == nil {
+			break
+		}
+		if a.Path[0].Server == full.ID {
+			t.Fatalf("request %d entered where all slots are taken", id+1)
+		}
+	}
+}
+
+// Guards against a stream that waits for a dead backend server, loses its first stage, or keeps its places on the old path.
+func TestStalledAttemptMoves(t *testing.T) {
+	w, _ := wholeFleet("a")
+	a := begin(w, 1, 500, 100)
+	dead := a.Path[1].Server
+	first := a.Path[0]
+	w.Inbox.Stalls = []rocktable.Stall{{Attempt: a.ID, Server: dead}}
+	moveStalled(wholeEpoch, w)
+	if len(w.Outbox.Repaths) != 1 {
+		t.Fatalf("%d moves", len(w.Outbox.Repaths))
+	}
+	path := w.Outbox.Repaths[0].Path
+	if path[0] != first || uses(path, dead) {
+		t.Errorf("path %+v, want one that begins with %+v and is without backend server %d", path, first, dead)
+	}
+	if s := w.Servers.Get(dead); s.InFlight != 0 || s.Reserved != 0 {
+		t.Errorf("%d attempts and %.0f memory are left on the old path", s.InFlight, s.Reserved)
+	}
+	rockadmit.Release(w, a)
+	for _, s := range w.Servers.All() {
+		if s.InFlight != 0 || s.Reserved != 0 || s.Entered != 0 {
+			t.Errorf("%s keeps %d attempts, %.0f memory, %d entered", s.Name, s.InFlight, s.Reserved, s.Entered)
+		}
+	}
+}
+
+// Guards against a move that takes the first stage away, where alone the request is known.
+func TestStalledFirstStageDoesNotMove(t *testing.T) {
+	w, _ := wholeFleet("a")
+	a := begin(w, 1, 500, 100)
+	w.Inbox.Stalls = []rocktable.Stall{{Attempt: a.ID, Server: a.Path[0].Server}}
+	moveStalled(wholeEpoch, w)
+	if len(w.Outbox.Repaths) != 0 {
+		t.Errorf("moved to %+v", w.Outbox.Repaths[0].Path)
+	}
+}
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -10,6 +10,7 @@
 type Outbox struct {
 	Starts       []Start
 	Cancels      []Cancel
+	Repaths      []Repath
 	Answers      []Answer
 	CallStarts   []CallStart
 	Probes       []Probe
@@ -36,9 +37,18 @@
 	Alone     bool
 	StepLimit time.Duration // longest wait for one step of one stage
 	OpenLimit time.Duration // longest wait for the first token
+	AskLimit  time.Duration // silence after which the backend servers are asked who is at fault
 	Deadline  time.Time     // of the request; zero means none
 }
 
+// Repath moves a running attempt to a path with the same first stage; stages that stay keep their memory.
+type Repath struct {
+	Request  RequestID
+	Attempt  AttemptID
+	Pipeline PipelineConfig
+	Path     []Stage
+}
+
 // Cancel ends an attempt early.
 type Cancel struct {
 	Request RequestID
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -12,6 +12,7 @@
 	CallerGone    []CallerGone
 	Progress      []Progress
 	Ended         []Ended
+	Stalls        []Stall
 	Probes        []ProbeResult
 	HostLists     []HostList
 	ConfigPushes  []ConfigPush
@@ -47,6 +48,12 @@
 	Resumed    bool // a session of the attempt was resumed, so that a gap says nothing about the load
 }
 
+// Stall reports that an attempt on a whole path gets no events because a backend server does not answer.
+type Stall struct {
+	Attempt AttemptID
+	Server  BackendServerID
+}
+
 // Ended reports the end of an attempt.
 type Ended struct {
 	Attempt    AttemptID
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -76,6 +76,7 @@
 	Tokens   int
 	Canceled bool
 	Alone    bool    // its backend servers have no other work of this host
+	Repaths  int     // times that it was moved to another path
 	Memory   float64 // reserved for each layer of its path, in tokens
 }
 
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -22,12 +22,12 @@
 
 // runCall hands a call to a backend server and reports its end.
 func (x *exchange) runCall(ctx context.Context, start rocktable.CallStart) {
-	ctx, cancel := x.beginAttempt(ctx, 0)
-	defer cancel()
 	a := Attempt{
 		Request: x.req, Server: start.Name, Address: start.Address, Caller: x.dest.CallerName,
 		Priority: x.dest.Route.Priority, Deadline: x.t.Now().Add(start.Timeout),
 	}
+	ctx, cancel := x.beginAttempt(ctx, 0, a)
+	defer cancel()
 	resp, err := x.t.Open(ctx, a)
 	e := rocktable.CallEnded{Request: x.id, Server: start.Server, Sent: true}
 	var whole heldAnswer
--- a/io/rockrelay/doc.go
+++ b/io/rockrelay/doc.go
@@ -2,5 +2,5 @@
 //
 // One goroutine serves a request: it tells the control thread of the arrival, opens the attempts that control decides on,
 // passes the events of a stream on as they come, and reports first event, stall and end. Encodings are behind the function
-// fields Open and Blame and behind Sink.
+// fields Open, Waiting and Move, and behind Sink.
 package rockrelay
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -17,6 +17,9 @@
 	"sassafrasrock/core/rocktable"
 )
 
+// moveTimeout bounds the order that moves a request to another path.
+const moveTimeout = 500 * time.Millisecond
+
 var (
 	// ErrNotSent says that no byte of a request reached the backend server.
 	ErrNotSent = eris.New("the request was not handed over")
@@ -78,8 +81,10 @@
 type Relay struct {
 	// Open hands a request over and returns the beginning of the answer; it is ErrNotSent if nothing was handed over.
 	Open func(ctx context.Context, a Attempt) (*Response, error)
-	// Blame returns the address of the backend server for which a request on the path waits, or an empty one if it is not known.
-	Blame func(ctx context.Context, a Attempt) (string, error)
+	// Waiting returns the requests that entered at a backend server and wait for another one, with the address of that one.
+	Waiting func(ctx context.Context, address string) (map[string]string, error)
+	// Move moves a running request to another path with the same first stage; its error says that it goes on as before.
+	Move func(ctx context.Context, a Attempt) error
 
 	Snapshot    func() *rocktable.Snapshot
 	Post        func(fill func(in *rocktable.Inbox))
@@ -89,6 +94,8 @@
 	Stopped     <-chan struct{} // closed when the control thread has ended
 	Log         *slog.Logger
 
+	reports reports
+
 	mu   sync.Mutex
 	open map[rocktable.RequestID]*exchange
 }
@@ -106,6 +113,7 @@
 
 	mu      sync.Mutex
 	attempt rocktable.AttemptID
+	current Attempt            // as handed over
 	cancel  context.CancelFunc // of the current attempt
 
 	stream stream
@@ -163,6 +171,11 @@
 			x.cancelAttempt(cancel.Attempt)
 		}
 	}
+	for _, repath := range out.Repaths {
+		if x := t.open[repath.Request]; x != nil {
+			go x.move(repath)
+		}
+	}
 	for _, answer := range out.Answers {
 		if x := t.open[answer.Request]; x != nil {
 			offer(x.answer, answer)
@@ -273,14 +286,33 @@
 }
 
 // beginAttempt makes an attempt the current one, so that it can be canceled.
-func (x *exchange) beginAttempt(ctx context.Context, id rocktable.AttemptID) (context.Context, context.CancelFunc) {
+func (x *exchange) beginAttempt(ctx context.Context, id rocktable.AttemptID, a Attempt) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.attempt, x.cancel = id, cancel
+	x.attempt, x.current, x.cancel = id, a, cancel
 	return ctx, cancel
 }
 
+// move moves the running attempt to another path. The watch ends the attempt if no event follows.
+func (x *exchange) move(to rocktable.Repath) {
+	x.mu.Lock()
+	a := x.current
+	stale := x.attempt != to.Attempt || len(a.Path) == 0
+	a.Path = to.Path
+	if !stale {
+		x.current = a
+	}
+	x.mu.Unlock()
+	if stale {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
+	defer cancel()
+	err := x.t.Move(ctx, a)
+	x.log("attempt moved", "attempt", to.Attempt, "path", pathText(to.Path), "ok", err == nil, "error", err)
+}
+
 // cancelAttempt ends the attempt, or whatever attempt runs if the id is 0.
 func (x *exchange) cancelAttempt(id rocktable.AttemptID) {
 	x.mu.Lock()
--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -50,7 +50,8 @@
 				return nil, ctx.Err()
 			}
 		},
-		Blame:       func(context.Context, Attempt) (string, error) { return "", nil },
+		Waiting:     func(context.Context, string) (map[string]string, error) { return nil, nil },
+		Move:        func(context.Context, Attempt) error { return nil },
 		Snapshot:    func() *rocktable.Snapshot { return snapshot },
 		Post:        func(fill func(in *rocktable.Inbox)) { var in rocktable.Inbox; fill(&in); b.events <- in },
 		NextRequest: func() rocktable.RequestID { return 1 },
@@ -112,7 +113,7 @@
 
 func (b *bench) start(attempt rocktable.AttemptID) {
 	b.Carry(rocktable.Outbox{Starts: []rocktable.Start{{
-		Request: 1, Attempt: attempt, OpenLimit: time.Second, StepLimit: time.Second,
+		Request: 1, Attempt: attempt, OpenLimit: time.Second, StepLimit: time.Second, AskLimit: 150 * time.Millisecond,
 		Path: []rocktable.Stage{{Server: 1, Name: "r1", Address: "r1:80", LastLayer: 1}, {Server: 2, Name: "r2", Address: "r2:80", FirstLayer: 2, LastLayer: 3}},
 	}}})
 }
@@ -210,7 +211,9 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t, streaming)
-				b.Blame = func(context.Context, Attempt) (string, error) { return fault, nil }
+				if fault != "" {
+					b.Waiting = func(context.Context, string) (map[string]string, error) { return map[string]string{"a": fault}, nil }
+				}
 				ctx, cancel := context.WithCancel(t.Context())
 				c := b.ask(ctx, Request{ID: "a"})
 				until(t, b, arrivals)
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -20,8 +20,10 @@
 const (
 	// maxEvent limits one event of a stream, in bytes.
 	maxEvent = 1 << 20
-	// blameTimeout bounds the question which backend server a stalled request waits for.
-	blameTimeout = 150 * time.Millisecond
+	// askTimeout bounds the question which backend server a silent request waits for.
+	askTimeout = 150 * time.Millisecond
+	// openPart is the part of the limit for the first event after which that question is asked first.
+	openPart = 3
 )
 
 var (
@@ -52,15 +54,18 @@
 
 // runAttempt runs one attempt on a path and reports its end.
 func (x *exchange) runAttempt(ctx context.Context, start rocktable.Start) {
-	ctx, cancel := x.beginAttempt(ctx, start.Attempt)
-	defer cancel()
 	a := Attempt{
 		Request: x.req, Server: start.Path[0].Name, Address: start.Path[0].Address, Path: start.Path,
 		Caller: x.dest.CallerName, Priority: int(start.Priority), Deadline: start.Deadline, LastEventID: x.resumeID(),
 	}
+	ctx, cancel := x.beginAttempt(ctx, start.Attempt, a)
+	defer cancel()
 	x.log("attempt started", "attempt", start.Attempt, "path", pathText(start.Path), "after", a.LastEventID)
 	before := x.stream.events
-	watch := newWatch(cancel, start.OpenLimit, x.asker(ctx, a))
+	watch := &watch{
+		ask: x.asker(ctx, a), tell: x.teller(start), cancel: cancel, quick: start.AskLimit, limit: start.StepLimit,
+	}
+	watch.start(max(start.AskLimit, start.OpenLimit/openPart))
 	resp, err := x.t.Open(ctx, a)
 	if err == nil {
 		err = x.pass(start, resp, watch)
@@ -142,9 +147,9 @@
 		return nil
 	}
 	return func() (rocktable.BackendServerID, bool) {
-		ctx, cancel := context.WithTimeout(ctx, blameTimeout)
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
-		address, err := x.t.Blame(ctx, a)
+		address, err := x.t.waitingFor(ctx, a.Address, a.Request.ID)
 		switch {
 		case err != nil:
 			x.log("no report of a silent attempt", "server", a.Server, "error", err.Error())
@@ -152,7 +157,20 @@
 		case address == "":
 			return 0, false
 		}
-		return serverAt(a.Path, address), true
+		x.mu.Lock()
+		path := x.current.Path
+		x.mu.Unlock()
+		return serverAt(path, address), true
+	}
+}
+
+// teller returns what reports a backend server that does not answer to control.
+func (x *exchange) teller(start rocktable.Start) func(rocktable.BackendServerID) {
+	return func(fault rocktable.BackendServerID) {
+		x.log("attempt stalled", "attempt", start.Attempt, "fault", nameOf(start.Path, fault))
+		x.t.Post(func(in *rocktable.Inbox) {
+			in.Stalls = append(in.Stalls, rocktable.Stall{Attempt: start.Attempt, Server: fault})
+		})
 	}
 }
 
@@ -181,7 +199,7 @@
 			}
 			return err
 		}
-		watch.reset(start.StepLimit)
+		watch.event()
 		if id, ok := eventID(event); ok && !isAfter(id, x.stream.lastID) {
 			x.t.Count(rockreason.RepeatedIndex)
 			continue
--- a/io/rockrelay/watch.go
+++ b/io/rockrelay/watch.go
@@ -8,30 +8,35 @@
 	"sassafrasrock/core/rocktable"
 )
 
-// watch asks who is at fault when the events of an attempt stop coming, and cancels the attempt if a backend server is. A
-// path without a fault is only slow: the work done there would be lost elsewhere.
+// watch asks who is at fault when the events of an attempt stop coming. It tells control first, which may move the attempt to
+// another path, and cancels the attempt if nothing comes after that either. A path without a fault is only slow: the work done
+// there would be lost elsewhere.
 type watch struct {
-	ask    func() (rocktable.BackendServerID, bool)
+	ask    func() (rocktable.BackendServerID, bool) // nil where an attempt cannot go on elsewhere and is waited for
+	tell   func(fault rocktable.BackendServerID)
 	cancel context.CancelFunc
+	quick  time.Duration // silence before a question
+	limit  time.Duration // silence after control was told before the attempt ends
 
 	mu      sync.Mutex
-	timer   *time.Timer // nil where an attempt cannot go on elsewhere and is waited for
-	limit   time.Duration
+	timer   *time.Timer
 	events  int
+	told    bool
 	stopped bool
 	fault   rocktable.BackendServerID
 	stalled bool
 }
 
-func newWatch(cancel context.CancelFunc, limit time.Duration, ask func() (rocktable.BackendServerID, bool)) *watch {
-	w := &watch{ask: ask, cancel: cancel, limit: limit}
-	if ask != nil {
-		w.timer = time.AfterFunc(limit, w.check)
+// start begins the watch; the first event may take longer than the others.
+func (w *watch) start(first time.Duration) {
+	if w.ask != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.timer = time.AfterFunc(first, w.check)
 	}
-	return w
 }
 
-// check runs when the limit has passed without an event.
+// check runs when a limit has passed without an event.
 func (w *watch) check() {
 	w.mu.Lock()
 	events := w.events
@@ -41,22 +46,26 @@
 	defer w.mu.Unlock()
 	switch {
 	case w.stopped:
-	case found && w.events == events:
+	case !found || w.events != events:
+		w.timer.Reset(w.quick)
+	case !w.told:
+		w.told = true
+		w.tell(fault)
+		w.timer.Reset(w.limit)
+	default:
 		w.fault, w.stalled = fault, true
 		w.cancel()
-	default:
-		w.timer.Reset(w.limit)
 	}
 }
 
-// reset gives the next event the limit from now on.
-func (w *watch) reset(limit time.Duration) {
+// event notes an event.
+func (w *watch) event() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.events++
-	w.limit = limit
+	w.told = false
 	if w.timer != nil && !w.stopped {
-		w.timer.Reset(limit)
+		w.timer.Reset(w.quick)
 	}
 }
 
