--- a/io/rockdaemon/carry.go
+++ b/io/rockdaemon/carry.go
@@ -30,6 +30,7 @@
 // carry hands the actions of a tick to goroutines; it runs on the control thread and does not block.
 func (d *Daemon) carry(_ time.Time, out rocktable.Outbox) {
 	d.metrics.CountAll(out.Counts)
+	d.metrics.ObserveAnswers(out.Answers)
 	if d.relay != nil {
 		d.relay.Carry(out)
 	}
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -188,6 +188,7 @@
 	}
 	if d.relay != nil {
 		d.relay.Snapshot, d.relay.Post, d.relay.NextRequest = d.control.Snapshot, d.control.Post, d.control.NextRequest
+		d.relay.Observe = d.metrics.ObserveRequest
 		d.relay.Count, d.relay.Now, d.relay.Stopped, d.relay.Log = d.metrics.Count, time.Now, d.control.Done(), d.log
 	}
 	d.metrics.GaugeSnapshot(d.control.Snapshot)
@@ -220,6 +221,13 @@
 	parts.Go(func() { d.control.Run(running) })
 	parts.Go(func() { failed <- d.peer.Run(running) })
 	parts.Go(func() { failed <- d.operators.Serve(running, d.operatorsListener) })
+	if d.settings.MetricsAddress != "" {
+		stopMetrics, err := d.serveMetrics()
+		if err != nil {
+			return errors.Join(err, d.unbind())
+		}
+		defer stopMetrics()
+	}
 	for _, task := range d.tasks {
 		parts.Go(func() { task(running, d) })
 	}
@@ -239,6 +247,23 @@
 	return err
 }
 
+// serveMetrics serves the metrics on their address and returns what ends that.
+func (d *Daemon) serveMetrics() (func(), error) {
+	l, err := net.Listen("tcp", d.settings.MetricsAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "metricsAddress")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() {
+		if err := ignoreClosed(server.Serve(l)); err != nil {
+			d.log.Error("the metrics are not served", "error", err.Error())
+		}
+	}()
+	return func() { _ = server.Close() }, nil
+}
+
 // shutDown waits until every request has ended and every caller has its answer, or until now is closed.
 func (d *Daemon) shutDown(now <-chan struct{}) {
 	d.control.Post(func(in *rocktable.Inbox) { in.Shutdowns = append(in.Shutdowns, rocktable.Shutdown{}) })
--- a/io/rockmetric/metric.go
+++ b/io/rockmetric/metric.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"sync"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -19,6 +21,7 @@
 type Metrics struct {
 	reasons map[rockreason.Code]*expvar.Int // not written after New
 	gauges  *expvar.Map
+	text    *text
 }
 
 // New publishes the metrics of a host under its name; metrics published earlier under the same name are replaced.
@@ -26,6 +29,7 @@
 	m := &Metrics{
 		reasons: make(map[rockreason.Code]*expvar.Int, len(rockreason.All)),
 		gauges:  new(expvar.Map).Init(),
+		text:    newText(),
 	}
 	reasons := new(expvar.Map).Init()
 	for _, code := range rockreason.Codes() {
@@ -45,6 +49,7 @@
 func (m *Metrics) Count(code rockreason.Code) {
 	if counter := m.reasons[code]; counter != nil {
 		counter.Add(1)
+		m.text.reasons.WithLabelValues(string(code)).Inc()
 	}
 }
 
@@ -66,6 +71,9 @@
 // Gauge publishes a value that is read on demand; read must be safe for concurrent use and must not block.
 func (m *Metrics) Gauge(name string, read func() int64) {
 	m.gauges.Set(name, expvar.Func(func() any { return read() }))
+	m.text.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sassafrasrock_" + name, Help: "Gauge " + name + ".",
+	}, func() float64 { return float64(read()) }))
 }
 
 // GaugeSnapshot publishes the gauges that follow from the snapshot: ready, draining (0 or 1), configVersion and callers.
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -90,6 +90,7 @@
 	Post        func(fill func(in *rocktable.Inbox))
 	NextRequest func() rocktable.RequestID
 	Count       func(code rockreason.Code)
+	Observe     func(route string, reason rockreason.Code, d time.Duration)
 	Now         func() time.Time
 	Stopped     <-chan struct{} // closed when the control thread has ended
 	Log         *slog.Logger
@@ -267,6 +268,7 @@
 
 // finish sends what is left of the answer.
 func (x *exchange) finish(answer rocktable.Answer) error {
+	x.t.Observe(x.dest.Route.Name, answer.Reason, x.t.Now().Sub(x.req.Received))
 	x.log("request ended", "reason", answer.Reason, "attempts", answer.Outcome.Attempts, "events", x.stream.events,
 		"firstMs", x.stream.firstMs(x.req.Received), "gapMs", x.stream.gap.Milliseconds(), "gapAt", x.stream.gapAt)
 	switch {
--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -56,6 +56,7 @@
 		Post:        func(fill func(in *rocktable.Inbox)) { var in rocktable.Inbox; fill(&in); b.events <- in },
 		NextRequest: func() rocktable.RequestID { return 1 },
 		Count:       func(rockreason.Code) {},
+		Observe:     func(string, rockreason.Code, time.Duration) {},
 		Now:         time.Now,
 		Log:         slog.New(slog.DiscardHandler),
 	}
