--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -238,6 +238,25 @@
 	}
 }
 
+// Guards against a stream that waits longer for a backend server where it entered and which does not even tell: it cannot be moved.
+func TestSilentEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, streaming)
+		b.Waiting = func(context.Context, string) (map[string]string, error) { return nil, errors.New("no answer") }
+		ctx, cancel := context.WithCancel(t.Context())
+		c := b.ask(ctx, Request{ID: "a"})
+		until(t, b, arrivals)
+		begin := time.Now()
+		b.start(1)
+		e := until(t, b, endings)
+		if e.Reason != rockreason.StageStalled || e.Server != 1 || time.Since(begin) > 500*time.Millisecond {
+			t.Errorf("end %+v after %s, want one that blames the first backend server before the limit for events", e, time.Since(begin))
+		}
+		cancel()
+		<-c.done
+	})
+}
+
 // Guards against "not run" for a request that was handed over, and against a request that runs when it was refused.
 func TestRefusals(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -142,25 +142,27 @@
 }
 
 // asker returns the question which backend server a silent attempt waits for; it is nil where the attempt cannot go on elsewhere.
-func (x *exchange) asker(ctx context.Context, a Attempt) func() (rocktable.BackendServerID, bool) {
+func (x *exchange) asker(ctx context.Context, a Attempt) func() silence {
 	if !x.dest.Route.Resumable {
 		return nil
 	}
-	return func() (rocktable.BackendServerID, bool) {
+	first := a.Path[0].Server
+	return func() silence {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		address, err := x.t.waitingFor(ctx, a.Address, a.Request.ID)
 		switch {
 		case err != nil:
 			x.log("no report of a silent attempt", "server", a.Server, "error", err.Error())
-			return a.Path[0].Server, true // it does not even tell
+			return silence{fault: first, entry: true} // it does not even tell
 		case address == "":
-			return 0, false
+			return silence{}
 		}
 		x.mu.Lock()
 		path := x.current.Path
 		x.mu.Unlock()
-		return serverAt(path, address), true
+		fault := serverAt(path, address)
+		return silence{fault: fault, entry: fault == first}
 	}
 }
 
--- a/io/rockrelay/watch.go
+++ b/io/rockrelay/watch.go
@@ -8,11 +8,17 @@
 	"sassafrasrock/core/rocktable"
 )
 
+// silence is the answer to the question why no events come.
+type silence struct {
+	fault rocktable.BackendServerID // 0 if none is at fault
+	entry bool                      // the fault is where the request entered, so that it cannot be moved
+}
+
 // watch asks who is at fault when the events of an attempt stop coming. It tells control first, which may move the attempt to
 // another path, and cancels the attempt if nothing comes after that either. A path without a fault is only slow: the work done
 // there would be lost elsewhere.
 type watch struct {
-	ask    func() (rocktable.BackendServerID, bool) // nil where an attempt cannot go on elsewhere and is waited for
+	ask    func() silence // nil where an attempt cannot go on elsewhere and is waited for
 	tell   func(fault rocktable.BackendServerID)
 	cancel context.CancelFunc
 	quick  time.Duration // silence before a question
@@ -41,19 +47,19 @@
 	w.mu.Lock()
 	events := w.events
 	w.mu.Unlock()
-	fault, found := w.ask()
+	found := w.ask()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.stopped:
-	case !found || w.events != events:
+	case found.fault == 0 || w.events != events:
 		w.timer.Reset(w.quick)
-	case !w.told:
+	case !w.told && !found.entry:
 		w.told = true
-		w.tell(fault)
+		w.tell(found.fault)
 		w.timer.Reset(w.limit)
 	default:
-		w.fault, w.stalled = fault, true
+		w.fault, w.stalled = found.fault, true
 		w.cancel()
 	}
 }
