--- a/core/rocktick/doc.go
+++ b/core/rocktick/doc.go
@@ -4,6 +4,7 @@
 //	rockconfig   accepts configuration rows
 //	rockmember   hosts, backend servers, probes, gossip
 //	rockdrain    leaving backend servers, graceful shutdown
+//	rockplace    plan of the layers that backend servers hold
 //	rocklease    lease and orders to engines
 //	rockcrash    suspects and quarantine
 //	rockclaim    claims of application calls
