--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -57,7 +57,7 @@
 	request.Call = &call
 	r := w.Requests.Put(request.ID, request)
 	service := w.Services.Get(call.Service)
-	if code := refusal(w, r, service, full); code != "" {
+	if code := refusal(now, w, r, service, full); code != "" {
 		w.Answer(r.ID, code)
 		return
 	}
@@ -80,7 +80,7 @@
 	claim(now, w, r)
 }
 
-func refusal(w *rocktable.World, r *rocktable.Request, service *rocktable.Service, full bool) rockreason.Code {
+func refusal(now time.Time, w *rocktable.World, r *rocktable.Request, service *rocktable.Service, full bool) rockreason.Code {
 	switch {
 	case w.Draining:
 		return rockreason.ShuttingDown
@@ -92,7 +92,7 @@
 		return rockreason.UnknownService
 	case r.Call.Key == "" && !r.Call.Unclaimed && !isIdempotent(r.Call, service):
 		return rockreason.MissingKey
-	case pick(w, r, service) == nil:
+	case pick(now, w, r, service) == nil:
 		return rockreason.NoServer
 	}
 	return ""
@@ -119,10 +119,10 @@
 }
 
 // pick returns the live backend server of the service with the fewest calls of this host, or nil.
-func pick(w *rocktable.World, r *rocktable.Request, service *rocktable.Service) *rocktable.BackendServer {
+func pick(now time.Time, w *rocktable.World, r *rocktable.Request, service *rocktable.Service) *rocktable.BackendServer {
 	var best *rocktable.BackendServer
 	if service.Config.Listed {
-		return pickListed(w, r, service)
+		return pickListed(now, w, r, service)
 	}
 	n := len(service.Config.Servers)
 	for i := range n {
@@ -142,7 +142,7 @@
 	service := w.Services.Get(r.Call.Service)
 	var s *rocktable.BackendServer
 	if service != nil && r.Attempts < maxOffers {
-		s = pick(w, r, service)
+		s = pick(now, w, r, service)
 	}
 	left := r.Call.Deadline.Sub(now)
 	if s == nil || left <= 0 {
@@ -183,6 +183,9 @@
 	if s := w.Servers.Get(e.Server); s != nil && s.Role == rocktable.RoleApplication && s.InFlight > 0 {
 		s.InFlight--
 	}
+	if s := w.Servers.Get(e.Server); s != nil && s.Service != "" {
+		rockretry.NoteCall(now, s, e.Reason != rockreason.ServerUnreachable)
+	}
 	r, c := w.Requests.Get(e.Request), w.Claims.Get(e.Request)
 	if r != nil && r.Call == nil {
 		r = nil
--- a/core/rockclaim/listed.go
+++ b/core/rockclaim/listed.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -16,7 +18,7 @@
 
 // pickListed returns the backend server with the least load among those that the platform lists for the service, or nil.
 // One whose circuit breaker is open comes last, and one of another data centre after those of this one.
-func pickListed(w *rocktable.World, r *rocktable.Request, service *rocktable.Service) *rocktable.BackendServer {
+func pickListed(now time.Time, w *rocktable.World, r *rocktable.Request, service *rocktable.Service) *rocktable.BackendServer {
 	var best *rocktable.BackendServer
 	var least float64
 	home := w.SelfHost().DataCentre
@@ -24,7 +26,7 @@
 		if s.Service != service.Config.Name || s.State != rocktable.StateLive || s.Address == "" || slices.Contains(r.Avoid, s.ID) {
 			continue
 		}
-		load := listedLoad(s, home)
+		load := listedLoad(now, w, s, home)
 		if best == nil || load < least {
 			best, least = s, load
 		}
@@ -33,14 +35,17 @@
 }
 
 // listedLoad orders the backend servers of a listed service.
-func listedLoad(s *rocktable.BackendServer, home rocktable.DataCentreID) float64 {
+func listedLoad(now time.Time, w *rocktable.World, s *rocktable.BackendServer, home rocktable.DataCentreID) float64 {
 	const (
 		farPart  = 0.25 // of the slots: that much more load at home is taken before a call leaves the data centre
-		tripCost = 100  // more than any load in parts of the slots
+		openCost = 100  // more than any load in parts of the slots
 	)
 	load := float64(s.InFlight+s.PeerFlight) / float64(max(1, s.Status.Slots))
 	if s.DataCentre != home {
 		load += farPart
 	}
-	return load + tripCost*float64(s.Trips)
+	if rockretry.IsBreakerOpen(now, s) || rockretry.IsCentreOpen(now, w, s) {
+		load += openCost
+	}
+	return load
 }
--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -43,6 +43,20 @@
 	trip(now, s, a, firstOpen, longestOpen)
 }
 
+// NoteCall opens the circuit breaker of a plain service's backend server that could not be reached, or closes it.
+func NoteCall(now time.Time, s *rocktable.BackendServer, reached bool) {
+	if reached {
+		s.Trips = 0
+		return
+	}
+	if IsBreakerOpen(now, s) {
+		return // calls that were under way at the last trip
+	}
+	s.Trips++
+	s.TrippedAt = now
+	s.BreakerUntil = now.Add(min(longestOpen, firstOpen<<min(s.Trips-1, 8)))
+}
+
 // noteFull opens the circuit breaker of a backend server that refused a request on a whole path for a short time.
 func noteFull(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt) {
 	trip(now, s, a, firstFull, longestFull)
