Keep 0.36 of the memory of the even plan for requests

Cause: with 0.6 half of the layers of a path lay on slow kinds; streams took longer, and held their memory longer than the larger share of memory made up for.

--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -17,7 +17,7 @@
 	// that was lost. With less it would hold up all requests that pass through its other layers.
 	strainPart = 0.5
 	// memoryPart is the part of the memory for requests that the most even plan would leave, which the plan keeps. What it takes goes to layers on the fastest kinds, because each token passes all layers one after the other.
-	memoryPart = 0.6
+	memoryPart = 0.36
 	// lapseLimit is the time for which the layers of a backend server whose entry is missing are not given to its neighbours:
 	// entries lapse while a data centre is cut off, and it is back with its layers afterwards.
 	lapseLimit = 3 * time.Second
