--- a/core/rockoutcome/outcome.go
+++ b/core/rockoutcome/outcome.go
@@ -11,6 +11,9 @@
 // defaultRetryAfter is told to callers of refusals that may be sent again and name no other time.
 const defaultRetryAfter = time.Second
 
+// otherHostRetry is told where another host behind the same load balancer can take the request.
+const otherHostRetry = 200 * time.Millisecond
+
 // System completes answers and keeps totals.
 var System = rocktable.System{
 	Name: "rockoutcome",
@@ -27,8 +30,8 @@
 			continue
 		}
 		a.Outcome, a.MayHaveRun = outcomeOf(w, r, a.Reason), r.MayHaveRun
-		if reason, ok := rockreason.Find(a.Reason); ok && reason.TryAgain && a.RetryAfter <= 0 {
-			a.RetryAfter = defaultRetryAfter
+		if reason, ok := rockreason.Find(a.Reason); ok && reason.TryAgain {
+			a.RetryAfter = retryAfter(w, a)
 		}
 		tally(w, r, a)
 		if a.Reason != "" {
@@ -43,6 +46,22 @@
 	}
 }
 
+// retryAfter returns the time after which a refused caller may try again.
+func retryAfter(w *rocktable.World, a rocktable.Answer) time.Duration {
+	switch a.Reason {
+	case rockreason.Shed, rockreason.WouldMissTarget, rockreason.NoPath, rockreason.QueueFull, rockreason.HostFull:
+		a.RetryAfter = max(a.RetryAfter, w.Limits.OverloadRetry)
+	case rockreason.ShuttingDown, rockreason.NotReady:
+		if w.Limits.Pushed {
+			return otherHostRetry
+		}
+	}
+	if a.RetryAfter <= 0 {
+		return defaultRetryAfter
+	}
+	return a.RetryAfter
+}
+
 func outcomeOf(w *rocktable.World, r *rocktable.Request, code rockreason.Code) rocktable.Outcome {
 	o := rocktable.Outcome{Attempts: r.Attempts, Reason: code}
 	first := time.Duration(0)
--- a/core/rockroute/pipe.go
+++ b/core/rockroute/pipe.go
@@ -15,7 +15,7 @@
 	freePipe = 0.02
 	// pipeWeight is the factor of the time on a link in the cost of a path: the link is shared by all requests, and a path
 	// that stays in its data centre costs the others nothing.
-	pipeWeight = 2
+	pipeWeight = 6
 )
 
 // pipeTime returns the time in seconds for which the prompt of a request occupies the link between two data centres.
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -35,6 +35,7 @@
 	RetryWindow   time.Duration // of the budget of repeats that all hosts share; 0 means that there is none
 	RetryRatio    float64       // repeats for each request in the window, over all hosts
 	RetryBurst    float64       // repeats in the window besides, over all hosts
+	OverloadRetry time.Duration // told to callers that are refused for the load, if no longer time is; 0 means the default of rockoutcome
 	DrainNotice   time.Duration // from the signal to stop until new requests are refused, for a load balancer that turns away late
 	Pushed        bool          // the platform pushes its list and the configuration, so that neither is read
 }
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -57,6 +57,8 @@
 	RetryWindowMs int     `json:"retryWindowMs,omitempty" validate:"min=0,max=600000"`
 	RetryRatio    float64 `json:"retryRatio,omitempty" validate:"min=0,max=10"`
 	RetryBurst    float64 `json:"retryBurst,omitempty" validate:"min=0,max=1000000"`
+	// Told to callers that are refused for the load.
+	OverloadRetryMs int `json:"overloadRetryMs,omitempty" validate:"min=0,max=600000"`
 	// From the signal to stop until new requests are refused.
 	DrainNoticeMs int  `json:"drainNoticeMs,omitempty" validate:"min=0,max=60000"`
 	Pushed        bool `json:"platformPushes,omitempty"` // the platform pushes its list and the configuration
@@ -78,6 +80,7 @@
 	setMs(&limits.OrderTimeout, l.OrderTimeoutMs)
 	setMs(&limits.DrainNotice, l.DrainNoticeMs)
 	setMs(&limits.RetryWindow, l.RetryWindowMs)
+	setMs(&limits.OverloadRetry, l.OverloadRetryMs)
 	limits.RetryRatio, limits.RetryBurst, limits.Pushed = l.RetryRatio, l.RetryBurst, l.Pushed
 	return limits
 }
