--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -39,8 +39,7 @@
 	Token       string // SHA-256 in hexadecimal of the caller's token; empty if it sent none
 	Received    time.Time
 	Wait        time.Duration // how long the caller waits; 0 if it did not say
-	Model       string
-	Prompt      int // tokens
+	Prompt      int           // tokens
 	MaxTokens   int
 	Prefix      []uint64 // one for each part of the prompt that requests share
 	LastEventID string   // after which the caller resumes a stream
--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,7 +64,6 @@
 
 // caller collects an answer.
 type caller struct {
-	mu      sync.Mutex
 	status  int
 	header  http.Header
 	body    strings.Builder
