--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -52,9 +52,7 @@
 	if IsBreakerOpen(now, s) {
 		return // calls that were under way at the last trip
 	}
-	s.Trips++
-	s.TrippedAt = now
-	s.BreakerUntil = now.Add(min(longestOpen, firstOpen<<min(s.Trips-1, 8)))
+	openBreaker(now, s, firstOpen, longestOpen)
 }
 
 // noteFull opens the circuit breaker of a backend server that refused a request on a whole path for a short time.
@@ -64,9 +62,13 @@
 
 func trip(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt, first, longest time.Duration) {
 	// Attempts that began before the last trip tell nothing new.
-	if a.Started.Before(s.TrippedAt) {
-		return
+	if !a.Started.Before(s.TrippedAt) {
+		openBreaker(now, s, first, longest)
 	}
+}
+
+// openBreaker opens a circuit breaker, for twice as long as the last time if no success came since.
+func openBreaker(now time.Time, s *rocktable.BackendServer, first, longest time.Duration) {
 	s.Trips++
 	s.TrippedAt = now
 	s.BreakerUntil = now.Add(min(longest, first<<min(s.Trips-1, 8)))
