Pace attempts that a whole path refuses

Ruled out: a cut by this host at the change of the manifest, the first run was ended by its backend server, which was being replaced. From the second refusal in a row on there is a pause that doubles.

--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -12,6 +12,9 @@
 // maxAttempts limits the attempts of one request.
 const maxAttempts = 6
 
+// refusalPause is the pause after the second refusal in a row; it doubles with each further one.
+const refusalPause = 40 * time.Millisecond
+
 // System handles the ends of attempts.
 var System = rocktable.System{
 	Name: "rockretry",
@@ -206,12 +209,26 @@
 		return
 	}
 	r.Requeued = true
+	paceRefusals(now, w, r, e)
 	if e.Server != 0 && !avoids(r, e.Server) {
 		r.Avoid = append(r.Avoid, e.Server)
 	}
 	rockadmit.Requeue(now, w, r)
 }
 
+// paceRefusals keeps a request that a whole path refused from going there again at once: where no other backend server holds
+// the layers, it would spend its attempts within milliseconds.
+func paceRefusals(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.Ended) {
+	if e.Reason != rockreason.StageRefused || !isWholePath(w, r) {
+		r.Refusals = 0
+		return
+	}
+	r.Refusals++
+	if r.Refusals > 1 { // the first one goes elsewhere
+		r.NotBefore = now.Add(refusalPause << min(r.Refusals-2, 4))
+	}
+}
+
 func isWholePath(w *rocktable.World, r *rocktable.Request) bool {
 	p := w.Pipelines.Get(r.Pipeline)
 	return p != nil && p.Config.Engine.IsWholePath()
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -146,6 +146,10 @@
 }
 
 func find(now time.Time, w *rocktable.World, f *Field, p *rocktable.Pipeline, r *rocktable.Request, choose Find) []rocktable.Stage {
+	if now.Before(r.NotBefore) {
+		w.WakeAt(r.NotBefore)
+		return nil
+	}
 	if r.Alone {
 		if rockcrash.MustWait(w, r.Fingerprint) {
 			return nil
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -40,6 +40,8 @@
 
 	RanBefore bool // an earlier attempt may have run
 
+	Refusals    int       // attempts in a row that backend servers refused
+	NotBefore   time.Time // no attempt starts earlier
 	Ran         int       // attempts that ended and may have run
 	Once        bool      // must not run again once it may have run
 	MaxAttempts int       // backend servers to which it may be sent; 0 means the limit of rockretry
