--- a/core/rockconfig/push.go
+++ b/core/rockconfig/push.go
@@ -9,10 +9,8 @@
 	"sassafrasrock/core/rocktable"
 )
 
-const (
-	// routeFloor is the share of the tokens that each lower rank keeps under a flood where ranks come from routes, which name none.
-	routeFloor = 0.08
-)
+// routeFloor is the share of the tokens that each lower rank keeps under a flood where ranks come from routes, which name none.
+const routeFloor = 0.08
 
 // takePush puts a configuration in force that the platform sent at its change.
 func takePush(now time.Time, w *rocktable.World, p rocktable.ConfigPush) {
--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -90,7 +90,7 @@
 		}
 		return
 	}
-	mend(p.Config, group)
+	mend(p.Config, group, memoryPart*evenMemory(p.Config, group))
 	keep(w, p, group)
 }
 
@@ -217,7 +217,7 @@
 			left -= n
 		}
 	}
-	mend(cfg, group)
+	mend(cfg, group, tokens)
 }
 
 // ofKind returns the backend servers of one kind.
@@ -231,9 +231,9 @@
 	return of
 }
 
-// mend gives layers to backend servers without any, and layers that nobody holds to those beside them.
-func mend(cfg rocktable.PipelineConfig, group []*holder) {
-	tokens := memoryPart * evenMemory(cfg, group)
+// mend gives layers to backend servers without any, layers that nobody holds to others, and takes back what was taken over;
+// tokens is the planned memory for requests.
+func mend(cfg rocktable.PipelineConfig, group []*holder, tokens float64) {
 	for _, h := range group {
 		if h.layers() == 0 && !h.lapsed {
 			if n := room(cfg, h, tokens); n > 0 {
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -79,7 +79,7 @@
 // WithService replaces the client of application and plain services.
 func WithService(s *rockservice.Client) Option { return func(d *Daemon) { d.service = s } }
 
-// WithRelay makes the daemon serve requests over engines that take a whole path, with these function fields set: Open and Blame.
+// WithRelay makes the daemon serve requests over engines that take a whole path, with these function fields set: Open, Waiting and Move.
 func WithRelay(r *rockrelay.Relay) Option { return func(d *Daemon) { d.relay = r } }
 
 // WithFront replaces the handler of callers' requests.
--- a/io/rockdaemon/main.go
+++ b/io/rockdaemon/main.go
@@ -28,30 +28,39 @@
 
 // Main runs the daemon with the settings file that the arguments name and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
+	settings, code := ReadSettings("sassafrasrockd", "Routes model requests and application calls on an entry host.", args, stderr)
+	if code != ExitOK {
+		return code
+	}
+	if err := runUntilSignal(settings, stderr); err != nil {
+		fmt.Fprintln(stderr, "sassafrasrockd:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// ReadSettings returns the settings in the file that a program's arguments name, or an exit code other than ExitOK after it told why.
+func ReadSettings(program, description string, args []string, stderr io.Writer) (rocksettings.Daemon, int) {
 	var a arguments
-	parser, err := kong.New(&a, kong.Name("sassafrasrockd"), kong.Description("Routes model requests and application calls on an entry host."))
+	parser, err := kong.New(&a, kong.Name(program), kong.Description(description))
 	if err == nil {
 		_, err = parser.Parse(args)
 	}
 	if err != nil {
-		fmt.Fprintln(stderr, "sassafrasrockd:", err)
-		return ExitUsage
+		fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		return rocksettings.Daemon{}, ExitUsage
 	}
 	data, err := os.ReadFile(a.File)
 	if err != nil {
-		fmt.Fprintln(stderr, "sassafrasrockd:", err)
-		return ExitUsage
+		fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		return rocksettings.Daemon{}, ExitUsage
 	}
 	settings, err := rocksettings.Decode[rocksettings.Daemon](data)
 	if err != nil {
 		fmt.Fprintf(stderr, "%s:\n%v\n", a.File, err)
-		return ExitSettings
+		return rocksettings.Daemon{}, ExitSettings
 	}
-	if err := runUntilSignal(settings, stderr); err != nil {
-		fmt.Fprintln(stderr, "sassafrasrockd:", err)
-		return ExitFailed
-	}
-	return ExitOK
+	return settings, ExitOK
 }
 
 // runUntilSignal makes a daemon of the settings and serves until a signal.
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -24,7 +24,7 @@
 	PeersAdvertised     string    `json:"peersAdvertisedAddress,omitempty" validate:"omitempty,address"` // told to other hosts; empty means peersAddress
 	PlatformURL         string    `json:"platformUrl" validate:"required,http_url"`
 	PeerTLS             *TLSFiles `json:"peerTls,omitempty"`                                  // nil where the platform pushes: the daemon makes a key at its start
-	ReadyAddress        string    `json:"readyAddress,omitempty" validate:"omitempty,listen"` // for a load balancer that asks there; empty means callersAddress
+	ReadyAddress        string    `json:"readyAddress,omitempty" validate:"omitempty,listen"` // where sassafrasrock-entry tells a load balancer whether it is ready; sassafrasrockd does so on callersAddress
 	MetricsAddress      string    `json:"metricsAddress,omitempty" validate:"omitempty,listen"`
 	OperatorTLS         *TLSFiles `json:"operatorTls,omitempty"`                                                 // nil means plain HTTP
 	OperatorTokenSHA256 string    `json:"operatorTokenSha256,omitempty" validate:"omitempty,len=64,hexadecimal"` // empty means no token
