Let a few hosts of each data centre follow the store

Cause: every host read three tables whole at its start and followed three feeds, so that each change of a table was a call of every host.

Change: core/rockfollow keeps copies of the tables. The two hosts of a data centre with the highest rendezvous hashes follow the store; versions and digests travel with every message, and a host that lacks changes asks a peer, then the store. platform/ and io/rockdaemon only read and decode; the follow loop of platform/ is gone, and so is FeedWait, whose test (calls of idle hosts) is replaced by TestCallsDoNotGrowWithHosts, which counts the calls of all hosts with changes. A row that does not decode is counted (rowBroken) and leaves the last good host or configuration in force. sassafrasrock_store_calls_total counts calls by table and kind.

Result: 440 calls in 20 s with two changes a second for 20 and for 195 hosts in the virtual fleet; 880 and 8,580 when every host follows. Each test of core/rockfollow failed with its mechanism removed (replacement of followers, requests for what is missing, versions of forgotten rows, told outages, the complete read after a dropped history, the number of followers).

--- /dev/null
+++ b/core/rockfollow/copy.go
@@ -0,0 +1,145 @@
+package rockfollow
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// maxRemovedRows is the number of removed rows that a copy keeps, so that it can tell peers of their removal.
+	maxRemovedRows = 1000
+	// maxUpdateBytes limits the rows that a message carries. It is below the limit of a frame. A host that needs more
+	// reads the store.
+	maxUpdateBytes = 700 << 10
+)
+
+// replaceRows replaces a copy by the complete table as of a version. A copy that is not older stays.
+func replaceRows(w *rocktable.World, t *rocktable.FollowedTable, version uint64, rows []rocktable.TableRow) {
+	if version <= t.Version {
+		return
+	}
+	t.Rows = make(map[string]rocktable.TableRow, len(rows))
+	t.Digest = 0
+	for _, r := range rows {
+		t.Rows[r.Key] = r
+		t.Digest ^= digestOf(r)
+	}
+	t.ForgottenVersion = version
+	advance(t, version)
+	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Full: true, Rows: rows})
+}
+
+// mergeRows applies changed rows that are newer than those of a copy. The caller advances its version if no change is
+// missing.
+func mergeRows(w *rocktable.World, t *rocktable.FollowedTable, rows []rocktable.TableRow) {
+	newer := make(map[string]rocktable.TableRow)
+	for _, r := range rows {
+		// The copy has all changes up to its version. An older row that it lacks was removed.
+		if r.Version <= t.Version || r.Version <= t.Rows[r.Key].Version {
+			continue
+		}
+		if t.Rows == nil {
+			t.Rows = make(map[string]rocktable.TableRow)
+		}
+		t.Digest ^= digestOf(t.Rows[r.Key]) ^ digestOf(r)
+		t.Rows[r.Key] = r
+		newer[r.Key] = r // the history has all changes of a row
+	}
+	if len(newer) == 0 {
+		return
+	}
+	changed := slices.Collect(maps.Values(newer))
+	sortByVersion(changed)
+	t.Mixed = true
+	forgetRemoved(t)
+	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Rows: changed})
+}
+
+// advance records that a copy has all changes up to a version.
+func advance(t *rocktable.FollowedTable, version uint64) {
+	t.Version = max(t.Version, version)
+	t.Mixed = false
+	if t.GapVersion <= t.Version {
+		t.GapVersion, t.GapHost, t.GapSince, t.RequestedAt = 0, 0, time.Time{}, time.Time{}
+	}
+}
+
+// digestOf returns the part of a row in the digest of its table. A row that does not exist has none.
+func digestOf(r rocktable.TableRow) uint64 {
+	if r.Removed || r.Version == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(r.Key + "/" + strconv.FormatUint(r.Version, 10))
+}
+
+// forgetRemoved deletes the oldest removed rows above maxRemovedRows.
+func forgetRemoved(t *rocktable.FollowedTable) {
+	var removed []rocktable.TableRow
+	for _, r := range t.Rows {
+		if r.Removed {
+			removed = append(removed, r)
+		}
+	}
+	if len(removed) <= maxRemovedRows {
+		return
+	}
+	sortByVersion(removed)
+	for _, r := range removed[:len(removed)-maxRemovedRows/2] {
+		delete(t.Rows, r.Key)
+		t.ForgottenVersion = max(t.ForgottenVersion, r.Version)
+	}
+}
+
+// applyUpdate applies a peer's report of its copy of a table.
+func applyUpdate(now time.Time, w *rocktable.World, sender rocktable.HostID, u rocktable.TableUpdate) {
+	t := w.FollowedTables.Get(u.Table)
+	if t == nil || u.Version <= t.Version {
+		if len(u.Rows) > 0 {
+			w.Count(rockreason.StaleNews)
+		}
+		return
+	}
+	if u.Full {
+		replaceRows(w, t, u.Version, u.Rows)
+		return
+	}
+	mergeRows(w, t, u.Rows)
+	if t.Digest == u.Digest && t.Version > 0 {
+		advance(t, u.Version)
+		return
+	}
+	t.GapVersion, t.GapHost = max(t.GapVersion, u.Version), sender
+	if t.GapSince.IsZero() {
+		t.GapSince = now
+	}
+}
+
+// updateAfter returns the changes of a copy after a version, or the complete table if it cannot tell them, and whether
+// they fit in a message.
+func updateAfter(t *rocktable.FollowedTable, after uint64) (rocktable.TableUpdate, bool) {
+	u := rocktable.TableUpdate{Table: t.ID, Version: t.Version, Digest: t.Digest, Full: after < t.ForgottenVersion}
+	size := 0
+	for r := range maps.Values(t.Rows) {
+		if u.Full && r.Removed || !u.Full && r.Version <= after {
+			continue
+		}
+		u.Rows = append(u.Rows, r)
+		size += len(r.Key) + len(r.Value)
+	}
+	sortByVersion(u.Rows)
+	return u, size <= maxUpdateBytes
+}
+
+func sortByVersion(rows []rocktable.TableRow) {
+	slices.SortFunc(rows, func(a, b rocktable.TableRow) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+	})
+}
--- /dev/null
+++ b/core/rockfollow/fleet_test.go
@@ -0,0 +1,247 @@
+package rockfollow_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/core/rocktick"
+)
+
+const (
+	step         = 100 * time.Millisecond
+	readLatency  = 200 * time.Millisecond // of the store
+	settlingTime = 10 * time.Second       // from the start of all hosts until only the followers read the store
+)
+
+var startTime = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// store is a model of the platform's store.
+type store struct {
+	version   uint64
+	rows      map[rocktable.FollowedTableID]map[string]rocktable.TableRow
+	history   map[rocktable.FollowedTableID][]rocktable.TableRow
+	droppedTo uint64
+	calls     int
+	refuses   func(h *host) bool
+}
+
+func (s *store) write(table rocktable.FollowedTableID, key string, removed bool) uint64 {
+	s.version++
+	r := rocktable.TableRow{Key: key, Version: s.version, Value: []byte(key), Removed: removed}
+	if s.rows[table] == nil {
+		s.rows[table] = make(map[string]rocktable.TableRow)
+	}
+	delete(s.rows[table], key)
+	if !removed {
+		s.rows[table][key] = r
+	}
+	s.history[table] = append(s.history[table], r)
+	return s.version
+}
+
+func (s *store) dropHistory() {
+	clear(s.history)
+	s.droppedTo = s.version
+}
+
+// host is an entry host of the fleet.
+type host struct {
+	w       *rocktable.World
+	stopped bool
+	frozen  bool
+	alone   bool // no message of another host reaches it, and none of it another host
+	inbox   rocktable.Inbox
+	reads   []pendingRead
+	known   map[rocktable.FollowedTableID]map[string]uint64 // versions of the decoded rows
+	listed  map[string]rocktable.ListedHost
+}
+
+type pendingRead struct {
+	read        rocktable.TableRead
+	sentAt, end time.Time
+}
+
+// fleet runs hosts against the store in virtual time.
+type fleet struct {
+	t        *testing.T
+	now      time.Time
+	store    *store
+	hosts    []*host
+	rand     *rand.Rand
+	loseTo   float64 // fraction of the messages that are lost
+	messages int
+}
+
+func newFleet(t *testing.T, dataCentres, hosts int) *fleet {
+	f := &fleet{t: t, now: startTime, rand: rand.New(rand.NewPCG(7, 7)), store: &store{
+		rows:    make(map[rocktable.FollowedTableID]map[string]rocktable.TableRow),
+		history: make(map[rocktable.FollowedTableID][]rocktable.TableRow),
+		refuses: func(*host) bool { return false },
+	}}
+	f.store.write(rocktable.ConfigurationTable, "config", false)
+	for i := range 40 {
+		f.store.write(rocktable.BackendServersTable, fmt.Sprintf("runner-%d", i), false)
+	}
+	for i := range hosts {
+		f.addHost(i, i%dataCentres)
+	}
+	return f
+}
+
+func (f *fleet) addHost(i, dataCentre int) {
+	limits := rocktable.DefaultLimits()
+	limits.PlatformPushes, limits.LeaseTTL = true, 0
+	name, dc := fmt.Sprintf("entry-%d", i), fmt.Sprintf("centre-%d", dataCentre)
+	w := rocktable.NewWorld(f.now, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: dc, Region: "dakar"}, uint64(i+1), rocktable.WithLimits(limits))
+	f.hosts = append(f.hosts, &host{w: w, known: make(map[rocktable.FollowedTableID]map[string]uint64), listed: make(map[string]rocktable.ListedHost)})
+	f.store.write(rocktable.HostsTable, name, false)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(step)
+		for _, h := range f.hosts {
+			if !h.stopped && !h.frozen {
+				f.tick(h)
+			}
+		}
+	}
+}
+
+func (f *fleet) tick(h *host) {
+	f.answerReads(h)
+	h.w.Inbox, h.inbox = h.inbox, rocktable.Inbox{}
+	result := rocktick.Run(f.now, h.w)
+	if len(result.Violations) > 0 {
+		f.t.Fatalf("%s: %v", h.w.SelfHost().Name, result.Violations[0])
+	}
+	for _, r := range result.Outbox.TableReads {
+		f.store.calls++
+		h.reads = append(h.reads, pendingRead{read: r, sentAt: f.now, end: f.now.Add(r.Wait)})
+	}
+	for _, c := range result.Outbox.TableChanges {
+		f.decode(h, c)
+	}
+	for _, s := range result.Outbox.PeerSends {
+		f.deliver(h, s)
+	}
+}
+
+func (f *fleet) deliver(from *host, s rocktable.PeerSend) {
+	f.messages++
+	for _, to := range f.hosts {
+		if to.w.SelfHost().Address != s.Address || to.stopped || to.frozen || to.alone || from.alone {
+			continue
+		}
+		if f.rand.Float64() >= f.loseTo {
+			to.inbox.Peers = append(to.inbox.Peers, s.Message)
+		}
+	}
+}
+
+// answerReads answers the reads of a host whose changes are there, whose wait is over or that the store refuses.
+func (f *fleet) answerReads(h *host) {
+	h.reads = slices.DeleteFunc(h.reads, func(p pendingRead) bool {
+		if f.now.Sub(p.sentAt) < readLatency {
+			return false
+		}
+		end := f.result(h, p)
+		if end.Status == rocktable.TableReadOK && p.read.After > 0 && len(end.Rows) == 0 && f.now.Before(p.end) {
+			return false
+		}
+		h.inbox.TableReads = append(h.inbox.TableReads, end)
+		return true
+	})
+}
+
+func (f *fleet) result(h *host, p pendingRead) rocktable.TableReadEnded {
+	end := rocktable.TableReadEnded{Read: p.read, Version: f.store.version}
+	switch {
+	case f.store.refuses(h):
+		end.Status = rocktable.TableReadFailed
+	case p.read.After == 0:
+		end.Rows = slices.Collect(maps.Values(f.store.rows[p.read.Table]))
+	case p.read.After < f.store.droppedTo:
+		end.Status = rocktable.TableHistoryDropped
+	default:
+		for _, r := range f.store.history[p.read.Table] {
+			if r.Version > p.read.After {
+				end.Rows = append(end.Rows, r)
+			}
+		}
+	}
+	return end
+}
+
+// decode does what the platform's client does with changed rows.
+func (f *fleet) decode(h *host, c rocktable.TableChange) {
+	if c.Full || h.known[c.Table] == nil {
+		h.known[c.Table] = make(map[string]uint64)
+	}
+	for _, r := range c.Rows {
+		if r.Removed {
+			delete(h.known[c.Table], r.Key)
+			continue
+		}
+		if r.Version < h.known[c.Table][r.Key] {
+			f.t.Fatalf("%s: row %s goes back from version %d to %d", h.w.SelfHost().Name, r.Key, h.known[c.Table][r.Key], r.Version)
+		}
+		h.known[c.Table][r.Key] = r.Version
+	}
+	if c.Table == rocktable.ConfigurationTable {
+		return
+	}
+	list := rocktable.HostList{OK: true, Pushed: true}
+	for name := range h.known[rocktable.HostsTable] {
+		list.Entries = append(list.Entries, rocktable.ListedHost{Name: name, Role: "entry", Address: name, DataCentre: f.dataCentreOf(name), Region: "dakar", State: "live"})
+	}
+	for name := range h.known[rocktable.BackendServersTable] {
+		list.Entries = append(list.Entries, rocktable.ListedHost{Name: name, Role: "model", Address: name, DataCentre: "centre-0", Region: "dakar", State: "live"})
+	}
+	h.inbox.HostLists = append(h.inbox.HostLists, list)
+}
+
+func (f *fleet) dataCentreOf(name string) string {
+	for _, h := range f.hosts {
+		if h.w.SelfHost().Name == name {
+			return h.w.DataCentres.Get(h.w.SelfHost().DataCentre).Name
+		}
+	}
+	return ""
+}
+
+// followers returns the hosts that follow the store.
+func (f *fleet) followers() []*host {
+	var followers []*host
+	for _, h := range f.hosts {
+		if h.w.Follow.Follows && !h.stopped {
+			followers = append(followers, h)
+		}
+	}
+	return followers
+}
+
+// lagging returns the names of the running hosts whose decoded tables differ from the store.
+func (f *fleet) lagging() []string {
+	var names []string
+	for _, h := range f.hosts {
+		if h.stopped || h.frozen {
+			continue
+		}
+		for table, rows := range f.store.rows {
+			same := len(h.known[table]) == len(rows)
+			for key, r := range rows {
+				same = same && h.known[table][key] == r.Version
+			}
+			if !same {
+				names = append(names, h.w.SelfHost().Name+" "+table.String())
+			}
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/core/rockfollow/follow.go
@@ -0,0 +1,174 @@
+package rockfollow
+
+import (
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// checkEvery is the time between two choices of the followers, and between two looks for changes that are missing.
+	checkEvery = 250 * time.Millisecond
+	// minReadPause is the pause between two reads of a table. It bounds the calls to a store that answers at once
+	// without a change.
+	minReadPause = 50 * time.Millisecond
+	// firstRetryDelay and maxRetryDelay limit the exponential backoff after a failed read.
+	firstRetryDelay = 200 * time.Millisecond
+	maxRetryDelay   = 1500 * time.Millisecond
+)
+
+// followed describes how a table is followed.
+type followed struct {
+	id rocktable.FollowedTableID
+	// wait is the longest wait of a read for a change. A connection that became silent is detected after it.
+	wait time.Duration
+	// interval is the pause after a read that returned changes. It collects several changes in one read: many backend
+	// servers or hosts may register at once.
+	interval time.Duration
+}
+
+// followedTables lists the followed tables. The table of hosts changes only when a host starts, so that it may wait
+// longer; departures of backend servers and configurations must be known within seconds.
+var followedTables = []followed{
+	{id: rocktable.ConfigurationTable, wait: 3 * time.Second},
+	{id: rocktable.BackendServersTable, wait: 3 * time.Second, interval: 400 * time.Millisecond},
+	{id: rocktable.HostsTable, wait: 10 * time.Second, interval: 2 * time.Second},
+}
+
+// System keeps the copies of the platform's tables.
+var System = rocktable.System{
+	Name:        "rockfollow",
+	Description: "Chooses the hosts that follow the platform's store, and spreads its changes among hosts.",
+	Run:         run,
+}
+
+func run(now time.Time, w *rocktable.World) {
+	if !w.Limits.PlatformPushes {
+		return
+	}
+	for _, f := range followedTables {
+		w.FollowedTables.GetOrPut(f.id).ID = f.id
+	}
+	firstChange := len(w.Outbox.TableChanges)
+	for _, r := range w.Inbox.TableReads {
+		applyRead(now, w, r)
+	}
+	for _, m := range w.Inbox.Peers {
+		applyMessage(now, w, m)
+	}
+	if !now.Before(w.Follow.NextCheck) {
+		w.Follow.NextCheck = now.Add(checkEvery)
+		chooseFollowers(now, w)
+		requestMissing(now, w)
+	}
+	w.WakeAt(w.Follow.NextCheck)
+	startReads(now, w)
+	recordConnection(now, w)
+	sendChanges(now, w, w.Outbox.TableChanges[firstChange:])
+	sendNotices(now, w)
+}
+
+// startReads starts the reads from the store that are due.
+func startReads(now time.Time, w *rocktable.World) {
+	for _, f := range followedTables {
+		t := w.FollowedTables.Get(f.id)
+		if t.Reading || !w.Follow.Follows && !t.ReadOnce && t.Version > 0 {
+			continue
+		}
+		if now.Before(t.NextRead) {
+			w.WakeAt(t.NextRead)
+			continue
+		}
+		read := rocktable.TableRead{Table: f.id, After: t.Version, Wait: f.wait}
+		if t.ReadAll {
+			read.After = 0
+		}
+		t.Reading, t.ReadOnce = true, false
+		w.Outbox.TableReads = append(w.Outbox.TableReads, read)
+	}
+}
+
+// applyRead applies the result of a read from the store and sets the time of the next one.
+func applyRead(now time.Time, w *rocktable.World, r rocktable.TableReadEnded) {
+	t := w.FollowedTables.Get(r.Read.Table)
+	if t == nil {
+		return
+	}
+	t.Reading = false
+	switch r.Status {
+	case rocktable.TableReadOK:
+		t.FailedReads, t.NextRead = 0, now.Add(minReadPause)
+		if len(r.Rows) > 0 {
+			t.NextRead = now.Add(max(minReadPause, intervalOf(t.ID)))
+		}
+		if r.Read.After == 0 {
+			t.ReadAll = false
+			replaceRows(w, t, r.Version, r.Rows)
+		} else {
+			mergeRows(w, t, r.Rows)
+			advance(t, r.Version)
+		}
+	case rocktable.TableHistoryDropped:
+		t.ReadAll = true
+		t.NextRead = now.Add(retryDelay(w, t)) // the store may drop the history again at once
+	case rocktable.TableReadFailed:
+		t.NextRead = now.Add(retryDelay(w, t))
+	}
+	if t.ID == rocktable.BackendServersTable {
+		setStoreLost(w, r.Status == rocktable.TableReadFailed)
+	}
+}
+
+func intervalOf(id rocktable.FollowedTableID) time.Duration {
+	for _, f := range followedTables {
+		if f.id == id {
+			return f.interval
+		}
+	}
+	return 0
+}
+
+// retryDelay returns the pause after a failed read, with a random part that spreads the reads of hosts that failed
+// together.
+func retryDelay(w *rocktable.World, t *rocktable.FollowedTable) time.Duration {
+	const maxDoublings = 4
+	delay := min(maxRetryDelay, firstRetryDelay<<min(t.FailedReads, maxDoublings))
+	t.FailedReads++
+	return delay/2 + time.Duration(w.Rand.Int64N(int64(delay)))
+}
+
+func setStoreLost(w *rocktable.World, lost bool) {
+	if w.Follow.StoreLost == lost {
+		return
+	}
+	w.Follow.StoreLost, w.Follow.NoticeDue = lost, true
+	logConnection(w, "store", lost)
+}
+
+func logConnection(w *rocktable.World, what string, lost bool) {
+	states := [2]string{"back", "lost"}
+	if lost {
+		w.LogChange("dependency", what, states[0], states[1])
+		return
+	}
+	w.LogChange("dependency", what, states[1], states[0])
+}
+
+// recordConnection reports to the other systems when neither this host nor a source of it reaches the store any more,
+// and when one does again. Entries of backend servers also lapse while the store is out.
+func recordConnection(now time.Time, w *rocktable.World) {
+	st := &w.Follow
+	connected, told := sourcesReachStore(now, w)
+	switch {
+	case connected || st.Follows && !st.StoreLost:
+		if st.Disconnected {
+			st.Disconnected = false
+			w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: rocktable.BackendServersTable})
+		}
+	case st.StoreLost || told:
+		if !st.Disconnected {
+			st.Disconnected = true
+			w.Inbox.HostLists = append(w.Inbox.HostLists, rocktable.HostList{Pushed: true})
+		}
+	}
+}
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -40,6 +40,8 @@
 	pushedRemotePeers = 5
 	// headerBytes is the encoded size of the numbers among the message's own fields.
 	headerBytes = 40
+	// tableNoticeBytes is the encoded size of the version of one followed table.
+	tableNoticeBytes = 20
 
 	// departureReportFor is the time for which every message reports a departure.
 	departureReportFor = 15 * time.Second
@@ -72,6 +74,7 @@
 		Sender: h.Name, Address: h.Address, DataCentre: dc.Name, Region: dc.Region,
 		Incarnation: h.Incarnation, Heartbeat: h.Heartbeat, State: h.State,
 		InFlight: w.Attempts.Len(), ConfigVersion: w.ConfigVersion, LostLeaseVersion: w.Lease.LostVersion,
+		FollowsStore: w.Follow.Follows, StoreLost: w.Follow.StoreLost, Tables: w.TableNotices(),
 	}
 }
 
@@ -268,7 +271,7 @@
 	if w.Limits.PlatformPushes {
 		d.bytesLeft = pushedBytes
 	}
-	d.bytesLeft -= headerBytes + len(d.Sender) + len(d.Address) + len(d.DataCentre) + len(d.Region)
+	d.bytesLeft -= headerBytes + tableNoticeBytes*len(d.Tables) + len(d.Sender) + len(d.Address) + len(d.DataCentre) + len(d.Region)
 	g := &w.Gossip
 	floor := g.RoundChangeSeqs[g.Round%len(g.RoundChangeSeqs)]
 	// One row in each message has an address. It lets a host that started while the platform is out learn all backend
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -51,6 +51,7 @@
 	FrameTooLarge     Code = "frameTooLarge"
 	FrameVersion      Code = "frameVersion"
 	FrameBroken       Code = "frameBroken"
+	RowBroken         Code = "rowBroken"
 	ConfigConflict    Code = "configConflict"
 	ConfigInvalid     Code = "configInvalid"
 	ConfigUnsettled   Code = "configUnsettled"
@@ -355,6 +356,12 @@
 		Text:           "A peer sent a frame that does not decode.",
 		OperatorAction: "Check that all hosts run compatible versions.",
 	},
+	{
+		Code: RowBroken, Kind: BadInput, Status: 0, Ran: NotReported, Retryable: false,
+		Title:          "Row of the store broken",
+		Text:           "A row of the platform's store does not decode; the log line has its table, key and version.",
+		OperatorAction: "Find out who wrote the row. The last good configuration or host stays in force; a broken entry names no backend server.",
+	},
 	{
 		Code: ConfigConflict, Kind: Refusal, Status: 409, Ran: NotRun, Retryable: true,
 		Title:          "Configuration changed meanwhile",
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -15,6 +15,8 @@
 	CallStarts   []CallStart
 	Probes       []Probe
 	ListReads    int // reads of the platform's host list
+	TableReads   []TableRead
+	TableChanges []TableChange
 	PeerSends    []PeerSend
 	ConfigOps    []TableOp[ConfigRow]
 	LeaseOps     []TableOp[LeaseRow]
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -15,6 +15,7 @@
 	Stalls            []Stall
 	Probes            []ProbeResult
 	HostLists         []HostList
+	TableReads        []TableReadEnded
 	ConfigPushes      []ConfigPush
 	Peers             []PeerMessage
 	PeerFailures      []PeerFailure
@@ -130,6 +131,10 @@
 	Demands           []DemandUpdate
 	Suspects          []SuspectUpdate
 	Work              []SuspectWork
+	FollowsStore      bool // the sender reads changes of the followed tables from the platform's store
+	StoreLost         bool // its last read failed
+	Tables            []TableUpdate
+	TableRequests     []TableRequest
 }
 
 // ReportsLoad reports whether Loads and Demands are complete: those that are missing are zero.
--- /dev/null
+++ b/core/rocktable/follow.go
@@ -0,0 +1,139 @@
+package rocktable
+
+import "time"
+
+// FollowedTableID identifies a table of the platform's store that every host keeps a copy of.
+type FollowedTableID uint8
+
+// The tables of the platform's store that hosts keep copies of.
+const (
+	ConfigurationTable FollowedTableID = 1 + iota
+	BackendServersTable
+	HostsTable
+)
+
+// String returns the table's name as used in logs and metrics.
+func (id FollowedTableID) String() string {
+	switch id {
+	case ConfigurationTable:
+		return "configuration"
+	case BackendServersTable:
+		return "backendServers"
+	case HostsTable:
+		return "hosts"
+	}
+	return "unknown"
+}
+
+// FollowedTable is this host's copy of a table of the platform's store.
+type FollowedTable struct {
+	ID      FollowedTableID
+	Version uint64              // the copy has all changes up to it; 0 before the first one
+	Rows    map[string]TableRow // by key; removed rows stay until ForgottenVersion passes them
+	Digest  uint64              // of the keys and versions of the rows that are not removed
+
+	// ForgottenVersion is the highest version of a removal that Rows may lack. Changes after a lower version can only be
+	// told by the complete table.
+	ForgottenVersion uint64
+
+	// Mixed is set while Rows has some changes after Version but perhaps not all of them.
+	Mixed bool
+
+	// Reads from the store.
+	Reading     bool
+	ReadAll     bool // the store no longer has the changes after Version
+	ReadOnce    bool // a read is due although this host does not follow the store
+	NextRead    time.Time
+	FailedReads int // in a row
+
+	// Changes that a peer has and this host lacks.
+	GapVersion  uint64 // of the peer's copy; 0 if no change is known to be missing
+	GapHost     HostID
+	GapSince    time.Time
+	RequestedAt time.Time // last request to a peer
+}
+
+// TableRow is a row of a table of the platform's store. Only its client decodes the value.
+type TableRow struct {
+	Key     string
+	Version uint64
+	Value   []byte
+	Removed bool
+}
+
+// Source is a host of this data centre as a source of changes of the followed tables.
+type Source struct {
+	NoticeAt      time.Time // last message in which it said that it follows the store; zero if it does not
+	ExpectedSince time.Time // since when this host expects it to follow the store; zero if it does not
+	StoreLost     bool      // its last read from the store failed
+}
+
+// FollowState is this host's part in following the store.
+type FollowState struct {
+	Follows       bool // this host reads changes from the store
+	StoreLost     bool // its last read failed
+	Disconnected  bool // neither this host nor a source of it reaches the store
+	NextCheck     time.Time
+	NextNotice    time.Time
+	NoticeDue     bool      // the state of this host as a source changed
+	NoSourceSince time.Time // since when no source has sent a notice; zero while one does
+}
+
+// TableRead reads a table of the platform's store, or its changes.
+type TableRead struct {
+	Table FollowedTableID
+	After uint64        // version after which changes are read; 0 reads the complete table
+	Wait  time.Duration // longest wait for a change
+}
+
+// TableReadStatus is the result of a read of a table of the platform's store.
+type TableReadStatus uint8
+
+// The results of a read of a table of the platform's store.
+const (
+	TableReadOK TableReadStatus = iota
+	TableReadFailed
+	TableHistoryDropped // the store no longer has the changes after the version
+)
+
+// TableReadEnded reports the end of a TableRead.
+type TableReadEnded struct {
+	Read    TableRead
+	Status  TableReadStatus
+	Version uint64 // the rows include all changes up to it
+	Rows    []TableRow
+}
+
+// TableChange gives changed rows of a followed table to the client that decodes them.
+type TableChange struct {
+	Table FollowedTableID
+	Full  bool // Rows are the complete table
+	Rows  []TableRow
+}
+
+// TableUpdate tells a peer about the sender's copy of a followed table. Without rows it only lets the peer compare.
+type TableUpdate struct {
+	Table   FollowedTableID
+	Version uint64
+	Digest  uint64
+	Full    bool // Rows are the complete table
+	Rows    []TableRow
+}
+
+// TableRequest asks a peer for the changes of a followed table after a version; 0 asks for the complete table.
+type TableRequest struct {
+	Table FollowedTableID
+	After uint64
+}
+
+// TableNotices returns the versions of this host's copies of the followed tables. A copy that may lack changes is left
+// out.
+func (w *World) TableNotices() []TableUpdate {
+	var notices []TableUpdate
+	for id := ConfigurationTable; id <= HostsTable; id++ {
+		if t := w.FollowedTables.Get(id); t != nil && t.Version > 0 && !t.Mixed {
+			notices = append(notices, TableUpdate{Table: id, Version: t.Version, Digest: t.Digest})
+		}
+	}
+	return notices
+}
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -92,6 +92,10 @@
 	Lease       Lease
 	Gossip      Gossip
 
+	FollowedTables Table[FollowedTableID, FollowedTable] // empty unless the platform pushes its tables
+	Sources        Table[HostID, Source]
+	Follow         FollowState
+
 	EarliestDeadline time.Time // no Request.Deadline is earlier; zero if no request has one
 
 	RetryBudget           float64           // of this host: retries earned less retries used; rockretry adds an allowance
--- a/core/rocktick/doc.go
+++ b/core/rocktick/doc.go
@@ -1,6 +1,7 @@
 // Package rocktick runs a tick: every system over a World in a fixed order,
 // once for each batch of events and each deadline that passes:
 //
+//	rockfollow   keeps copies of the tables of the platform's store
 //	rockconfig   accepts configuration rows
 //	rockmember   tracks hosts and backend servers; probes and gossip
 //	rockdrain    handles leaving backend servers and graceful shutdown
--- a/core/rocktick/tick.go
+++ b/core/rocktick/tick.go
@@ -8,6 +8,7 @@
 	"sassafrasrock/core/rockconfig"
 	"sassafrasrock/core/rockcrash"
 	"sassafrasrock/core/rockdrain"
+	"sassafrasrock/core/rockfollow"
 	"sassafrasrock/core/rockinvariant"
 	"sassafrasrock/core/rocklease"
 	"sassafrasrock/core/rockmember"
@@ -21,6 +22,7 @@
 
 // Systems lists every system in the order in which a tick runs them.
 var Systems = []rocktable.System{
+	rockfollow.System,
 	rockconfig.System,
 	rockmember.System,
 	rockdrain.System,
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockcontrol"
 	"sassafrasrock/io/rockengine"
@@ -55,6 +56,8 @@
 	relay           *rockrelay.Relay // nil unless engines run the full path
 	callersHandler  func(d *Daemon) http.Handler
 	tasks           []func(ctx context.Context, d *Daemon)
+	tableDecoder    TableDecoder // of the followed tables; nil unless the platform pushes them
+	tableChanges    *tableChanges
 	peer            *rockpeer.Peer
 	callersServer   *http.Server
 	operatorsServer *rockoperator.Server
@@ -90,6 +93,9 @@
 	return func(d *Daemon) { d.callersHandler = handler }
 }
 
+// WithTableDecoder sets the decoder of the followed tables.
+func WithTableDecoder(decode TableDecoder) Option { return func(d *Daemon) { d.tableDecoder = decode } }
+
 // WithTask adds a function that runs in a goroutine until the daemon stops.
 func WithTask(task func(ctx context.Context, d *Daemon)) Option {
 	return func(d *Daemon) { d.tasks = append(d.tasks, task) }
@@ -105,6 +111,12 @@
 // rockcontrol.ErrStopped.
 func (d *Daemon) Status(ctx context.Context) (*rocktable.Status, error) { return d.control.Status(ctx) }
 
+// Count increments the counter of a reason.
+func (d *Daemon) Count(code rockreason.Code) { d.metrics.Count(code) }
+
+// CountStoreCall counts a call to the platform's store by table and kind, for instance "read" or "write".
+func (d *Daemon) CountStoreCall(table, kind string) { d.metrics.CountStoreCall(table, kind) }
+
 // Post lets fill add events to the inbox of the next tick.
 func (d *Daemon) Post(fill func(in *rocktable.Inbox)) { d.control.Post(fill) }
 
@@ -130,6 +142,8 @@
 		service:  rockservice.New(),
 		metrics:  rockmetric.New(settings.Host),
 		drained:  make(chan struct{}),
+
+		tableChanges: newTableChanges(),
 	}
 	for _, option := range options {
 		option(d)
@@ -236,6 +250,9 @@
 		}
 		defer stopMetrics()
 	}
+	if d.tableDecoder != nil {
+		wg.Go(func() { d.decodeTableChanges(running) })
+	}
 	for _, task := range d.tasks {
 		wg.Go(func() { task(running, d) })
 	}
--- a/io/rockdaemon/dispatch.go
+++ b/io/rockdaemon/dispatch.go
@@ -39,6 +39,10 @@
 	for range out.ListReads {
 		go d.readHostList()
 	}
+	for _, r := range out.TableReads {
+		go d.readTable(r)
+	}
+	d.tableChanges.add(out.TableChanges)
 	for _, p := range out.Probes {
 		go d.probe(p)
 	}
--- a/io/rockmetric/prometheus.go
+++ b/io/rockmetric/prometheus.go
@@ -22,6 +22,7 @@
 	firstEvent *prometheus.HistogramVec
 	largestGap *prometheus.HistogramVec
 	answer     *prometheus.HistogramVec
+	storeCalls *prometheus.CounterVec
 }
 
 func newCollectors() *collectors {
@@ -39,8 +40,11 @@
 		answer: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sassafrasrock_answer_seconds", Help: "From the arrival of a request to the end of its answer, by route and reason; an empty reason means a whole answer.", Buckets: latencyBuckets,
 		}, []string{"route", "reason"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasrock_store_calls_total", Help: "Calls to the platform's store by table and kind (read, feed, write).",
+		}, []string{"table", "kind"}),
 	}
-	c.registry.MustRegister(c.reasons, c.firstEvent, c.largestGap, c.answer)
+	c.registry.MustRegister(c.reasons, c.firstEvent, c.largestGap, c.answer, c.storeCalls)
 	for _, code := range rockreason.Codes() {
 		c.reasons.WithLabelValues(string(code))
 	}
@@ -69,3 +73,8 @@
 func (m *Metrics) ObserveRequest(route string, reason rockreason.Code, d time.Duration) {
 	m.collectors.answer.WithLabelValues(route, string(reason)).Observe(d.Seconds())
 }
+
+// CountStoreCall counts a call to the platform's store.
+func (m *Metrics) CountStoreCall(table, kind string) {
+	m.collectors.storeCalls.WithLabelValues(table, kind).Inc()
+}
--- a/io/rockplatform/platform.go
+++ b/io/rockplatform/platform.go
@@ -46,7 +46,9 @@
 	Get func(ctx context.Context, table, key string) (Row, error)
 	// Put writes a row and returns it with its new version. With ErrConflict it returns the row
 	// that is stored instead.
-	Put       func(ctx context.Context, table, key string, req PutRequest) (Row, error)
+	Put func(ctx context.Context, table, key string, req PutRequest) (Row, error)
+	// ReadTable reads a followed table or its changes; nil unless the platform pushes them.
+	ReadTable func(ctx context.Context, r rocktable.TableRead) rocktable.TableReadEnded
 	GetObject func(ctx context.Context, name string) ([]byte, error)
 	PutObject func(ctx context.Context, name string, body []byte) error
 	// Close closes idle connections.
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -41,6 +41,10 @@
 		Work:              convertAll(p.Work, suspectWorkToProto),
 		LostLease:         p.LostLeaseVersion,
 		ReportsWork:       p.ReportsWork,
+		FollowsStore:      p.FollowsStore,
+		StoreLost:         p.StoreLost,
+		Tables:            convertAll(p.Tables, tableUpdateToProto),
+		TableRequests:     convertAll(p.TableRequests, tableRequestToProto),
 	}
 	if p.Configuration != nil {
 		m.ChangeId = p.Configuration.ChangeID
@@ -79,6 +83,10 @@
 		Work:              convertAll(m.GetWork(), suspectWorkFromProto),
 		LostLeaseVersion:  m.GetLostLease(),
 		ReportsWork:       m.GetReportsWork(),
+		FollowsStore:      m.GetFollowsStore(),
+		StoreLost:         m.GetStoreLost(),
+		Tables:            convertAll(m.GetTables(), tableUpdateFromProto),
+		TableRequests:     convertAll(m.GetTableRequests(), tableRequestFromProto),
 	}
 	if m.GetConfiguration() != nil {
 		p.Configuration = &rocktable.ConfigRow{
