Count only events with new data as progress of a stream

Cause: each event restarted the watch for stalls, also one that the caller has already, a comment, an empty line or an event without data, and each counted as a token, even as the first one. A stalled stream whose backend server sends such bytes now and then went on to its deadline. Event IDs that are not numbers always counted as new.

Change: one rule, carriesData and a new ID, decides what is progress. Events without data are forwarded; before the first event with data they are held, so that an attempt without a token does not commit this host to its answer. An ID that is not a number has to differ from the last one.

--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -196,38 +196,73 @@
 		return statusError(resp.Status)
 	}
 	lines := bufio.NewReaderSize(resp.Body, 4096)
+	var held []byte // events without data before the first one with data
 	for {
 		event, err := readEvent(lines)
+		if errors.Is(err, io.EOF) {
+			return x.finishStream(resp, held, event)
+		}
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				return x.finishStream(resp, event)
-			}
 			return err
 		}
-		watch.eventReceived()
-		if id, ok := eventID(event); ok && !isAfter(id, x.stream.lastEventID) {
+		id, hasID := eventID(event)
+		if hasID && !isAfter(id, x.stream.lastEventID) {
 			x.relay.Count(rockreason.RepeatedIndex)
 			continue
-		} else if ok {
-			x.stream.lastEventID = id
 		}
-		x.recordEvent(start)
-		x.sendHeader(resp)
-		if err := x.sink.Write(event); err != nil {
-			return errors.Join(errCallerWrite, err)
+		switch {
+		case carriesData(event):
+			watch.progressMade()
+			x.recordEvent(start)
+		case !x.stream.headerSent:
+			if held = append(held, event...); len(held) > maxEventBytes {
+				return errTooLarge
+			}
+			continue
 		}
+		if err := x.forward(resp, append(held, event...)); err != nil {
+			return err
+		}
+		held = nil
+		if hasID {
+			x.stream.lastEventID = id
+		}
+	}
+}
+
+// forward sends a part of an answer to the caller, after the headers if it is the first one.
+func (x *exchange) forward(resp *Response, p []byte) error {
+	x.sendHeader(resp)
+	if err := x.sink.Write(p); err != nil {
+		return errors.Join(errCallerWrite, err)
 	}
+	return nil
 }
 
-// finishStream handles the end of an answer; rest holds the bytes after the last complete event.
-func (x *exchange) finishStream(resp *Response, rest []byte) error {
+// finishStream handles the end of an answer. held has events that were not forwarded yet, and rest the bytes after the
+// last complete event.
+func (x *exchange) finishStream(resp *Response, held, rest []byte) error {
 	if len(rest) > 0 {
 		return errPartialEvent
 	}
+	if len(held) > 0 {
+		return x.forward(resp, held)
+	}
 	x.sendHeader(resp)
 	return nil
 }
 
+// carriesData reports whether an event brings the caller something. Comments, empty lines and empty events do not: a
+// backend server that waits for another one may send them.
+func carriesData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok && len(bytes.TrimSpace(data)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // sendHeader sends the status and headers. Only the first call has an effect, over all attempts.
 func (x *exchange) sendHeader(resp *Response) {
 	if x.stream.headerSent {
@@ -291,12 +326,15 @@
 	return "", false
 }
 
-// isAfter reports whether an event ID follows another one. IDs that are not numbers always count as following.
+// isAfter reports whether an event ID follows another one. IDs that are not numbers follow all others.
 func isAfter(id, last string) bool {
 	if last == "" {
 		return true
 	}
 	a, errA := strconv.ParseUint(id, 10, 64)
 	b, errB := strconv.ParseUint(last, 10, 64)
-	return errA != nil || errB != nil || a > b
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
 }
--- a/io/rockrelay/watch.go
+++ b/io/rockrelay/watch.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// eventReceived restarts the time that silenceLimit limits.
-func (w *stallWatch) eventReceived() {
+// progressMade restarts the time that silenceLimit limits. Only an event that brings the caller something new counts.
+func (w *stallWatch) progressMade() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.events++
