Limit the heads, events and answers that a server in trouble sends without end

Cause: heads of answers, with interim responses, had the limit of net/http, 10 MB, on hosts of 184 MB with hundreds of attempts; answers to calls may have 16 MiB and events 1 MiB each, and their sum had no limit.

Answers and large events count towards Relay.MaxHeldBytes, 64 MiB for all together; what exceeds a limit ends that attempt, counts against that backend server, and the request goes on elsewhere where it may.

--- a/io/rockengine/client.go
+++ b/io/rockengine/client.go
@@ -25,6 +25,7 @@
 	PingTimeout      time.Duration // wait for the answer to a ping; then the connection is closed and its requests fail
 	MaxLineBytes     int           // of one message in either direction
 	MaxCacheBytes    int           // of one message with the KV cache of a session
+	MaxHeadBytes     int64         // of the head of a response
 }
 
 // Option changes the limits of a client.
@@ -51,6 +52,7 @@
 		PingTimeout:      time.Second,
 		MaxLineBytes:     4 << 20,
 		MaxCacheBytes:    64 << 20,
+		MaxHeadBytes:     64 << 10,
 	}
 }
 
@@ -95,8 +97,9 @@
 			PingTimeout:      o.PingTimeout,
 			WriteByteTimeout: o.PingAfterSilence + o.PingTimeout,
 		},
-		DisableCompression: true,
-		IdleConnTimeout:    idleTimeout,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: o.MaxHeadBytes,
 	}
 }
 
--- a/io/rockplatform/client.go
+++ b/io/rockplatform/client.go
@@ -23,6 +23,7 @@
 	DialTimeout  time.Duration
 	CallTimeout  time.Duration // of one operation; an earlier deadline of its context takes precedence
 	MaxBodyBytes int           // of a response
+	MaxHeadBytes int64         // of a response, with its interim responses
 }
 
 // Option changes the limits of a client.
@@ -36,7 +37,7 @@
 
 // DefaultOptions returns the limits of a client that is created without options.
 func DefaultOptions() Options {
-	return Options{DialTimeout: time.Second, CallTimeout: 5 * time.Second, MaxBodyBytes: 64 << 20}
+	return Options{DialTimeout: time.Second, CallTimeout: 5 * time.Second, MaxBodyBytes: 64 << 20, MaxHeadBytes: 64 << 10}
 }
 
 // client implements the function fields of a Platform.
@@ -56,9 +57,10 @@
 		base:    strings.TrimSuffix(url, "/"),
 		options: o,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     30 * time.Second,
+			DialContext:            (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    8,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: o.MaxHeadBytes,
 		},
 	}
 	return &Platform{
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -1,6 +1,7 @@
 package rockrelay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,8 +11,12 @@
 	"sassafrasrock/core/rocktable"
 )
 
-// maxAnswerBytes limits the body of an answer to a call.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes limits the body of an answer to a call.
+	maxAnswerBytes = 16 << 20
+	// answerChunkBytes is the size of the parts in which an answer is read and counted towards Relay.MaxHeldBytes.
+	answerChunkBytes = 64 << 10
+)
 
 // callAnswer is the complete answer of a backend server to a call.
 type callAnswer struct {
@@ -32,7 +37,7 @@
 	e := rocktable.CallEnded{Request: x.id, Server: start.Server, Sent: true}
 	var answer callAnswer
 	if err == nil {
-		answer, err = readAnswer(resp)
+		answer, err = x.readAnswer(resp)
 	}
 	switch {
 	case errors.Is(err, ErrNotSent):
@@ -54,12 +59,43 @@
 	x.relay.Post(func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) })
 }
 
-// readAnswer reads an answer to its end, up to maxAnswerBytes.
-func readAnswer(resp *Response) (callAnswer, error) {
+// readAnswer reads an answer to its end, up to maxAnswerBytes and as long as all answers that this host holds stay within
+// Relay.MaxHeldBytes. The answer is held until the exchange ends.
+func (x *exchange) readAnswer(resp *Response) (callAnswer, error) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errTooLarge
+	x.releaseHeld() // of an earlier attempt
+	x.callAnswer = nil
+	answer := callAnswer{status: resp.Status, header: resp.Header}
+	var body bytes.Buffer
+	for {
+		if !x.hold(answerChunkBytes) {
+			return answer, errHostFull
+		}
+		_, err := io.CopyN(&body, resp.Body, answerChunkBytes)
+		switch {
+		case errors.Is(err, io.EOF):
+			answer.body = body.Bytes()
+			return answer, nil
+		case err != nil:
+			return answer, err
+		case body.Len() > maxAnswerBytes:
+			return answer, errTooLarge
+		}
+	}
+}
+
+// hold counts bytes that the exchange keeps in memory, and reports whether they fit.
+func (x *exchange) hold(n int64) bool {
+	if x.relay.heldBytes.Add(n) > x.relay.maxHeldBytes() {
+		x.relay.heldBytes.Add(-n)
+		return false
 	}
-	return callAnswer{status: resp.Status, header: resp.Header, body: body}, err
+	x.held += n
+	return true
+}
+
+// releaseHeld ends the count of the bytes that the exchange keeps in memory.
+func (x *exchange) releaseHeld() {
+	x.relay.heldBytes.Add(-x.held)
+	x.held = 0
 }
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,9 @@
 	"sassafrasrock/core/rocktable"
 )
 
+// DefaultMaxHeldBytes is a third of the memory of the smallest hosts.
+const DefaultMaxHeldBytes = 64 << 20
+
 // moveTimeout limits the order that moves a request to another path.
 const moveTimeout = 500 * time.Millisecond
 
@@ -98,7 +102,12 @@
 	Stopped        <-chan struct{} // closed after the control thread has ended
 	Log            *slog.Logger
 
+	// MaxHeldBytes limits the memory of all answers and events that are read and not yet sent; 0 means
+	// DefaultMaxHeldBytes.
+	MaxHeldBytes int64
+
 	waitReports waitReports
+	heldBytes   atomic.Int64
 
 	mu        sync.Mutex
 	exchanges map[rocktable.RequestID]*exchange
@@ -120,6 +129,7 @@
 	attempt   Attempt            // the current one
 	cancel    context.CancelFunc // of the current attempt
 
+	held       int64 // bytes of answers and events that count towards Relay.MaxHeldBytes
 	stream     stream
 	callAnswer *callAnswer // last complete answer to a call
 }
@@ -147,11 +157,19 @@
 	t.exchanges[x.id] = x
 	t.mu.Unlock()
 	defer t.removeExchange(x.id)
+	defer x.releaseHeld()
 	row := x.row()
 	t.Post(func(in *rocktable.Inbox) { in.Arrivals = append(in.Arrivals, rocktable.Arrival{Request: row}) })
 	return x.serve(ctx)
 }
 
+func (t *Relay) maxHeldBytes() int64 {
+	if t.MaxHeldBytes > 0 {
+		return t.MaxHeldBytes
+	}
+	return DefaultMaxHeldBytes
+}
+
 func (t *Relay) removeExchange(id rocktable.RequestID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -20,6 +20,9 @@
 const (
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 1 << 20
+	// uncountedEventBytes is the size up to which an event does not count towards Relay.MaxHeldBytes. Usual events have
+	// some hundred bytes.
+	uncountedEventBytes = 16 << 10
 	// reportTimeout limits the fetch of a report that names the backend server that a silent attempt is waiting for.
 	reportTimeout = 150 * time.Millisecond
 	// firstCheckDivisor sets the time of the first such fetch: the limit for the first event divided by this number,
@@ -30,6 +33,7 @@
 var (
 	errStalled      = errors.New("no event within the limit")
 	errTooLarge     = errors.New("event or answer is longer than the size limit")
+	errHostFull     = errors.New("answers and events that this host holds exceed their limit")
 	errCallerWrite  = errors.New("write of the answer to the caller failed")
 	errPartialEvent = errors.New("answer ended inside an event")
 )
@@ -70,6 +74,7 @@
 	resp, err := x.relay.Open(ctx, a)
 	if err == nil {
 		err = x.forwardEvents(start, resp, watch)
+		x.releaseHeld()
 	}
 	failedServer, stalled := watch.stop()
 	switch {
@@ -198,7 +203,7 @@
 	lines := bufio.NewReaderSize(resp.Body, 4096)
 	var held []byte // events without data before the first one with data
 	for {
-		event, err := readEvent(lines)
+		event, err := x.readEvent(lines)
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(resp, held, event)
 		}
@@ -224,6 +229,7 @@
 			return err
 		}
 		held = nil
+		x.releaseHeld()
 		if hasID {
 			x.stream.lastEventID = id
 		}
@@ -298,8 +304,9 @@
 
 // readEvent returns the next event with the empty line that ends it. At the end of the answer it
 // returns the remaining bytes and io.EOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+func (x *exchange) readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	counted := uncountedEventBytes
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
@@ -313,6 +320,12 @@
 		if len(event) > maxEventBytes {
 			return nil, errTooLarge
 		}
+		if len(event) > counted {
+			if !x.hold(answerChunkBytes) {
+				return nil, errHostFull
+			}
+			counted += answerChunkBytes
+		}
 	}
 }
 
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -22,7 +22,8 @@
 // Options holds the limits of a client.
 type Options struct {
 	DialTimeout  time.Duration
-	MaxBodyBytes int // largest body of an answer that is accepted
+	MaxBodyBytes int   // largest body of an answer that is accepted
+	MaxHeadBytes int64 // largest head of an answer that is accepted, with its interim responses
 }
 
 // Option changes Options in New.
@@ -32,7 +33,9 @@
 func WithDialTimeout(d time.Duration) Option { return func(o *Options) { o.DialTimeout = d } }
 
 // DefaultOptions returns the limits of a client for which New gets no options.
-func DefaultOptions() Options { return Options{DialTimeout: time.Second, MaxBodyBytes: 16 << 20} }
+func DefaultOptions() Options {
+	return Options{DialTimeout: time.Second, MaxBodyBytes: 16 << 20, MaxHeadBytes: 64 << 10}
+}
 
 // client implements the functions of a Client.
 type client struct {
@@ -53,8 +56,9 @@
 		Protocols:   protocols,
 		// net/http retries a request with an Idempotency-Key header when a reused connection breaks, so
 		// connections are not reused.
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: o.MaxHeadBytes,
 	}}
 	return &Client{Do: c.do, Probe: c.probe}
 }
