Check the nesting of a file before looking for its kind

Change: the look for a top-level field stands in rocksettings beside the check of the depth, which runs first.

--- a/io/rockcommand/check.go
+++ b/io/rockcommand/check.go
@@ -1,14 +1,12 @@
 package rockcommand
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"strings"
 
 	"github.com/rotisserie/eris"
-	"github.com/tailscale/hujson"
 
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockload"
@@ -105,7 +103,7 @@
 	names := make([]string, len(inv.FileKinds))
 	for i, kind := range inv.FileKinds {
 		names[i] = kind.Name
-		if name == kind.Name || (name == "" && hasField(data, kind.UniqueField)) {
+		if name == kind.Name || (name == "" && rocksettings.HasField(data, kind.UniqueField)) {
 			return kind, nil
 		}
 	}
@@ -114,13 +112,3 @@
 	}
 	return FileKind{}, exitWith(ExitUsage, "unknown kind %q%s; known: %s", name, suggestion(name, names), strings.Join(names, ", "))
 }
-
-// hasField reports whether a file has a top-level field. If the file has a syntax error, hasField
-// searches the raw text instead: the kind is then still found and the check reports the syntax error.
-func hasField(data []byte, field string) bool {
-	value, err := hujson.Parse(bytes.Clone(data))
-	if err != nil {
-		return bytes.Contains(data, []byte(`"`+field+`"`))
-	}
-	return value.Find("/"+field) != nil
-}
