Let only hosts that follow the store read the lease row

A host reads the row when it has no heartbeat of the holder for 3 s, and in a data centre of 39 hosts heartbeats are later than that. In the first 4 s after a start of all hosts the others took the followers for silent as well, since those learn of a host with their next read of the table of hosts.

Change: where the platform pushes, only followers and the holder use the row. The holder follows the store as long as it holds the lease, so that its notices reach every host of the data centre. A host that has just started counts nobody as silent and no change as missing for 4 s.

Tests: TestOnlyFollowersReadTheRow fails without the change; the two tests of candidates on such a platform make the host a follower.

--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		missing := now.Sub(t.GapSince)
-		if missing >= readAfter {
+		if missing >= readAfter && !hasJustStarted(now, w) {
 			t.ReadOnce = true
 		}
 		h := w.Hosts.Get(t.GapHost)
--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -21,8 +21,8 @@
 	// silenceLimit is the time without a notice after which a follower counts as silent. It is two notices and a
 	// margin, and short enough that a replacement learns of a departure within the seconds that it may take.
 	silenceLimit = 1750 * time.Millisecond
-	// startGrace replaces silenceLimit for a host that has just started. Its copies are new, and the followers learn of
-	// it with their next read of the table of hosts.
+	// startGrace is the time after its start in which a host misses neither notices nor changes. Its copies are new, and
+	// the followers learn of it with their next read of the table of hosts.
 	startGrace = 4 * time.Second
 )
 
@@ -46,7 +46,7 @@
 			if w.Follow.StoreLost {
 				wanted++
 			}
-		case isSilent(now, expectSource(now, w, h.ID)):
+		case isSilent(now, expectSource(now, w, h.ID)) && !hasJustStarted(now, w):
 			wanted += replacementsOfSilent
 		case w.Sources.Get(h.ID).StoreLost:
 			wanted++
@@ -57,7 +57,8 @@
 			s.ExpectedSince = time.Time{}
 		}
 	}
-	follows = follows || lacksSource(now, w)
+	// The notices of the lease's holder show all hosts of the data centre that it is alive.
+	follows = follows || w.Lease.Held || lacksSource(now, w)
 	if follows != w.Follow.Follows {
 		w.Follow.Follows, w.Follow.NoticeDue = follows, true
 		if !follows {
@@ -108,6 +109,10 @@
 	return now.Sub(since) > silenceLimit
 }
 
+func hasJustStarted(now time.Time, w *rocktable.World) bool {
+	return now.Sub(w.StartedAt) < startGrace
+}
+
 func isHeard(now time.Time, s *rocktable.Source) bool {
 	return !s.NoticeAt.IsZero() && now.Sub(s.NoticeAt) <= silenceLimit
 }
@@ -124,7 +129,7 @@
 	if st.NoSourceSince.IsZero() {
 		st.NoSourceSince = now
 	}
-	if now.Sub(w.StartedAt) < startGrace {
+	if hasJustStarted(now, w) {
 		return false
 	}
 	// isHeard allowed silenceLimit already. The rest spreads the hosts that lost the same sources.
--- a/core/rocklease/lease.go
+++ b/core/rocklease/lease.go
@@ -67,10 +67,20 @@
 	if w.Limits.PlatformPushes {
 		scheduleReadAfterHolder(now, w)
 	}
-	if w.ConfigVersion > 0 {
+	if w.ConfigVersion == 0 {
+		return
+	}
+	if mayUseRow(w) {
 		sendNextOp(now, w)
-		reconcile(now, w)
 	}
+	reconcile(now, w)
+}
+
+// mayUseRow reports whether this host reads and writes the lease row. Where the platform pushes, each call has a price,
+// and only the few hosts that follow its store do. All others would read the row whenever the holder's heartbeat is
+// late, which in a data centre of 39 hosts it often is.
+func mayUseRow(w *rocktable.World) bool {
+	return !w.Limits.PlatformPushes || w.Follow.Follows || w.Lease.Held || w.Lease.PendingOp != 0
 }
 
 // isHolderAlive reports whether the last known holder is a live peer. The row is not read then,
--- a/core/rocklease/lease_test.go
+++ b/core/rocklease/lease_test.go
@@ -41,6 +41,7 @@
 	limits := rocktable.DefaultLimits()
 	limits.PlatformPushes = true
 	w := candidate(limits)
+	w.Follow.Follows = true
 	holder := w.InternHost("entry-2")
 	holder.State, holder.Incarnation = rocktable.StateLive, 7
 	w.Lease.StoredRow, w.Lease.StoredRowSince, w.Lease.Version = rocktable.LeaseRow{Holder: holderID("entry-2", 7), TTLMs: 15000}, startTime, 3
@@ -74,6 +75,7 @@
 	}{{"not renewed", false}, {"renewed since", true}} {
 		t.Run(c.name, func(t *testing.T) {
 			w := candidate(limits)
+			w.Follow.Follows = true
 			holder := w.InternHost("entry-2")
 			holder.State, holder.Incarnation, holder.HeartbeatAt = rocktable.StateLive, 7, startTime.Add(time.Second)
 			row := rocktable.LeaseRow{Holder: holderID("entry-2", 7), Fencing: 4, TTLMs: 15000}
@@ -109,3 +111,22 @@
 		t.Errorf("lease %+v, reported %t; want it lost with version 8 and reported", w.Lease, w.Gossip.LeaseLost)
 	}
 }
+
+// Guards against reads of the lease row that grow with the hosts of a data centre: where the platform pushes, only a
+// host that follows its store may read it, also when the holder is silent.
+func TestOnlyFollowersReadTheRow(t *testing.T) {
+	limits := rocktable.DefaultLimits()
+	limits.PlatformPushes = true
+	w := candidate(limits)
+	for s := range 60 {
+		run(startTime.Add(time.Duration(s)*time.Second), w)
+	}
+	if n := len(w.Outbox.LeaseOps); n != 0 {
+		t.Errorf("%d operations of a host that does not follow the store, want 0", n)
+	}
+	w.Follow.Follows = true
+	run(startTime.Add(time.Minute), w)
+	if n := len(w.Outbox.LeaseOps); n != 1 {
+		t.Errorf("%d operations after it began to follow the store, want 1 read", n)
+	}
+}
