Bound the attempts that wait for their first token

Every request was started within 2 ms of its arrival, while the first token of an engine took 1.2 to 1.8 s (0.07 s before): engines share their time among all that they accepted. Callers leave after 2 to 2.4 s; about 1,500 left in these seconds, and the work for them was lost. Memory, the only bound, was not the limit.

Change: a window bounds the attempts of a host that wait for their first token. It shrinks when most first tokens come later than half of the target, grows with each that is in time, and ends when hardly any is late. Requests beyond it wait in the queue, where they are refused in time. Streams that have sent tokens do not wait. The delay of first tokens is known at once, not when the stream ends.

--- a/core/rockadmit/order.go
+++ b/core/rockadmit/order.go
@@ -28,6 +28,7 @@
 	FrontTried    []int             // entries of Lane.FrontQueue that were tried in this tick, by rank
 	StartedTokens float64           // of requests started in this tick
 	NoCapacity    bool              // a request of a caller's line found no path with free capacity in this tick
+	Held          bool              // a request of a caller's line waits for the window of first tokens
 }
 
 // NewScheduler returns the Scheduler of a pipeline for one tick.
@@ -113,7 +114,7 @@
 	if lane == nil {
 		return false
 	}
-	return s.FrontTried[i] < min(len(lane.FrontQueue), maxFrontTries) || !s.NoCapacity && len(lane.Callers) > 0
+	return s.FrontTried[i] < min(len(lane.FrontQueue), maxFrontTries) || !s.NoCapacity && !s.Held && len(lane.Callers) > 0
 }
 
 func (s *Scheduler) firstRequest(w *rocktable.World, rank rocktable.RankID) *rocktable.Request {
@@ -153,6 +154,16 @@
 	s.FrontTried[r.Rank]++
 }
 
+// Hold leaves a request queued because the window of first tokens is full. This is no sign of the service rate, which
+// the window changes within a second.
+func (s *Scheduler) Hold(r *rocktable.Request) {
+	if r.InFrontQueue {
+		s.Defer(r)
+		return
+	}
+	s.Held = true
+}
+
 // RemoveNotRun removes a request that never ran from its queue and returns it, or returns nil if there is none.
 func (s *Scheduler) RemoveNotRun(w *rocktable.World) *rocktable.Request {
 	for i, lane := range s.Lanes {
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -82,6 +82,7 @@
 	}
 	if a.Tokens == 0 && p.Tokens > 0 {
 		closeBreakers(w, a)
+		rockadmit.RecordFirstToken(w, a, p.FirstTokenAt.Sub(a.StartedAt))
 	}
 	recordTokens(w, a, p.Tokens, p.FirstTokenAt, p.LargestGap)
 }
@@ -130,10 +131,23 @@
 func handleStall(now time.Time, w *rocktable.World, stall rocktable.Stall) {
 	a, s := w.Attempts.Get(stall.Attempt), w.Servers.Get(stall.Server)
 	if a != nil && s != nil {
+		a.Stalled = true
+		recordPathFailure(now, w, a)
 		tripBreaker(now, w, s, a)
 	}
 }
 
+// recordPathFailure records for the pipeline of an attempt that a backend server on its path did not answer.
+func recordPathFailure(now time.Time, w *rocktable.World, a *rocktable.Attempt) {
+	r := w.Requests.Get(a.Request)
+	if r == nil {
+		return
+	}
+	if p := w.Pipelines.Get(r.Pipeline); p != nil {
+		p.PathFailedAt = now
+	}
+}
+
 func handleEnded(now time.Time, w *rocktable.World, e rocktable.AttemptEnded) {
 	a := w.Attempts.Get(e.Attempt)
 	if a == nil {
@@ -153,6 +167,9 @@
 	if e.Reason == "" {
 		handleSuccess(now, w, r, a, e)
 	}
+	if e.Crashed {
+		recordPathFailure(now, w, a)
+	}
 	if s := w.Servers.Get(e.FailedServer); s != nil && (e.Crashed || e.Reason == rockreason.StageUnreachable) {
 		tripBreaker(now, w, s, a)
 	}
@@ -173,7 +190,7 @@
 
 func handleSuccess(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.AttemptEnded) {
 	creditSuccess(w, r, a)
-	if r.Attempts == 1 && !e.FirstTokenAt.IsZero() && !e.Resumed {
+	if r.Attempts == 1 && !e.FirstTokenAt.IsZero() && !e.Resumed && w.FullPathPipeline(r) == nil {
 		updateFirstTokenDelay(w.Pipelines.Get(r.Pipeline), e.FirstTokenAt.Sub(a.StartedAt))
 	}
 	// The largest gap of a stream that was replayed or resumed may be due to the failure of its
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -94,6 +94,10 @@
 	scheduler := rockadmit.NewScheduler(now, w, p)
 	checked := false
 	for r := scheduler.Next(now, w); r != nil; r = scheduler.Next(now, w) {
+		if rockadmit.IsFirstTokenWindowFull(now, w, p, r) {
+			scheduler.Hold(r)
+			continue
+		}
 		path := findPath(now, w, g, p, r, choose)
 		if path != nil {
 			p.NoPathSince = time.Time{}
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -80,6 +80,8 @@
 	Alone      bool    // its backend servers have no other work of this host
 	Repaths    int     // moves to another path
 	Memory     float64 // reserved for each layer of its path, in tokens
+	Stalled    bool    // a backend server on its path did not answer
+	Late       bool    // its wait for the first token lowered Pipeline.FirstTokenWindow
 }
 
 // Suspect is a request content that was in flight when a backend server crashed.
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -121,6 +121,13 @@
 	BacklogSeconds   float64       // time with a backlog, decaying
 	BacklogTokens    float64       // tokens started during BacklogSeconds, decaying
 	FirstTokenDelay  time.Duration // from the start of an attempt to its first token, smoothed
+
+	// FirstTokenWindow is the number of attempts of this host that may wait for their first token at the same time. It is
+	// 0 until one waited for too long.
+	FirstTokenWindow     float64
+	FirstTokenWindowedAt time.Time // last decrease
+	LateShare            float64   // share of the recent first tokens that came late or did not come yet, smoothed
+	PathFailedAt         time.Time // last attempt of this host that met a backend server that did not answer
 }
 
 // PrefixHint lists the backend servers that recently ran a prompt prefix. An engine may have evicted the prefix since.
