Keep a panic of one request from ending the process

Cause: a panic in a goroutine of traffic ended the process with all its requests, unless net/http happened to recover it; then the request and its attempt stayed in the control state. A panic of the control thread ended the process without a stop in order.

Change: io/rockguard logs the stack with the request's id, counts internalError and goes on. A request whose goroutine panics ends with 500, or an incomplete answer if a part was sent, and its attempt or call is reported as ended. Operations of the daemon (reads of tables, orders, probes) report a failure instead of nothing. After a panic of a tick the control thread publishes that the host is not ready, and the daemon stops in order with an error.

--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -52,6 +52,7 @@
 	FrameVersion      Code = "frameVersion"
 	FrameBroken       Code = "frameBroken"
 	RowBroken         Code = "rowBroken"
+	InternalError     Code = "internalError"
 	ConfigConflict    Code = "configConflict"
 	ConfigInvalid     Code = "configInvalid"
 	ConfigUnsettled   Code = "configUnsettled"
@@ -362,6 +363,12 @@
 		Text:           "A row of the platform's store does not decode; the log line has its table, key and version.",
 		OperatorAction: "Find out who wrote the row. The last good configuration or host stays in force; a broken entry names no backend server.",
 	},
+	{
+		Code: InternalError, Kind: Failure, Status: 500, Ran: MayHaveRun, Retryable: true,
+		Title:          "Internal error",
+		Text:           "The host met a programming error while it handled the request; only this request ended.",
+		OperatorAction: "Report it with the stack of the log line.",
+	},
 	{
 		Code: ConfigConflict, Kind: Refusal, Status: 409, Ran: NotRun, Retryable: true,
 		Title:          "Configuration changed meanwhile",
--- a/io/rockcontrol/control.go
+++ b/io/rockcontrol/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,9 @@
 // ErrStopped is returned for a request to a control thread that has ended.
 var ErrStopped = eris.New("the control thread has stopped")
 
+// ErrPanicked is returned by Run after a tick panicked.
+var ErrPanicked = eris.New("the control thread panicked")
+
 // Control runs ticks over a World for the events that other goroutines post.
 type Control struct {
 	w                *rocktable.World
@@ -150,15 +154,25 @@
 	}
 }
 
-// Run runs ticks until the context is cancelled.
-func (c *Control) Run(ctx context.Context) {
+// Run runs ticks until the context is cancelled. If a tick panics, the state may be inconsistent: Run then logs the stack,
+// publishes a snapshot that is not ready, and returns ErrPanicked.
+func (c *Control) Run(ctx context.Context) (err error) {
 	defer close(c.done)
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.log.Error("the control thread panicked", "panic", cause, "stack", string(debug.Stack()))
+			stopped := *c.Snapshot()
+			stopped.Ready, stopped.Stopping = false, true
+			c.snapshot.Store(&stopped)
+			err = ErrPanicked
+		}
+	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-c.wake:
 		case <-timer.C:
 		}
--- a/io/rockcontrol/control_test.go
+++ b/io/rockcontrol/control_test.go
@@ -1,7 +1,11 @@
 package rockcontrol
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -123,3 +127,26 @@
 		}
 	})
 }
+
+// Guards against a host that goes on half alive after its control thread panicked: it must say that it is not ready, end
+// and log why.
+func TestPanicOfATickEndsTheThread(t *testing.T) {
+	var log bytes.Buffer
+	c := newControl(func(time.Time, rocktable.Outbox) { panic("unexpected state") })
+	c.log = slog.New(slog.NewJSONHandler(&log, nil))
+	c.w.Ready = true
+	if err := c.Run(t.Context()); !errors.Is(err, ErrPanicked) {
+		t.Errorf("got error %v, want %v", err, ErrPanicked)
+	}
+	select {
+	case <-c.Done():
+	default:
+		t.Error("Done is open after the panic")
+	}
+	if s := c.Snapshot(); s.Ready || !s.Stopping {
+		t.Errorf("got ready %t, stopping %t after the panic; want a host that is not ready and stops", s.Ready, s.Stopping)
+	}
+	if !strings.Contains(log.String(), "unexpected state") || !strings.Contains(log.String(), "control_test.go") {
+		t.Errorf("the log has no stack: %s", log.String())
+	}
+}
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -236,9 +236,13 @@
 
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var wg sync.WaitGroup
-	wg.Go(func() { d.control.Run(running) })
+	wg.Go(func() {
+		if err := d.control.Run(running); err != nil {
+			failed <- err
+		}
+	})
 	wg.Go(func() { failed <- d.peer.Run(running) })
 	wg.Go(func() { failed <- d.operatorsServer.Serve(running, d.operatorsListener) })
 	if d.settings.MetricsAddress != "" {
@@ -294,6 +298,8 @@
 	d.control.Post(func(in *rocktable.Inbox) { in.Shutdowns = append(in.Shutdowns, rocktable.Shutdown{}) })
 	select {
 	case <-d.drained:
+	case <-d.control.Done(): // it panicked
+		return
 	case <-stopNow:
 		return
 	}
--- a/io/rockdaemon/dispatch.go
+++ b/io/rockdaemon/dispatch.go
@@ -9,6 +9,7 @@
 
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockguard"
 	"sassafrasrock/io/rockplatform"
 )
 
@@ -25,6 +26,9 @@
 	claimTable  = "claims"
 )
 
+// errPanicked is the error of an operation that ended by a panic.
+var errPanicked = eris.New("operation panicked")
+
 func newID() string { return rand.Text() }
 
 // dispatch starts the actions of a tick in goroutines. It runs on the control thread and does not
@@ -47,7 +51,7 @@
 		go d.probe(p)
 	}
 	for _, s := range out.PeerSends {
-		go d.sendToPeer(s)
+		go d.guard().Do(func() { d.sendToPeer(s) })
 	}
 	for _, o := range out.Orders {
 		go d.runOrder(o)
@@ -70,17 +74,22 @@
 func runTableOp[T any](d *Daemon, table string, op rocktable.TableOp[T], results func(in *rocktable.Inbox) *[]rocktable.TableResult[T]) {
 	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
-	result := rockplatform.Do(ctx, d.platform, table, op)
+	result := rocktable.TableResult[T]{Op: op.Op, Key: op.Key, Write: op.Write, Status: rocktable.TableOutcomeUnknown}
+	d.guard().Do(func() { result = rockplatform.Do(ctx, d.platform, table, op) }, "table", table)
 	d.control.Post(func(in *rocktable.Inbox) {
 		list := results(in)
 		*list = append(*list, result)
 	})
 }
 
+func (d *Daemon) guard() rockguard.Guard { return rockguard.Guard{Log: d.log, Count: d.metrics.Count} }
+
 func (d *Daemon) readHostList() {
 	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
 	defer cancel()
-	entries, err := d.platform.Hosts(ctx)
+	var entries []rocktable.ListedHost
+	err := errPanicked
+	d.guard().Do(func() { entries, err = d.platform.Hosts(ctx) })
 	d.control.Post(func(in *rocktable.Inbox) {
 		in.HostLists = append(in.HostLists, rocktable.HostList{OK: err == nil, Entries: entries})
 	})
@@ -90,12 +99,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	result := rocktable.ProbeResult{Server: p.Server}
-	var err error
-	if p.Role == rocktable.RoleModel {
-		result.Status, result.RoundTrip, err = d.engine.Status(ctx, p.Address)
-	} else {
+	err := errPanicked
+	d.guard().Do(func() {
+		if p.Role == rocktable.RoleModel {
+			result.Status, result.RoundTrip, err = d.engine.Status(ctx, p.Address)
+			return
+		}
 		result.Status, result.RoundTrip, err = d.probeService(ctx, p.Address)
-	}
+	})
 	result.OK = err == nil
 	d.control.Post(func(in *rocktable.Inbox) { in.Probes = append(in.Probes, result) })
 }
@@ -122,7 +133,7 @@
 func (d *Daemon) runOrder(o rocktable.OrderSend) {
 	end := rocktable.OrderEnded{Server: o.Server, Fencing: o.Fencing}
 	if time.Now().Before(o.Until) {
-		end.OK, end.Refused = d.sendOrder(o)
+		d.guard().Do(func() { end.OK, end.Refused = d.sendOrder(o) }, "backendServer", o.Name)
 	}
 	d.control.Post(func(in *rocktable.Inbox) { in.OrdersEnded = append(in.OrdersEnded, end) })
 }
--- a/io/rockdaemon/tables.go
+++ b/io/rockdaemon/tables.go
@@ -50,9 +50,11 @@
 		case <-d.tableChanges.added:
 		}
 		for _, c := range d.tableChanges.take() {
-			if event := d.tableDecoder(c); event != nil {
-				d.control.Post(event)
-			}
+			d.guard().Do(func() {
+				if event := d.tableDecoder(c); event != nil {
+					d.control.Post(event)
+				}
+			}, "table", c.Table.String())
 		}
 	}
 }
@@ -61,6 +63,7 @@
 func (d *Daemon) readTable(r rocktable.TableRead) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Wait+platformTimeout)
 	defer cancel()
-	end := d.platform.ReadTable(ctx, r)
+	end := rocktable.TableReadEnded{Read: r, Status: rocktable.TableReadFailed}
+	d.guard().Do(func() { end = d.platform.ReadTable(ctx, r) }, "table", r.Table.String())
 	d.control.Post(func(in *rocktable.Inbox) { in.TableReads = append(in.TableReads, end) })
 }
--- a/io/rockpeer/peer.go
+++ b/io/rockpeer/peer.go
@@ -205,6 +205,12 @@
 }
 
 func (p *Peer) readMessage(stream *quic.ReceiveStream) {
+	defer func() {
+		if recover() != nil { // a frame that the decoder did not expect must not end the process
+			stream.CancelRead(codeRejected)
+			p.CountRejected(rockreason.FrameBroken)
+		}
+	}()
 	_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
 	m, err := ReadFrame(stream)
 	if err != nil {
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -31,6 +31,7 @@
 		Request: x.req, ServerName: start.Name, Address: start.Address, CallerName: x.dest.CallerName,
 		Priority: x.dest.Route.Priority, Deadline: x.relay.Now().Add(start.Timeout),
 	}
+	x.calledServer = start.Server
 	ctx, cancel := x.beginAttempt(ctx, 0, a)
 	defer cancel()
 	resp, err := x.relay.Open(ctx, a)
@@ -56,6 +57,7 @@
 	if e.Reason != "" {
 		x.log("call failed", "reason", e.Reason, "server", a.ServerName, "sent", e.Sent, "status", answer.status, "error", err)
 	}
+	x.calledServer = 0
 	x.relay.Post(func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) })
 }
 
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -16,6 +16,7 @@
 	"sassafrasrock/core/rocklookup"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockguard"
 )
 
 // DefaultMaxHeldBytes is a third of the memory of the smallest hosts.
@@ -129,6 +130,8 @@
 	attempt   Attempt            // the current one
 	cancel    context.CancelFunc // of the current attempt
 
+	calledServer rocktable.BackendServerID // of the call that is running, or 0
+
 	held       int64 // bytes of answers and events that count towards Relay.MaxHeldBytes
 	stream     stream
 	callAnswer *callAnswer // last complete answer to a call
@@ -136,7 +139,7 @@
 
 // Serve answers a request and returns when the answer has ended. The error is ErrIncomplete, the
 // error of a write to the caller, or that of the context if the caller left.
-func (t *Relay) Serve(ctx context.Context, req *Request, sink Sink) error {
+func (t *Relay) Serve(ctx context.Context, req *Request, sink Sink) (err error) {
 	snapshot := t.Snapshot()
 	dest, code := rocklookup.Route(snapshot, req.Host, req.Path, req.TokenSHA256, rand.Float64())
 	if code != "" {
@@ -158,11 +161,40 @@
 	t.mu.Unlock()
 	defer t.removeExchange(x.id)
 	defer x.releaseHeld()
+	defer t.guard().Recover(func() { err = x.endAfterPanic() }, "request", req.ID)
 	row := x.row()
 	t.Post(func(in *rocktable.Inbox) { in.Arrivals = append(in.Arrivals, rocktable.Arrival{Request: row}) })
 	return x.serve(ctx)
 }
 
+func (t *Relay) guard() rockguard.Guard { return rockguard.Guard{Log: t.Log, Count: t.Count} }
+
+// endAfterPanic ends the answer and releases what the control thread holds for the request.
+func (x *exchange) endAfterPanic() error {
+	x.cancelAttempt(0)
+	attempt := x.currentAttempt()
+	x.relay.Post(func(in *rocktable.Inbox) {
+		in.CallerDisconnects = append(in.CallerDisconnects, rocktable.CallerDisconnect{Request: x.id})
+		if attempt != 0 {
+			in.AttemptsEnded = append(in.AttemptsEnded, rocktable.AttemptEnded{Attempt: attempt, Reason: rockreason.CallerLeft})
+		}
+		if x.calledServer != 0 {
+			in.CallsEnded = append(in.CallsEnded, rocktable.CallEnded{Request: x.id, Server: x.calledServer, Reason: rockreason.OutcomeUnknown, Sent: true})
+		}
+	})
+	if x.stream.headerSent {
+		return ErrIncomplete
+	}
+	x.sink.Refuse(rockreason.InternalError, 0)
+	return nil
+}
+
+func (x *exchange) currentAttempt() rocktable.AttemptID {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.attemptID
+}
+
 func (t *Relay) maxHeldBytes() int64 {
 	if t.MaxHeldBytes > 0 {
 		return t.MaxHeldBytes
@@ -197,7 +229,7 @@
 	}
 	for _, repath := range out.Repaths {
 		if x := t.exchanges[repath.Request]; x != nil {
-			go x.move(repath)
+			go t.guard().Do(func() { x.move(repath) }, "request", x.req.ID)
 		}
 	}
 	for _, answer := range out.Answers {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -68,7 +68,7 @@
 	x.log("attempt started", "attempt", start.Attempt, "path", formatPath(start.Path), "after", a.LastEventID)
 	before := x.stream.events
 	watch := &stallWatch{
-		findCause: x.silenceCheck(ctx, a), reportStall: x.stallReporter(start), cancel: cancel, silenceLimit: start.SilenceLimit, moveLimit: start.StepLimit,
+		guard: x.relay.guard(), findCause: x.silenceCheck(ctx, a), reportStall: x.stallReporter(start), cancel: cancel, silenceLimit: start.SilenceLimit, moveLimit: start.StepLimit,
 	}
 	watch.start(max(start.SilenceLimit, start.FirstTokenLimit/firstCheckDivisor))
 	resp, err := x.relay.Open(ctx, a)
--- a/io/rockrelay/watch.go
+++ b/io/rockrelay/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockguard"
 )
 
 // silenceCause is the reason why an attempt sends no events.
@@ -19,6 +20,7 @@
 // if no event follows within moveLimit. If no backend server failed, the path is only slow and the
 // attempt continues: a new attempt would lose the work done so far.
 type stallWatch struct {
+	guard        rockguard.Guard
 	findCause    func() silenceCause // nil if the attempt cannot be resumed on another path; then nothing is watched
 	reportStall  func(failedServer rocktable.BackendServerID)
 	cancel       context.CancelFunc
@@ -40,7 +42,7 @@
 	if w.findCause != nil {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.timer = time.AfterFunc(firstCheck, w.check)
+		w.timer = time.AfterFunc(firstCheck, func() { w.guard.Do(w.check) })
 	}
 }
 
