--- a/core/rockmember/fleet_test.go
+++ b/core/rockmember/fleet_test.go
@@ -58,7 +58,6 @@
 	w        *rocktable.World
 	name     string
 	dc       string
-	nextWake time.Time
 	paused   bool
 	stopped  bool
 	inbox    rocktable.Inbox // events for the next step
@@ -134,7 +133,7 @@
 	seed := incarnation*1000 + uint64(len(f.hosts))
 	h.w = rocktable.NewWorld(f.now, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: dc, Region: "r"},
 		incarnation, rocktable.WithSeed(seed))
-	h.inbox, h.nextWake, h.stopped = rocktable.Inbox{}, f.now, false
+	h.inbox, h.stopped = rocktable.Inbox{}, false
 	h.answers = make(map[rocktable.RequestID]rocktable.Answer)
 	return h
 }
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -59,7 +59,6 @@
 	dataCentres        *rocktable.Table[rocktable.DataCentreID, rocktable.DataCentre]
 
 	pipeline       *rocktable.Pipeline // of the request if its engines run a full path, otherwise nil
-	memoryPerLayer float64             // in tokens, reserved by the request; 0 if pipeline is nil
 }
 
 func newCostModel(now time.Time, w *rocktable.World, r *rocktable.Request) costModel {
@@ -70,7 +69,7 @@
 	}
 	m.cachedOn, m.cachedFraction = cachedPrefixServers(w, r)
 	if p := w.FullPathPipeline(r); p != nil {
-		m.pipeline, m.memoryPerLayer = p, memoryPerLayer(p, r)
+		m.pipeline = p
 	}
 	return m
 }
--- a/core/rocktable/calls.go
+++ b/core/rocktable/calls.go
@@ -17,7 +17,6 @@
 	Claim          ClaimState
 	ClaimVersion   uint64
 	Deadline       time.Time
-	NextClaimRead  time.Time
 	Outcome        ClaimRow // to be recorded in the claim row
 }
 
--- a/io/rockfleet/fleet.go
+++ b/io/rockfleet/fleet.go
@@ -127,7 +127,6 @@
 type Stream struct {
 	RequestIndex   int // position in Options.Requests
 	Tokens         int // tokens delivered to the caller
-	RepeatedTokens int // tokens that a restart repeats before the caller sees new ones
 	FirstTokenAt   time.Time
 	LastTokenAt    time.Time
 	LargestGap     time.Duration
--- a/io/rockstandin/cache.go
+++ b/io/rockstandin/cache.go
@@ -30,7 +30,7 @@
 	}
 	pending.KV.Digest = initialDigest(session.KV)
 	digest := pending.KV.Digest
-	// The last position is always computed, because its activation is not shared between requests.
+	// The last position is always computed, as engines do: its result is the next token.
 	for i := 0; i < len(pending.Inputs)-1; i++ {
 		digest = mix(digest ^ pending.Inputs[i])
 		if (i+1)%rockengine.PrefixBlock != 0 {
