--- a/core/rockmember/fleet_test.go
+++ b/core/rockmember/fleet_test.go
@@ -55,17 +55,17 @@
 
 // host is one World of a fleet.
 type host struct {
-	w        *rocktable.World
-	name     string
-	dc       string
-	paused   bool
-	stopped  bool
-	inbox    rocktable.Inbox // events for the next step
-	answers  map[rocktable.RequestID]rocktable.Answer
-	ends     []rocktable.ConfigEnd
-	orders   []rocktable.OrderSend
-	calls    []rocktable.CallStart
-	done     bool
+	w       *rocktable.World
+	name    string
+	dc      string
+	paused  bool
+	stopped bool
+	inbox   rocktable.Inbox // events for the next step
+	answers map[rocktable.RequestID]rocktable.Answer
+	ends    []rocktable.ConfigEnd
+	orders  []rocktable.OrderSend
+	calls   []rocktable.CallStart
+	done    bool
 }
 
 // fleet connects several Worlds in memory.
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -58,7 +58,7 @@
 	region             string                      // of this host
 	dataCentres        *rocktable.Table[rocktable.DataCentreID, rocktable.DataCentre]
 
-	pipeline       *rocktable.Pipeline // of the request if its engines run a full path, otherwise nil
+	pipeline *rocktable.Pipeline // of the request if its engines run a full path, otherwise nil
 }
 
 func newCostModel(now time.Time, w *rocktable.World, r *rocktable.Request) costModel {
--- a/io/rockfleet/fleet.go
+++ b/io/rockfleet/fleet.go
@@ -125,11 +125,11 @@
 
 // Stream is the state of a request whose answer has not ended.
 type Stream struct {
-	RequestIndex   int // position in Options.Requests
-	Tokens         int // tokens delivered to the caller
-	FirstTokenAt   time.Time
-	LastTokenAt    time.Time
-	LargestGap     time.Duration
+	RequestIndex int // position in Options.Requests
+	Tokens       int // tokens delivered to the caller
+	FirstTokenAt time.Time
+	LastTokenAt  time.Time
+	LargestGap   time.Duration
 }
 
 // StreamKey identifies a request within the fleet.
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -198,7 +198,7 @@
 func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
 	defer resp.Body.Close()
 	if resp.Status < 200 || resp.Status > 299 {
-		return statusError(resp.Status)
+		return StatusError(resp.Status)
 	}
 	lines := bufio.NewReaderSize(resp.Body, 4096)
 	var held []byte // events without data before the first one with data
@@ -298,9 +298,10 @@
 	})
 }
 
-type statusError int
+// StatusError is an answer of a backend server with another HTTP status than expected.
+type StatusError int
 
-func (e statusError) Error() string { return "status " + http.StatusText(int(e)) }
+func (e StatusError) Error() string { return fmt.Sprintf("status %d %s", int(e), http.StatusText(int(e))) }
 
 // readEvent returns the next event with the empty line that ends it. At the end of the answer it
 // returns the remaining bytes and io.EOF.
