--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -301,7 +301,9 @@
 // StatusError is an answer of a backend server with another HTTP status than expected.
 type StatusError int
 
-func (e StatusError) Error() string { return fmt.Sprintf("status %d %s", int(e), http.StatusText(int(e))) }
+func (e StatusError) Error() string {
+	return fmt.Sprintf("status %d %s", int(e), http.StatusText(int(e)))
+}
 
 // readEvent returns the next event with the empty line that ends it. At the end of the answer it
 // returns the remaining bytes and io.EOF.
