--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -332,11 +332,12 @@
 	}
 }
 
-// eventID returns the ID of an event and whether it has one.
+// eventID returns the ID of an event and whether it has one. An empty ID is none.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
 		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest)), true
+			id := string(bytes.TrimSpace(rest))
+			return id, id != ""
 		}
 	}
 	return "", false
