--- a/core/rockfollow/copy.go
+++ b/core/rockfollow/copy.go
@@ -43,7 +43,7 @@
 // mergeRows applies changed rows that are newer than those of a copy. The caller advances its version if no change is
 // missing.
 func mergeRows(w *rocktable.World, t *rocktable.FollowedTable, rows []rocktable.TableRow) {
-	newer := make(map[string]rocktable.TableRow)
+	newer := make(map[string]rocktable.TableRow) // by key, because the history has all changes of a row
 	for _, r := range rows {
 		// The copy has all changes up to its version. An older row that it lacks was removed.
 		if r.Version <= t.Version || r.Version <= t.Rows[r.Key].Version {
@@ -54,7 +54,7 @@
 		}
 		t.Digest ^= digestOf(t.Rows[r.Key]) ^ digestOf(r)
 		t.Rows[r.Key] = r
-		newer[r.Key] = r // the history has all changes of a row
+		newer[r.Key] = r
 	}
 	if len(newer) == 0 {
 		return
--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -19,7 +19,7 @@
 	readAfter = 2 * time.Second
 )
 
-// applyMessage applies what a peer says about the followed tables. Only hosts that the table of hosts lists are heard.
+// applyMessage applies what a peer says about the followed tables. A host that this one does not know yet is not heard.
 func applyMessage(now time.Time, w *rocktable.World, m rocktable.PeerMessage) {
 	sender := w.HostNamed(m.Sender)
 	if sender == nil || sender.Self || m.Incarnation < sender.Incarnation {
--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -109,10 +109,12 @@
 	return now.Sub(since) > silenceLimit
 }
 
+// hasJustStarted reports whether this host is within startGrace.
 func hasJustStarted(now time.Time, w *rocktable.World) bool {
 	return now.Sub(w.StartedAt) < startGrace
 }
 
+// isHeard reports whether a source sent a notice within silenceLimit.
 func isHeard(now time.Time, s *rocktable.Source) bool {
 	return !s.NoticeAt.IsZero() && now.Sub(s.NoticeAt) <= silenceLimit
 }
