Know a store as reached only after a read of it has succeeded

At 22.37 s the followers' reads failed and all hosts knew that it was out; at 22.39 s their replacements, which had not read yet and so had not failed, counted as reaching it, and all 64 hosts took it for back.

Change: a host that begins to follow the store says that it reaches it only after a read has succeeded; that read does not wait for a change. Before, it says neither that it reaches the store nor that it lost it.

Test: TestOutageHasOneEnd, an outage in which reads hang for a while before they fail; it fails without the change ("takes the store for back during the outage").

--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	step         = 100 * time.Millisecond
-	readLatency  = 200 * time.Millisecond // of the store
-	settlingTime = 10 * time.Second       // from the start of all hosts until only the followers read the store
+	step          = 100 * time.Millisecond
+	readLatency   = 200 * time.Millisecond // of the store
+	silentTimeout = time.Second            // of a read that is not answered, beyond its wait
+	settlingTime  = 10 * time.Second       // from the start of all hosts until only the followers read the store
 )
 
 var startTime = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
@@ -28,6 +29,7 @@
 	droppedTo uint64
 	calls     int
 	refuses   func(h *host) bool
+	silent    bool // answers no read; each fails after a while
 }
 
 func (s *store) write(table rocktable.FollowedTableID, key string, removed bool) uint64 {
@@ -148,7 +150,7 @@
 // answerReads answers the reads of a host whose changes are there, whose wait is over or that the store refuses.
 func (f *fleet) answerReads(h *host) {
 	h.reads = slices.DeleteFunc(h.reads, func(p pendingRead) bool {
-		if f.now.Sub(p.sentAt) < readLatency {
+		if f.now.Sub(p.sentAt) < readLatency || f.store.silent && f.now.Sub(p.end) < silentTimeout {
 			return false
 		}
 		end := f.result(h, p)
@@ -163,7 +165,7 @@
 func (f *fleet) result(h *host, p pendingRead) rocktable.TableReadEnded {
 	end := rocktable.TableReadEnded{Read: p.read, Version: f.store.version}
 	switch {
-	case f.store.refuses(h):
+	case f.store.refuses(h) || f.store.silent:
 		end.Status = rocktable.TableReadFailed
 	case p.read.After == 0:
 		end.Rows = slices.Collect(maps.Values(f.store.rows[p.read.Table]))
--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -83,6 +83,9 @@
 		if t.ReadAll {
 			read.After = 0
 		}
+		if w.Follow.Follows && !w.Follow.StoreReached {
+			read.Wait = 0 // the answer shows at once whether this host reaches the store
+		}
 		t.Reading, t.ReadOnce = true, false
 		w.Outbox.TableReads = append(w.Outbox.TableReads, read)
 	}
@@ -115,7 +118,7 @@
 		t.NextRead = now.Add(retryDelay(w, t))
 	}
 	if t.ID == rocktable.BackendServersTable {
-		setStoreLost(w, r.Status == rocktable.TableReadFailed)
+		setStoreState(w, r.Status == rocktable.TableReadFailed)
 	}
 }
 
@@ -137,12 +140,17 @@
 	return delay/2 + time.Duration(w.Rand.Int64N(int64(delay)))
 }
 
-func setStoreLost(w *rocktable.World, lost bool) {
-	if w.Follow.StoreLost == lost {
+// setStoreState records whether a read from the store failed.
+func setStoreState(w *rocktable.World, lost bool) {
+	st := &w.Follow
+	reached := st.Follows && !lost
+	if st.StoreLost == lost && st.StoreReached == reached {
 		return
 	}
-	w.Follow.StoreLost, w.Follow.NoticeDue = lost, true
-	logConnection(w, "store", lost)
+	if st.StoreLost != lost {
+		logConnection(w, "store", lost)
+	}
+	st.StoreLost, st.StoreReached, st.NoticeDue = lost, reached, true
 }
 
 func logConnection(w *rocktable.World, what string, lost bool) {
@@ -158,14 +166,14 @@
 // and when one does again. Entries of backend servers also lapse while the store is out.
 func recordConnection(now time.Time, w *rocktable.World) {
 	st := &w.Follow
-	connected, told := sourcesReachStore(now, w)
+	reached, lost := sourceStates(now, w)
 	switch {
-	case connected || st.Follows && !st.StoreLost:
+	case reached || st.StoreReached:
 		if st.Disconnected {
 			st.Disconnected = false
 			w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: rocktable.BackendServersTable})
 		}
-	case st.StoreLost || told:
+	case lost || st.StoreLost:
 		if !st.Disconnected {
 			st.Disconnected = true
 			w.Inbox.HostLists = append(w.Inbox.HostLists, rocktable.HostList{Pushed: true})
--- a/core/rockfollow/follow_test.go
+++ b/core/rockfollow/follow_test.go
@@ -151,6 +151,30 @@
 	}
 }
 
+// Guards against hosts that take the store for back during an outage, because a host that has only begun to follow it has
+// not failed yet. They would take the entries that lapsed meanwhile for departures when the store is back.
+func TestOutageHasOneEnd(t *testing.T) {
+	f := newFleet(t, 3, 30)
+	f.run(settlingTime)
+	f.store.silent = true
+	f.run(6 * time.Second)
+	for range 100 {
+		f.run(step)
+		for _, h := range f.hosts {
+			if h.w.ListState.PushesLostSince.IsZero() {
+				t.Fatalf("%s takes the store for back during the outage", h.w.SelfHost().Name)
+			}
+		}
+	}
+	f.store.silent = false
+	f.run(8 * time.Second)
+	for _, h := range f.hosts {
+		if !h.w.ListState.PushesLostSince.IsZero() {
+			t.Errorf("%s does not know that the store is back", h.w.SelfHost().Name)
+		}
+	}
+}
+
 // Guards against messages with rows of an unknown table, older rows or rows of an unlisted host that change a copy.
 func TestUselessUpdatesChangeNothing(t *testing.T) {
 	f := newFleet(t, 1, 4)
--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -44,7 +44,7 @@
 		return
 	}
 	s := w.Sources.GetOrPut(id)
-	s.NoticeAt, s.StoreLost = now, m.StoreLost
+	s.NoticeAt, s.StoreLost, s.StoreReached = now, m.StoreLost, m.StoreReached
 }
 
 // answerRequests sends the changes that a peer asks for. A copy that may lack changes is not sent.
--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -61,9 +61,7 @@
 	follows = follows || w.Lease.Held || lacksSource(now, w)
 	if follows != w.Follow.Follows {
 		w.Follow.Follows, w.Follow.NoticeDue = follows, true
-		if !follows {
-			w.Follow.StoreLost = false
-		}
+		w.Follow.StoreLost, w.Follow.StoreReached = false, false // not known before the first read
 		w.LogChange("follower", w.SelfHost().Name, onOff(!follows), onOff(follows))
 	}
 }
@@ -138,14 +136,14 @@
 	return now.Sub(st.NoSourceSince) >= time.Duration(rockmember.RendezvousHash(w.SelfHost().Name, "source")%uint64(checkEvery))
 }
 
-// sourcesReachStore reports whether a source of this host reaches the store, and whether any source told whether it
-// does.
-func sourcesReachStore(now time.Time, w *rocktable.World) (reach, told bool) {
+// sourceStates reports whether a source of this host reaches the store, and whether one has lost it. A source that has
+// only begun to follow the store knows neither.
+func sourceStates(now time.Time, w *rocktable.World) (reached, lost bool) {
 	for _, s := range w.Sources.All() {
 		if isHeard(now, s) {
-			told = true
-			reach = reach || !s.StoreLost
+			reached = reached || s.StoreReached
+			lost = lost || s.StoreLost
 		}
 	}
-	return reach, told
+	return reached, lost
 }
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -133,6 +133,7 @@
 	Work              []SuspectWork
 	FollowsStore      bool // the sender reads changes of the followed tables from the platform's store
 	StoreLost         bool // its last read failed
+	StoreReached      bool // its last read succeeded; neither is set before its first read has ended
 	Tables            []TableUpdate
 	TableRequests     []TableRequest
 }
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -68,12 +68,14 @@
 	NoticeAt      time.Time // last message in which it said that it follows the store; zero if it does not
 	ExpectedSince time.Time // since when this host expects it to follow the store; zero if it does not
 	StoreLost     bool      // its last read from the store failed
+	StoreReached  bool      // its last read from the store succeeded
 }
 
 // FollowState is this host's part in following the store.
 type FollowState struct {
 	Follows       bool // this host reads changes from the store
 	StoreLost     bool // its last read failed
+	StoreReached  bool // its last read since it follows the store succeeded
 	Disconnected  bool // neither this host nor a source of it reaches the store
 	NextCheck     time.Time
 	NextNotice    time.Time
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -43,6 +43,7 @@
 		ReportsWork:       p.ReportsWork,
 		FollowsStore:      p.FollowsStore,
 		StoreLost:         p.StoreLost,
+		StoreReached:      p.StoreReached,
 		Tables:            convertAll(p.Tables, tableUpdateToProto),
 		TableRequests:     convertAll(p.TableRequests, tableRequestToProto),
 	}
@@ -85,6 +86,7 @@
 		ReportsWork:       m.GetReportsWork(),
 		FollowsStore:      m.GetFollowsStore(),
 		StoreLost:         m.GetStoreLost(),
+		StoreReached:      m.GetStoreReached(),
 		Tables:            convertAll(m.GetTables(), tableUpdateFromProto),
 		TableRequests:     convertAll(m.GetTableRequests(), tableRequestFromProto),
 	}
