--- a/core/rockadmit/window.go
+++ b/core/rockadmit/window.go
@@ -36,7 +36,7 @@
 )
 
 // IsFirstTokenWindowFull reports whether a request of a pipeline has to wait until an earlier one has its first token,
-// and lowers the window if one waits for longer than its target. A request that has sent tokens does not wait: its
+// and lowers the window if most wait for longer than engineLimit. A request that has sent tokens does not wait: its
 // caller would lose them.
 func IsFirstTokenWindowFull(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request) bool {
 	if !p.Config.Engine.RunsFullPath() || r.Tokens > 0 {
