Log copies of the store's tables that have not been confirmed

For the incident of late configurations: the logs showed reads that ended and versions that were taken, but neither since when a copy had no news of the store nor what it was waiting for.

A copy is confirmed by a read that succeeds, or by a message of a host that reaches the store and has the same rows.

--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -78,6 +78,7 @@
 	rand     *rand.Rand
 	loseTo   float64 // fraction of the messages that are lost
 	messages int
+	changes  []rocktable.StateChange
 }
 
 func newFleet(t *testing.T, dataCentres, hosts int) *fleet {
@@ -124,6 +125,7 @@
 	if len(result.Violations) > 0 {
 		f.t.Fatalf("%s: %v", h.w.SelfHost().Name, result.Violations[0])
 	}
+	f.changes = append(f.changes, result.Outbox.Changes...)
 	for _, r := range result.Outbox.TableReads {
 		f.store.calls++
 		h.reads = append(h.reads, pendingRead{read: r, sentAt: f.now, end: f.now.Add(r.Wait)})
--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -60,6 +60,7 @@
 		w.Follow.NextCheck = now.Add(checkEvery)
 		chooseFollowers(now, w)
 		requestMissing(now, w)
+		reportUnconfirmed(now, w)
 	}
 	w.WakeAt(w.Follow.NextCheck)
 	startReads(now, w)
@@ -86,7 +87,7 @@
 		if w.Follow.Follows && !w.Follow.StoreReached {
 			read.Wait = 0 // the answer shows at once whether this host reaches the store
 		}
-		t.Reading, t.ReadOnce = true, false
+		t.Reading, t.ReadOnce, t.ReadSince = true, false, now
 		w.Outbox.TableReads = append(w.Outbox.TableReads, read)
 	}
 }
@@ -100,7 +101,7 @@
 	t.Reading = false
 	switch r.Status {
 	case rocktable.TableReadOK:
-		t.FailedReads, t.NextRead = 0, now.Add(minReadPause)
+		t.FailedReads, t.NextRead, t.ConfirmedAt = 0, now.Add(minReadPause), now
 		if len(r.Rows) > 0 {
 			t.NextRead = now.Add(max(minReadPause, intervalOf(t.ID)))
 		}
--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -30,6 +30,9 @@
 	}
 	for _, u := range m.Tables {
 		applyUpdate(now, w, sender.ID, u)
+		if t := w.FollowedTables.Get(u.Table); t != nil && m.StoreReached && t.Digest == u.Digest {
+			t.ConfirmedAt = now
+		}
 	}
 	if len(m.TableRequests) > 0 {
 		answerRequests(w, m)
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -41,10 +41,15 @@
 	// Mixed is set while Rows has some changes after Version but perhaps not all of them.
 	Mixed bool
 
+	// ConfirmedAt is when the store, or a host that reaches it, last showed that the copy has all changes.
+	ConfirmedAt time.Time
+	Unconfirmed bool // the log says that ConfirmedAt is too long ago
+
 	// Reads from the store.
 	Reading     bool
-	ReadAll     bool // the store no longer has the changes after Version
-	ReadOnce    bool // a read is due although this host does not follow the store
+	ReadSince   time.Time // start of the last read
+	ReadAll     bool      // the store no longer has the changes after Version
+	ReadOnce    bool      // a read is due although this host does not follow the store
 	NextRead    time.Time
 	FailedReads int // in a row
 
