Add failing tests of configurations that are late

The fleet of rockfollow's tests now has connections that go silent, keys that peers trust only once they have the row, and restarts. The limits are the users': 2 s after the acknowledgement, 3 s after a fault of the host itself.

--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -16,6 +17,7 @@
 	step          = 100 * time.Millisecond
 	readLatency   = 200 * time.Millisecond // of the store
 	silentTimeout = time.Second            // of a read that is not answered, beyond its wait
+	registerDelay = 300 * time.Millisecond // from the start of a host until its row is written
 	settlingTime  = 10 * time.Second       // from the start of all hosts until only the followers read the store
 )
 
@@ -56,7 +58,8 @@
 	w       *rocktable.World
 	stopped bool
 	frozen  bool
-	alone   bool // no message of another host reaches it, and none of it another host
+	alone   bool   // no message of another host reaches it, and none of it another host
+	row     uint64 // version of its row in the table of hosts, which has the key that peers trust
 	inbox   rocktable.Inbox
 	reads   []pendingRead
 	known   map[rocktable.FollowedTableID]map[string]uint64 // versions of the decoded rows
@@ -66,6 +69,7 @@
 type pendingRead struct {
 	read        rocktable.TableRead
 	sentAt, end time.Time
+	silent      bool // its connection went silent: it is never answered
 }
 
 // fleet runs hosts against the store in virtual time.
@@ -98,13 +102,42 @@
 }
 
 func (f *fleet) addHost(i, dataCentre int) {
+	h := &host{}
+	f.start(h, fmt.Sprintf("entry-%d", i), fmt.Sprintf("centre-%d", dataCentre), uint64(i+1))
+	f.hosts = append(f.hosts, h)
+	f.byName[h.w.SelfHost().Name] = h
+	f.register(h)
+}
+
+// start gives a host the state of a process that has just started.
+func (f *fleet) start(h *host, name, dataCentre string, incarnation uint64) {
 	limits := rocktable.DefaultLimits()
 	limits.PlatformPushes, limits.LeaseTTL = true, 0
-	name, dc := fmt.Sprintf("entry-%d", i), fmt.Sprintf("centre-%d", dataCentre)
-	w := rocktable.NewWorld(f.now, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: dc, Region: "dakar"}, uint64(i+1), rocktable.WithLimits(limits))
-	f.hosts = append(f.hosts, &host{w: w, known: make(map[rocktable.FollowedTableID]map[string]uint64), listed: make(map[string]rocktable.ListedHost)})
-	f.byName[name] = f.hosts[len(f.hosts)-1]
-	f.store.write(rocktable.HostsTable, name, false)
+	w := rocktable.NewWorld(f.now, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: dataCentre, Region: "dakar"}, incarnation, rocktable.WithLimits(limits))
+	*h = host{w: w, known: make(map[rocktable.FollowedTableID]map[string]uint64), listed: make(map[string]rocktable.ListedHost)}
+}
+
+// restart replaces the processes of hosts. Each has a new key, which it registers after it has begun to read the tables.
+func (f *fleet) restart(hosts []*host) {
+	for _, h := range hosts {
+		name := h.w.SelfHost().Name
+		f.start(h, name, f.dataCentreOf(name), h.w.Incarnation+1000)
+		h.row = math.MaxUint64
+	}
+	f.run(registerDelay)
+	for _, h := range hosts {
+		f.register(h)
+	}
+}
+
+// register writes the row of a host.
+func (f *fleet) register(h *host) {
+	h.row = f.store.write(rocktable.HostsTable, h.w.SelfHost().Name, false)
+}
+
+// trusts reports whether a host knows the present key of another one.
+func (h *host) trusts(other *host) bool {
+	return h.known[rocktable.HostsTable][other.w.SelfHost().Name] >= other.row
 }
 
 func (f *fleet) run(d time.Duration) {
@@ -141,7 +174,7 @@
 func (f *fleet) deliver(from *host, s rocktable.PeerSend) {
 	f.messages++
 	to := f.byName[s.Address]
-	if to == nil || to.stopped || to.frozen || to.alone || from.alone {
+	if to == nil || to.stopped || to.frozen || to.alone || from.alone || !to.trusts(from) || !from.trusts(to) {
 		return
 	}
 	if f.rand.Float64() >= f.loseTo {
@@ -152,7 +185,8 @@
 // answerReads answers the reads of a host whose changes are there, whose wait is over or that the store refuses.
 func (f *fleet) answerReads(h *host) {
 	h.reads = slices.DeleteFunc(h.reads, func(p pendingRead) bool {
-		if f.now.Sub(p.sentAt) < readLatency || f.store.silent && f.now.Sub(p.end) < silentTimeout {
+		silent := f.store.silent || p.silent
+		if f.now.Sub(p.sentAt) < readLatency || silent && f.now.Sub(p.end) < silentTimeout {
 			return false
 		}
 		end := f.result(h, p)
@@ -167,7 +201,7 @@
 func (f *fleet) result(h *host, p pendingRead) rocktable.TableReadEnded {
 	end := rocktable.TableReadEnded{Read: p.read, Version: f.store.version}
 	switch {
-	case f.store.refuses(h) || f.store.silent:
+	case f.store.refuses(h) || f.store.silent || p.silent:
 		end.Status = rocktable.TableReadFailed
 	case p.read.After == 0:
 		end.Rows = slices.Collect(maps.Values(f.store.rows[p.read.Table]))
@@ -216,6 +250,15 @@
 	return w.DataCentres.Get(w.SelfHost().DataCentre).Name
 }
 
+// silenceConnections leaves all reads that wait now without an answer. Later ones are answered.
+func (f *fleet) silenceConnections() {
+	for _, h := range f.hosts {
+		for i := range h.reads {
+			h.reads[i].silent = true
+		}
+	}
+}
+
 // followers returns the hosts that follow the store.
 func (f *fleet) followers() []*host {
 	var followers []*host
--- /dev/null
+++ b/core/rockfollow/late_test.go
@@ -0,0 +1,113 @@
+package rockfollow_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// configLimit is the time after its acknowledgement in which a configuration must be in force.
+	configLimit = 2 * time.Second
+	// contactLimit is the time after a fault of its own from which a host must keep the limits again.
+	contactLimit = 3 * time.Second
+)
+
+// latecomers returns the running hosts that do not have the newest configuration.
+func (f *fleet) latecomers() []string {
+	var names []string
+	for _, name := range f.lagging() {
+		if strings.HasSuffix(name, rocktable.ConfigurationTable.String()) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Guards against a configuration that is late on all hosts because the reads that wait for it have gone silent.
+func TestConfigurationIsInForceAfterSilentConnections(t *testing.T) {
+	for phase := time.Duration(0); phase < 4*time.Second; phase += 200 * time.Millisecond {
+		f := newFleet(t, 3, 8)
+		f.run(settlingTime)
+		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.run(phase)
+		f.silenceConnections()
+		f.run(step)
+		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.run(contactLimit - step)
+		if late := f.latecomers(); len(late) > 0 {
+			t.Errorf("%d hosts lack the configuration %s after their connections went silent, %s after a change: %s", len(late), contactLimit, phase, late[0])
+		}
+	}
+}
+
+// Guards against hosts that restart together, refuse each other's messages, and lack a configuration for longer than a
+// start may take. The store turns the hosts of the other data centre away.
+func TestConfigurationIsInForceAfterRestarts(t *testing.T) {
+	for restarted := 1; restarted <= 4; restarted++ {
+		f := newFleet(t, 2, 8)
+		f.run(settlingTime)
+		turnedAway, hosts := make(map[*host]bool), []*host(nil)
+		for i, h := range f.hosts {
+			if turnedAway[h] = i%2 == 1; !turnedAway[h] && len(hosts) < restarted {
+				hosts = append(hosts, h)
+			}
+		}
+		f.store.refuses = func(h *host) bool { return turnedAway[h] }
+		f.run(time.Second)
+		f.restart(hosts)
+		f.run(500 * time.Millisecond)
+		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.run(contactLimit - registerDelay - 500*time.Millisecond)
+		for h := range turnedAway {
+			h.stopped = turnedAway[h] // nobody whom they trust could tell them
+		}
+		if late := f.latecomers(); len(late) > 0 {
+			t.Errorf("%d hosts lack the configuration %s after %d hosts restarted: %s", len(late), contactLimit, restarted, late[0])
+		}
+	}
+}
+
+// Guards against pauses between reads that leave a host behind long after the store is back.
+func TestConfigurationIsInForceAfterAnOutage(t *testing.T) {
+	for name, fault := range map[string]func(f *fleet){
+		"refusing": func(f *fleet) { f.store.refuses = func(*host) bool { return true } },
+		"silent":   func(f *fleet) { f.store.silent = true },
+	} {
+		for outage := 500 * time.Millisecond; outage < 10*time.Second; outage += 700 * time.Millisecond {
+			f := newFleet(t, 3, 12)
+			f.run(settlingTime)
+			f.store.write(rocktable.ConfigurationTable, "config", false)
+			for _, h := range f.hosts {
+				h.alone = true
+			}
+			fault(f)
+			f.run(outage)
+			f.store.write(rocktable.ConfigurationTable, "config", false)
+			f.store.dropHistory()
+			f.store.refuses, f.store.silent = func(*host) bool { return false }, false
+			f.run(contactLimit)
+			if late := f.latecomers(); len(late) > 0 {
+				t.Errorf("%d hosts lack the configuration %s after the end of an outage of %s of a %s store: %s", len(late), contactLimit, outage, name, late[0])
+			}
+		}
+	}
+}
+
+// Guards against a configuration that is late on hosts without a fault because the followers failed.
+func TestConfigurationIsInForceWhenFollowersFail(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		f := newFleet(t, 3, 63)
+		f.run(settlingTime + phase)
+		for _, h := range f.followers() {
+			h.stopped = true
+		}
+		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.run(configLimit)
+		if late := f.latecomers(); len(late) > 0 {
+			t.Errorf("%d of %d hosts lack the configuration %s after its acknowledgement, at which all followers failed: %s", len(late), len(f.hosts), configLimit, late[0])
+		}
+	}
+}
