Notice a silent read of the store within 2 s

What callers saw: requests refused or run as an older configuration says, more than 2 s after the acknowledgement, when all open connections of the hosts had gone silent without a reset ("refused with 404 as an older version says").

Cause: a read waited 3 s for a change and failed 1 s later, which is after the 3 s in which a host must keep the limits again. A change answers the reads of all followers at once, so that they are in step and no other host knows better.

Change: reads of the configuration and of the backend servers wait 1.2 s and fail after 2 s. The limit is part of the read, so that the decision lies in core/ and the client and the tests' fleet keep to the same one.

Idle followers make 0.8 instead of 0.33 calls a second and table.

--- a/core/rockfollow/confirm.go
+++ b/core/rockfollow/confirm.go
@@ -8,7 +8,7 @@
 
 // confirmLimit is the time without a confirmation after which a copy is reported as unconfirmed. It is above the wait
 // of a read without changes.
-const confirmLimit = 3500 * time.Millisecond
+const confirmLimit = 2500 * time.Millisecond
 
 // reportUnconfirmed logs when a copy has not been confirmed for confirmLimit, with what it waits for, and when it is
 // confirmed again. The table of hosts is left out: its reads wait for longer.
--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -16,7 +16,6 @@
 const (
 	step          = 100 * time.Millisecond
 	readLatency   = 200 * time.Millisecond // of the store
-	silentTimeout = time.Second            // of a read that is not answered, beyond its wait
 	registerDelay = 300 * time.Millisecond // from the start of a host until its row is written
 	settlingTime  = 10 * time.Second       // from the start of all hosts until only the followers read the store
 )
@@ -186,7 +185,7 @@
 func (f *fleet) answerReads(h *host) {
 	h.reads = slices.DeleteFunc(h.reads, func(p pendingRead) bool {
 		silent := f.store.silent || p.silent
-		if f.now.Sub(p.sentAt) < readLatency || silent && f.now.Sub(p.end) < silentTimeout {
+		if f.now.Sub(p.sentAt) < readLatency || silent && f.now.Sub(p.sentAt) < p.read.Limit {
 			return false
 		}
 		end := f.result(h, p)
--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -15,12 +15,20 @@
 	// firstRetryDelay and maxRetryDelay limit the exponential backoff after a failed read.
 	firstRetryDelay = 200 * time.Millisecond
 	maxRetryDelay   = 1500 * time.Millisecond
+	// changeWait is the longest wait of a read for a change. A host must keep the limits of a configuration again 3 s
+	// after its connections have gone silent, and notices that when the read has failed.
+	changeWait = 1200 * time.Millisecond
+	// answerMargin is the time that the answer to a read may take beyond its wait.
+	answerMargin = 800 * time.Millisecond
+	// minReadLimit and fullReadLimit limit a read of changes, and one of the complete table.
+	minReadLimit  = time.Second
+	fullReadLimit = 2 * time.Second
 )
 
 // followed describes how a table is followed.
 type followed struct {
 	id rocktable.FollowedTableID
-	// wait is the longest wait of a read for a change. A connection that became silent is detected after it.
+	// wait is the longest wait of a read for a change.
 	wait time.Duration
 	// interval is the pause after a read that returned changes. It collects several changes in one read: many backend
 	// servers or hosts may register at once.
@@ -30,8 +38,8 @@
 // followedTables lists the followed tables. The table of hosts changes only when a host starts, so that it may wait
 // longer; departures of backend servers and configurations must be known within seconds.
 var followedTables = []followed{
-	{id: rocktable.ConfigurationTable, wait: 3 * time.Second},
-	{id: rocktable.BackendServersTable, wait: 3 * time.Second, interval: 400 * time.Millisecond},
+	{id: rocktable.ConfigurationTable, wait: changeWait},
+	{id: rocktable.BackendServersTable, wait: changeWait, interval: 400 * time.Millisecond},
 	{id: rocktable.HostsTable, wait: 10 * time.Second, interval: 2 * time.Second},
 }
 
@@ -80,18 +88,28 @@
 			w.WakeAt(t.NextRead)
 			continue
 		}
-		read := rocktable.TableRead{Table: f.id, After: t.Version, Wait: f.wait}
-		if t.ReadAll {
-			read.After = 0
-		}
-		if w.Follow.Follows && !w.Follow.StoreReached {
-			read.Wait = 0 // the answer shows at once whether this host reaches the store
-		}
+		read := newRead(w, t, f.wait)
 		t.Reading, t.ReadOnce, t.ReadSince = true, false, now
 		w.Outbox.TableReads = append(w.Outbox.TableReads, read)
 	}
 }
 
+// newRead returns the next read of a table.
+func newRead(w *rocktable.World, t *rocktable.FollowedTable, wait time.Duration) rocktable.TableRead {
+	read := rocktable.TableRead{Table: t.ID, After: t.Version, Wait: wait}
+	if t.ReadAll {
+		read.After = 0
+	}
+	if w.Follow.Follows && !w.Follow.StoreReached {
+		read.Wait = 0 // the answer shows at once whether this host reaches the store
+	}
+	read.Limit = max(minReadLimit, read.Wait+answerMargin)
+	if read.After == 0 {
+		read.Limit = fullReadLimit
+	}
+	return read
+}
+
 // applyRead applies the result of a read from the store and sets the time of the next one.
 func applyRead(now time.Time, w *rocktable.World, r rocktable.TableReadEnded) {
 	t := w.FollowedTables.Get(r.Read.Table)
--- a/core/rockfollow/late_test.go
+++ b/core/rockfollow/late_test.go
@@ -1,6 +1,7 @@
 package rockfollow_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,15 +16,17 @@
 	contactLimit = 3 * time.Second
 )
 
-// latecomers returns the running hosts that do not have the newest configuration.
+// latecomers returns the running hosts whose configuration or backend servers differ from the store.
 func (f *fleet) latecomers() []string {
-	var names []string
-	for _, name := range f.lagging() {
-		if strings.HasSuffix(name, rocktable.ConfigurationTable.String()) {
-			names = append(names, name)
-		}
-	}
-	return names
+	return slices.DeleteFunc(f.lagging(), func(name string) bool {
+		return strings.HasSuffix(name, rocktable.HostsTable.String())
+	})
+}
+
+// change writes a new configuration and the departure of a backend server.
+func (f *fleet) change() {
+	f.store.write(rocktable.ConfigurationTable, "config", false)
+	f.store.write(rocktable.BackendServersTable, "runner-2", true)
 }
 
 // Guards against a configuration that is late on all hosts because the reads that wait for it have gone silent.
@@ -35,10 +38,10 @@
 		f.run(phase)
 		f.silenceConnections()
 		f.run(step)
-		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.change()
 		f.run(contactLimit - step)
 		if late := f.latecomers(); len(late) > 0 {
-			t.Errorf("%d hosts lack the configuration %s after their connections went silent, %s after a change: %s", len(late), contactLimit, phase, late[0])
+			t.Errorf("%d hosts lack the changes %s after their connections went silent, %s after a change: %s", len(late), contactLimit, phase, late[0])
 		}
 	}
 }
@@ -59,13 +62,13 @@
 		f.run(time.Second)
 		f.restart(hosts)
 		f.run(500 * time.Millisecond)
-		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.change()
 		f.run(contactLimit - registerDelay - 500*time.Millisecond)
 		for h := range turnedAway {
 			h.stopped = turnedAway[h] // nobody whom they trust could tell them
 		}
 		if late := f.latecomers(); len(late) > 0 {
-			t.Errorf("%d hosts lack the configuration %s after %d hosts restarted: %s", len(late), contactLimit, restarted, late[0])
+			t.Errorf("%d hosts lack the changes %s after %d hosts restarted: %s", len(late), contactLimit, restarted, late[0])
 		}
 	}
 }
@@ -85,12 +88,12 @@
 			}
 			fault(f)
 			f.run(outage)
-			f.store.write(rocktable.ConfigurationTable, "config", false)
+			f.change()
 			f.store.dropHistory()
 			f.store.refuses, f.store.silent = func(*host) bool { return false }, false
 			f.run(contactLimit)
 			if late := f.latecomers(); len(late) > 0 {
-				t.Errorf("%d hosts lack the configuration %s after the end of an outage of %s of a %s store: %s", len(late), contactLimit, outage, name, late[0])
+				t.Errorf("%d hosts lack the changes %s after the end of an outage of %s of a %s store: %s", len(late), contactLimit, outage, name, late[0])
 			}
 		}
 	}
@@ -104,10 +107,10 @@
 		for _, h := range f.followers() {
 			h.stopped = true
 		}
-		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.change()
 		f.run(configLimit)
 		if late := f.latecomers(); len(late) > 0 {
-			t.Errorf("%d of %d hosts lack the configuration %s after its acknowledgement, at which all followers failed: %s", len(late), len(f.hosts), configLimit, late[0])
+			t.Errorf("%d of %d hosts lack the changes %s after its acknowledgement, at which all followers failed: %s", len(late), len(f.hosts), configLimit, late[0])
 		}
 	}
 }
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -93,6 +93,7 @@
 	Table FollowedTableID
 	After uint64        // version after which changes are read; 0 reads the complete table
 	Wait  time.Duration // longest wait for a change
+	Limit time.Duration // time after which the read has failed if it was not answered
 }
 
 // TableReadStatus is the result of a read of a table of the platform's store.
--- a/io/rockdaemon/tables.go
+++ b/io/rockdaemon/tables.go
@@ -61,7 +61,7 @@
 
 // readTable reads a followed table and posts the result.
 func (d *Daemon) readTable(r rocktable.TableRead) {
-	ctx, cancel := context.WithTimeout(context.Background(), r.Wait+platformTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), r.Limit)
 	defer cancel()
 	end := rocktable.TableReadEnded{Read: r, Status: rocktable.TableReadFailed}
 	d.guard().Do(func() { end = d.platform.ReadTable(ctx, r) }, "table", r.Table.String())
