Let a host without a source follow the store 2 s after its start

What callers saw: requests run as an older configuration says, up to 4 s after the start of a host, when the hosts of its data centre had restarted together while the store turned others away.

Cause: each host makes a key at its start and reads the table of hosts before the others have written theirs. It refuses the messages of the followers that started with it, and missed nothing for 4 s, which is longer than the 3 s in which a host that has started must keep the limits.

Change: the grace after a start is 2 s.

The calls of TestStartReadsEachTableOnce stay in their bound.

--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -22,8 +22,9 @@
 	// margin, and short enough that a replacement learns of a departure within the seconds that it may take.
 	silenceLimit = 1750 * time.Millisecond
 	// startGrace is the time after its start in which a host misses neither notices nor changes. Its copies are new, and
-	// the followers learn of it with their next read of the table of hosts.
-	startGrace = 4 * time.Second
+	// the followers learn of it with their next read of the table of hosts. Those that started later than it read that
+	// table have keys that it does not know, so that it must follow the store itself before its copies are too old.
+	startGrace = 2 * time.Second
 )
 
 // chooseFollowers decides whether this host follows the store, and which hosts it expects to.
