Bound the pauses after failed reads of the store

Cause: after several failed reads the next one came after up to 2.25 s, and a dropped history cost another pause of that length before the complete table was read. A host must have all changes 3 s after the outage.

Change: the longest pause is 1.05 s. The complete table is read at once when the history was dropped, unless it was read less than 2 s ago.

--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -12,9 +12,11 @@
 	// minReadPause is the pause between two reads of a table. It bounds the calls to a store that answers at once
 	// without a change.
 	minReadPause = 50 * time.Millisecond
-	// firstRetryDelay and maxRetryDelay limit the exponential backoff after a failed read.
+	// firstRetryDelay and maxRetryDelay limit the exponential backoff after a failed read. The longest pause is half of
+	// maxRetryDelay more. With a read that is not answered and one of the complete table it must stay below the 3 s after
+	// which a host must have all changes again.
 	firstRetryDelay = 200 * time.Millisecond
-	maxRetryDelay   = 1500 * time.Millisecond
+	maxRetryDelay   = 700 * time.Millisecond
 	// changeWait is the longest wait of a read for a change. A host must keep the limits of a configuration again 3 s
 	// after its connections have gone silent, and notices that when the read has failed.
 	changeWait = 1200 * time.Millisecond
@@ -23,6 +25,9 @@
 	// minReadLimit and fullReadLimit limit a read of changes, and one of the complete table.
 	minReadLimit  = time.Second
 	fullReadLimit = 2 * time.Second
+	// fullReadPause is the time after a read of the complete table in which the next one is delayed. The store may drop
+	// its history again and again.
+	fullReadPause = 2 * time.Second
 )
 
 // followed describes how a table is followed.
@@ -124,15 +129,17 @@
 			t.NextRead = now.Add(max(minReadPause, intervalOf(t.ID)))
 		}
 		if r.Read.After == 0 {
-			t.ReadAll = false
+			t.ReadAll, t.FullReadAt = false, now
 			replaceRows(now, w, t, r.Version, r.Rows)
 		} else {
 			mergeRows(w, t, r.Rows)
 			advance(now, t, r.Version)
 		}
 	case rocktable.TableHistoryDropped:
-		t.ReadAll = true
-		t.NextRead = now.Add(retryDelay(w, t)) // the store may drop the history again at once
+		t.ReadAll, t.NextRead = true, now
+		if now.Sub(t.FullReadAt) < fullReadPause {
+			t.NextRead = now.Add(retryDelay(w, t))
+		}
 	case rocktable.TableReadFailed:
 		t.NextRead = now.Add(retryDelay(w, t))
 	}
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -48,6 +48,7 @@
 	// Reads from the store.
 	Reading     bool
 	ReadSince   time.Time // start of the last read
+	FullReadAt  time.Time // end of the last read of the complete table
 	ReadAll     bool      // the store no longer has the changes after Version
 	ReadOnce    bool      // a read is due although this host does not follow the store
 	NextRead    time.Time
