Replace failed followers within 2 s

Cause: a follower was missed after 1.75 s and the checks that follow it, more than the 2 s in which a configuration must be in force. Its replacement then told only the hosts that it took for its own, while the notices of other failed followers were not missed yet.

Change: a follower is missed after 1.25 s, one notice and a margin, and while one is missed its replacement tells all hosts of the data centre.

The shorter limit alone still left two hosts behind at one moment.

--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -127,7 +127,8 @@
 	}
 	followers := heardFollowers(now, w)
 	for _, h := range localPeers(w) {
-		if s := w.Sources.Get(h.ID); s != nil && s.StoreLost || sourceOf(followers, h) == w.Self {
+		// Followers may have failed together, while the notices of some are not missed yet.
+		if s := w.Sources.Get(h.ID); w.Follow.SourceSilent || s != nil && s.StoreLost || sourceOf(followers, h) == w.Self {
 			send(w, h, m)
 		}
 	}
--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -18,9 +18,9 @@
 	// replacementsOfSilent is the number of hosts that replace a silent follower. It is above 1 because many hosts may
 	// have failed together.
 	replacementsOfSilent = 2
-	// silenceLimit is the time without a notice after which a follower counts as silent. It is two notices and a
-	// margin, and short enough that a replacement learns of a departure within the seconds that it may take.
-	silenceLimit = 1750 * time.Millisecond
+	// silenceLimit is the time without a notice after which a follower counts as silent. It is one notice and a margin, and
+	// short enough that changes reach all hosts within 2 s although their followers have failed.
+	silenceLimit = 1250 * time.Millisecond
 	// startGrace is the time after its start in which a host misses neither notices nor changes. Its copies are new, and
 	// the followers learn of it with their next read of the table of hosts. Those that started later than it read that
 	// table have keys that it does not know, so that it must follow the store itself before its copies are too old.
@@ -34,6 +34,7 @@
 	}
 	expected := make(map[rocktable.HostID]bool)
 	follows := false
+	w.Follow.SourceSilent = false
 	wanted := followersPerDataCentre
 	for _, h := range candidates(w) {
 		if wanted == 0 || len(expected) == maxCandidates {
@@ -49,6 +50,7 @@
 			}
 		case isSilent(now, expectSource(now, w, h.ID)) && !hasJustStarted(now, w):
 			wanted += replacementsOfSilent
+			w.Follow.SourceSilent = true
 		case w.Sources.Get(h.ID).StoreLost:
 			wanted++
 		}
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -83,6 +83,7 @@
 	StoreLost     bool // its last read failed
 	StoreReached  bool // its last read since it follows the store succeeded
 	Disconnected  bool // neither this host nor a source of it reaches the store
+	SourceSilent  bool // a host that this one expects to follow the store has fallen silent
 	NextCheck     time.Time
 	NextNotice    time.Time
 	NoticeDue     bool      // the state of this host as a source changed
