Give the control thread the parts of a prompt, and log them

For the incident of a part that crashes servers: the log named the requests that failed, but not what their prompts share, nor whether an attempt had begun to write.

The parts of X-Prompt-Prefix become a list of hashes, without the last one, which is the request's own. A part has the same hash whatever comes before it, unlike the prefixes, which stay for the choice of servers. "attempt failed" has "parts" and "begun".

--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -1,6 +1,9 @@
 package rocktable
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // RequestState is the progress of a request.
 type RequestState uint8
@@ -26,6 +29,7 @@
 	MaxTokens     int
 	Fingerprint   uint64   // hash of the content
 	Prefix        []uint64 // hashes of the prompt's prefixes, one for each block
+	Parts         []PartID // of the prompt, in order, without the last one, which is the request's own
 	Epoch         uint32   // of the current attempt
 	Attempt       AttemptID
 	Attempts      int
@@ -84,6 +88,12 @@
 	Late       bool    // its wait for the first token lowered Pipeline.FirstTokenWindow
 }
 
+// PartID is the hash of a part of a prompt, the same at all hosts.
+type PartID uint64
+
+// String returns the part as it appears in logs.
+func (id PartID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
 // Suspect is a request content that was in flight when a backend server crashed.
 type Suspect struct {
 	Fingerprint           uint64
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -47,8 +47,9 @@
 	Timeout      time.Duration // sent by the caller; 0 if it sent none
 	PromptTokens int
 	MaxTokens    int
-	Prefix       []uint64 // one hash for each part of the prompt that requests may share
-	LastEventID  string   // the caller resumes a stream after this event; empty for a new stream
+	Prefix       []uint64           // one hash for each part of the prompt that requests may share
+	Parts        []rocktable.PartID // of the prompt, in order, without the last one
+	LastEventID  string             // the caller resumes a stream after this event; empty for a new stream
 }
 
 // Attempt is one try to run a request on a backend server.
@@ -257,7 +258,7 @@
 	route := x.dest.Route
 	row := rocktable.Request{
 		ID: x.id, Caller: x.dest.Caller, Rank: x.dest.Rank, Pipeline: x.dest.Pipeline, ArrivedAt: r.ReceivedAt,
-		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Prefix: r.Prefix, Fingerprint: x.fingerprint(),
+		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Prefix: r.Prefix, Parts: r.Parts, Fingerprint: x.fingerprint(),
 		AtMostOnce: !route.Repeatable && !route.Resumable, MaxAttempts: route.Attempts, Deadline: x.deadline(),
 	}
 	if x.dest.Pipeline == 0 {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -90,7 +90,7 @@
 	e.Tokens = x.stream.events - before
 	if err != nil {
 		x.log("attempt failed", "attempt", start.Attempt, "reason", e.Reason, "server", a.ServerName, "stages", len(a.Path),
-			"fault", serverName(start.Path, e.FailedServer), "events", x.stream.events, "error", err)
+			"fault", serverName(start.Path, e.FailedServer), "events", x.stream.events, "begun", e.Tokens > 0, "parts", formatParts(x.req.Parts), "error", err)
 	}
 	x.relay.Post(func(in *rocktable.Inbox) { in.AttemptsEnded = append(in.AttemptsEnded, e) })
 }
@@ -117,6 +117,18 @@
 	return text.String()
 }
 
+// formatParts formats parts of a prompt for the log.
+func formatParts(parts []rocktable.PartID) string {
+	var text strings.Builder
+	for i, p := range parts {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(p.String())
+	}
+	return text.String()
+}
+
 // resumeAfter returns the ID of the event after which the next attempt resumes the stream.
 func (x *exchange) resumeAfter() string {
 	if x.stream.lastEventID != "" {
