Add a failing test of a part that crashes servers

TestCommonPartIsNotRefused passes: parts that are merely common are not refused where servers crash for other reasons.

--- /dev/null
+++ b/core/rocktick/parts_test.go
@@ -0,0 +1,295 @@
+package rocktick_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/core/rocktick"
+)
+
+const (
+	partStep        = 10 * time.Millisecond
+	partHosts       = 8
+	partServers     = 24
+	partFirstToken  = 60 * time.Millisecond  // after the start of an attempt
+	partAnswer      = 400 * time.Millisecond // after the start of an attempt
+	partRestart     = 3 * time.Second        // of a crashed server
+	partArrivalGap  = 10 * time.Millisecond
+	partContact     = 3 * time.Second // contactMs of the users
+	partMaxLate     = 3               // requests that may reach a server later than partContact after the fifth crash
+	partCrashes     = 5
+	deadlyPart      = rocktable.PartID(666)
+	firstPart       = rocktable.PartID(7) // of the deadly requests, and of sound ones
+	otherFirstParts = 60
+)
+
+// partFleet is a model of hosts before servers that crash when they begin to write the answer to a request with
+// deadlyPart.
+type partFleet struct {
+	t       *testing.T
+	now     time.Time
+	worlds  []*rocktable.World
+	byName  map[string]int
+	servers []partServer
+	running map[partKey]*partAttempt
+	lastID  rocktable.RequestID
+	kinds   map[rocktable.RequestID]partKind
+
+	fifthCrash  time.Time
+	crashes     int
+	lateDeadly  int // deadly requests that reached a server later than partContact after the fifth crash
+	quarantined int // sound requests that were refused as quarantined
+	// Sound requests with firstPart from two times partContact after the fifth crash, and those that began at their
+	// first attempt.
+	sound, begun int
+}
+
+type partServer struct {
+	downUntil   time.Time
+	incarnation uint64
+}
+
+type partKind struct {
+	deadly, sharesFirst bool
+	arrivedAt           time.Time
+}
+
+type partKey struct {
+	host    int
+	attempt rocktable.AttemptID
+}
+
+type partAttempt struct {
+	request   rocktable.RequestID
+	server    int
+	first     bool // attempt of its request
+	startedAt time.Time
+	begun     bool
+}
+
+func newPartFleet(t *testing.T) *partFleet {
+	f := &partFleet{
+		t: t, now: start, byName: make(map[string]int), servers: make([]partServer, partServers),
+		running: make(map[partKey]*partAttempt), kinds: make(map[rocktable.RequestID]partKind),
+	}
+	for i := range f.servers {
+		f.servers[i].incarnation = 1
+	}
+	for i := range partHosts {
+		f.byName[fmt.Sprintf("entry-%d", i)] = i
+	}
+	for i := range partHosts {
+		f.worlds = append(f.worlds, f.newWorld(i))
+	}
+	return f
+}
+
+func (f *partFleet) newWorld(i int) *rocktable.World {
+	limits := rocktable.DefaultLimits()
+	limits.PlatformPushes = true
+	name := fmt.Sprintf("entry-%d", i)
+	w := rocktable.NewWorld(start, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: "yoff"}, uint64(i+1), rocktable.WithLimits(limits))
+	w.Ready = true
+	w.InternPipeline("pool").Config = rocktable.PipelineConfig{Name: "pool", Model: "m", Layers: 8, Engine: rocktable.EngineConfig{
+		LayerMB: 1, TokenBytes: 1, StepMs: 1, ReadPerSecond: 1e6, ActivationMB: 0.01, LinkMbps: 13000, AnswerTokens: 10, PromptTokens: 500,
+		Kinds: []rocktable.KindConfig{{Name: "k", MemoryMB: 80000, Pace: 1, ReadFactor: 1}},
+	}}
+	w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{Name: "r", FirstTokenMs: 500, GapMs: 250, Worth: 1}})
+	w.InternCaller("guild").Config = rocktable.CallerConfig{Name: "guild"}
+	for peer := range partHosts {
+		if peer != i {
+			h := w.InternHost(fmt.Sprintf("entry-%d", peer))
+			h.Address, h.DataCentre, h.State, h.Incarnation, h.HeartbeatAt = h.Name, w.SelfHost().DataCentre, rocktable.StateLive, uint64(peer+1), start
+		}
+	}
+	for n := range partServers {
+		s := w.InternServer(fmt.Sprintf("runner-%d", n))
+		s.Address, s.DataCentre, s.ListedService, s.Kind, s.State, s.Listed = s.Name, w.SelfHost().DataCentre, "pool", "k", rocktable.StateLive, true
+		s.Status = rocktable.EngineStatus{Model: "m", Kind: "k", Slots: 4000, LastLayer: 7, SubRanges: true, Incarnation: 1}
+		s.Incarnation = 1
+	}
+	return w
+}
+
+// run lets requests arrive for a time. A twentieth is deadly if that is set, and a tenth shares its first part.
+func (f *partFleet) run(d time.Duration, deadly bool) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(partStep)
+		f.arrive(deadly)
+		f.serve()
+		for i, w := range f.worlds {
+			result := rocktick.Run(f.now, w)
+			if len(result.Violations) > 0 {
+				f.t.Fatal(result.Violations[0])
+			}
+			f.dispatch(i, result.Outbox)
+		}
+	}
+}
+
+func (f *partFleet) arrive(deadly bool) {
+	if f.now.Sub(start)%partArrivalGap != 0 {
+		return
+	}
+	f.lastID++
+	n := int(f.lastID)
+	r := rocktable.Request{
+		ID: f.lastID, Caller: 1, Pipeline: 1, ArrivedAt: f.now, PromptTokens: 500, MaxTokens: 10, MaxAttempts: 2,
+		Fingerprint: uint64(n), Parts: []rocktable.PartID{rocktable.PartID(1000 + n%otherFirstParts)},
+	}
+	kind := partKind{arrivedAt: f.now}
+	switch n % 20 {
+	case 0:
+		if deadly {
+			kind.deadly, r.Parts = true, []rocktable.PartID{firstPart, deadlyPart}
+		}
+	case 5, 13:
+		kind.sharesFirst, r.Parts = true, []rocktable.PartID{firstPart}
+	}
+	f.kinds[r.ID] = kind
+	if f.isCounted(kind) {
+		f.sound++
+	}
+	w := f.worlds[n*7/20%partHosts]
+	w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: r})
+}
+
+func (f *partFleet) isCounted(k partKind) bool {
+	return k.sharesFirst && !f.fifthCrash.IsZero() && k.arrivedAt.Sub(f.fifthCrash) > 2*partContact
+}
+
+// serve lets attempts begin to write and end.
+func (f *partFleet) serve() {
+	for i := range f.servers {
+		s := &f.servers[i]
+		if !s.downUntil.IsZero() && !f.now.Before(s.downUntil) {
+			f.restart(i)
+		}
+	}
+	for _, key := range f.keys() {
+		a := f.running[key]
+		if a == nil {
+			continue // ended by a crash
+		}
+		age := f.now.Sub(a.startedAt)
+		switch {
+		case !a.begun && age >= partFirstToken && f.kinds[a.request].deadly:
+			f.crash(a.server)
+		case !a.begun && age >= partFirstToken:
+			a.begun = true
+			if a.first && f.isCounted(f.kinds[a.request]) {
+				f.begun++
+			}
+			w := f.worlds[key.host]
+			w.Inbox.Progress = append(w.Inbox.Progress, rocktable.Progress{Attempt: key.attempt, Tokens: 1, FirstTokenAt: f.now})
+		case age >= partAnswer:
+			f.end(key, rocktable.AttemptEnded{Attempt: key.attempt, Tokens: 1, FirstTokenAt: f.now})
+		}
+	}
+}
+
+// keys returns the keys of the running attempts in the same order in every run.
+func (f *partFleet) keys() []partKey {
+	return slices.SortedFunc(maps.Keys(f.running), func(a, b partKey) int {
+		return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.attempt, b.attempt))
+	})
+}
+
+func (f *partFleet) end(key partKey, e rocktable.AttemptEnded) {
+	w := f.worlds[key.host]
+	w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, e)
+	delete(f.running, key)
+}
+
+// crash ends a server and all attempts on it.
+func (f *partFleet) crash(server int) {
+	s := &f.servers[server]
+	if !s.downUntil.IsZero() {
+		return
+	}
+	s.downUntil = f.now.Add(partRestart)
+	if f.crashes++; f.crashes == partCrashes {
+		f.fifthCrash = f.now
+	}
+	for _, key := range f.keys() {
+		if a := f.running[key]; a.server == server {
+			tokens := 0
+			if a.begun {
+				tokens = 1
+			}
+			f.end(key, rocktable.AttemptEnded{Attempt: key.attempt, Reason: rockreason.StageDied, FailedServer: f.serverID(key.host, server), Crashed: true, Tokens: tokens})
+		}
+	}
+}
+
+func (f *partFleet) restart(server int) {
+	f.servers[server] = partServer{incarnation: f.servers[server].incarnation + 1}
+	for host, w := range f.worlds {
+		s := w.Servers.Get(f.serverID(host, server))
+		s.Incarnation, s.Status.Incarnation, s.ConnectionFailed, s.StatusAt = f.servers[server].incarnation, f.servers[server].incarnation, false, f.now
+	}
+}
+
+func (f *partFleet) serverID(host, server int) rocktable.BackendServerID {
+	return f.worlds[host].ServerNamed(fmt.Sprintf("runner-%d", server)).ID
+}
+
+func (f *partFleet) dispatch(host int, out rocktable.Outbox) {
+	w := f.worlds[host]
+	for _, s := range out.Starts {
+		var server int
+		fmt.Sscanf(s.Path[0].Name, "runner-%d", &server)
+		if !f.servers[server].downUntil.IsZero() {
+			w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{Attempt: s.Attempt, Reason: rockreason.StageUnreachable, FailedServer: s.Path[0].Server, Crashed: true})
+			continue
+		}
+		kind := f.kinds[s.Request]
+		if kind.deadly && !f.fifthCrash.IsZero() && f.now.Sub(f.fifthCrash) > partContact {
+			f.lateDeadly++
+		}
+		f.running[partKey{host, s.Attempt}] = &partAttempt{request: s.Request, server: server, first: w.Requests.Get(s.Request).Attempts == 1, startedAt: f.now}
+	}
+	for _, a := range out.Answers {
+		if a.Reason == rockreason.Quarantined && !f.kinds[a.Request].deadly {
+			f.quarantined++
+		}
+	}
+	for _, s := range out.PeerSends {
+		if to, ok := f.byName[s.Address]; ok {
+			f.worlds[to].Inbox.Peers = append(f.worlds[to].Inbox.Peers, s.Message)
+		}
+	}
+}
+
+// Guards against requests that share nothing but one part of their prompts and crash one server after the other.
+func TestPartThatCrashesServersIsRefused(t *testing.T) {
+	f := newPartFleet(t)
+	f.run(2*time.Second, false)
+	f.run(22*time.Second, true)
+	t.Logf("%d servers crashed, %d deadly requests came late, %d of %d sound ones with their first part began", f.crashes, f.lateDeadly, f.begun, f.sound)
+	if f.crashes < partCrashes || f.lateDeadly > partMaxLate {
+		t.Errorf("%d servers crashed, and %d requests with the part reached one later than %s after the fifth crash; want at most %d", f.crashes, f.lateDeadly, partContact, partMaxLate)
+	}
+	if f.sound == 0 || 2*f.begun < f.sound {
+		t.Errorf("%d of %d sound requests that share the first part began at their first attempt, want at least half", f.begun, f.sound)
+	}
+}
+
+// Guards against parts that are refused because they are common where servers crash for other reasons.
+func TestCommonPartIsNotRefused(t *testing.T) {
+	f := newPartFleet(t)
+	f.run(2*time.Second, false)
+	for i := range 60 {
+		f.crash(i % partServers)
+		f.run(250*time.Millisecond, false)
+	}
+	if f.quarantined > 0 {
+		t.Errorf("%d sound requests were refused as quarantined after %d crashes for other reasons, want none", f.quarantined, f.crashes)
+	}
+}
