Report the first event of each attempt

The control thread was told of the first event of a request only. The attempt that resumes a stream counted as one without a token until it ended, so that the circuit breakers of its path stayed open and nothing could tell that its request is sound.

Change: each attempt reports its first event, with the time of the request's first event. The delay of a first token is still recorded once a request.

TestEachAttemptReportsItsFirstEvent guards it: on the code before, no report of the second attempt arrives.

--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -82,7 +82,9 @@
 	}
 	if a.Tokens == 0 && p.Tokens > 0 {
 		closeBreakers(w, a)
-		rockadmit.RecordFirstToken(w, a, p.FirstTokenAt.Sub(a.StartedAt))
+		if r := w.Requests.Get(a.Request); r != nil && r.Tokens == 0 {
+			rockadmit.RecordFirstToken(w, a, p.FirstTokenAt.Sub(a.StartedAt))
+		}
 	}
 	recordTokens(w, a, p.Tokens, p.FirstTokenAt, p.LargestGap)
 }
--- a/io/rockrelay/progress_test.go
+++ b/io/rockrelay/progress_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -116,3 +118,27 @@
 		t.Errorf("caller got %q, want the answer of the second backend server, %q", c.body.String(), want)
 	}
 }
+
+// Guards against a resumed stream that counts as waiting for its first token until it ends.
+func TestEachAttemptReportsItsFirstEvent(t *testing.T) {
+	b := newFixture(t, streaming)
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	var reports []rocktable.Progress
+	for attempt, body := range []io.ReadCloser{
+		brokenBody(event(1)+event(2)+"id: 3\ndata: t", errors.New("reset")), io.NopCloser(strings.NewReader(event(3) + event(4))),
+	} {
+		b.answers <- func() (*Response, error) { return &Response{Status: 200, Header: http.Header{}, Body: body}, nil }
+		b.startAttempt(rocktable.AttemptID(attempt + 1))
+		<-b.attempts
+		reports = append(reports, waitFor(t, b, progress))
+		waitFor(t, b, endings)
+	}
+	b.sendAnswer(rocktable.Answer{})
+	<-c.done
+	if reports[0].Attempt != 1 || reports[1].Attempt != 2 || reports[1].Tokens != 1 || !reports[1].FirstTokenAt.Equal(reports[0].FirstTokenAt) {
+		t.Errorf("got reports %+v, want one for each attempt, with the time of the request's first event", reports)
+	}
+}
+
+func progress(in rocktable.Inbox) []rocktable.Progress { return in.Progress }
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -43,6 +43,7 @@
 	headerSent      bool
 	lastEventID     string // of the last event sent to the caller
 	events          int
+	eventsBefore    int // events of earlier attempts
 	firstEventAt    time.Time
 	lastEventAt     time.Time
 	longestGap      time.Duration
@@ -66,7 +67,7 @@
 	ctx, cancel := x.beginAttempt(ctx, start.Attempt, a)
 	defer cancel()
 	x.log("attempt started", "attempt", start.Attempt, "path", formatPath(start.Path), "after", a.LastEventID)
-	before := x.stream.events
+	x.stream.eventsBefore = x.stream.events
 	watch := &stallWatch{
 		guard: x.relay.guard(), findCause: x.silenceCheck(ctx, a), reportStall: x.stallReporter(start), cancel: cancel, silenceLimit: start.SilenceLimit, moveLimit: start.StepLimit,
 	}
@@ -87,7 +88,7 @@
 	if stalled {
 		e.FailedServer = failedServer
 	}
-	e.Tokens = x.stream.events - before
+	e.Tokens = x.stream.events - x.stream.eventsBefore
 	if err != nil {
 		x.log("attempt failed", "attempt", start.Attempt, "reason", e.Reason, "server", a.ServerName, "stages", len(a.Path),
 			"fault", serverName(start.Path, e.FailedServer), "events", x.stream.events, "begun", e.Tokens > 0, "parts", formatParts(x.req.Parts), "error", err)
@@ -290,7 +291,7 @@
 	x.sink.WriteHeader(resp.Status, maps.Clone(resp.Header))
 }
 
-// recordEvent records an event and reports the first one to the control thread.
+// recordEvent records an event and reports the first one of an attempt to the control thread.
 func (x *exchange) recordEvent(start rocktable.Start) {
 	now := x.relay.Now()
 	s := &x.stream
@@ -301,12 +302,15 @@
 		}
 	}
 	s.lastEventAt = now
-	if !s.firstEventAt.IsZero() {
+	if s.events > s.eventsBefore+1 {
 		return
 	}
-	s.firstEventAt = now
+	if s.firstEventAt.IsZero() {
+		s.firstEventAt = now
+	}
+	first := s.firstEventAt
 	x.relay.Post(func(in *rocktable.Inbox) {
-		in.Progress = append(in.Progress, rocktable.Progress{Attempt: start.Attempt, Tokens: 1, FirstTokenAt: now})
+		in.Progress = append(in.Progress, rocktable.Progress{Attempt: start.Attempt, Tokens: 1, FirstTokenAt: first})
 	})
 }
 
