Refuse parts of prompts that crash backend servers

Cause: content that crashes servers was known by the fingerprint of the whole request only. Requests that share one part of their prompts have nothing else in common. Besides, a crash was confirmed only when the entry of the server lapsed, 3.6 s later.

Change: core/rockpart. A request that loses its server before its first token is a sign against each part of its prompt but the last. The server is asked at once whether its process still runs, since connections are lost for other reasons too. A token with a part excuses its crashes. The part with the most crashes left, three or more, is blamed and refused, and explains its crashes for the others; among equals it is the one further back, which fewer sound requests share. Hosts tell each other crashes and excuses at once. Both sets only grow, so that hosts agree in any order. Requests that share a part with crashes start one after the other at a host, until one has a token.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -124,7 +124,7 @@
 		return rockreason.UnknownRank
 	case w.Pipelines.Get(r.Pipeline) == nil:
 		return rockreason.UnknownModel
-	case rockcrash.IsQuarantined(now, w, r.Fingerprint):
+	case rockcrash.IsQuarantined(now, w, r):
 		return rockreason.Quarantined
 	}
 	return ""
--- a/core/rockadmit/order.go
+++ b/core/rockadmit/order.go
@@ -61,7 +61,7 @@
 			Unreserve(w, r)
 			r.Alone = isAlone
 		}
-		if rockcrash.IsQuarantined(now, w, r.Fingerprint) {
+		if rockcrash.IsQuarantined(now, w, r) {
 			Dequeue(w, r)
 			w.Answer(r.ID, quarantineReason(r))
 			continue
--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sassafrasrock/core/rockpart"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -298,10 +299,11 @@
 	MarkChanged(w, s)
 }
 
-// IsQuarantined reports whether requests with this content are refused.
-func IsQuarantined(now time.Time, w *rocktable.World, fingerprint uint64) bool {
-	s := w.Suspects.Get(fingerprint)
-	return s != nil && s.Quarantined && now.Before(s.ExpiresAt)
+// IsQuarantined reports whether a request is refused, because its content or a part of its prompt crashes backend
+// servers.
+func IsQuarantined(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
+	s := w.Suspects.Get(r.Fingerprint)
+	return s != nil && s.Quarantined && now.Before(s.ExpiresAt) || rockpart.IsBlamed(w, r)
 }
 
 // IsSuspect reports whether a request with this content must run alone, because it was in flight at aloneAfter
--- a/core/rockmember/compose.go
+++ b/core/rockmember/compose.go
@@ -76,6 +76,7 @@
 	addDepartures(now, w, d)
 	addRecent(w, d, floor)
 	addSuspects(now, w, d, floor)
+	addParts(now, w, d)
 	// Demand is reported nowhere else. It comes before the heartbeats, which fill the message in a large fleet.
 	addDemand(now, w, d)
 	if to.DataCentre == w.SelfHost().DataCentre {
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -107,6 +107,11 @@
 			m.Suspects = append(m.Suspects, suspectUpdate(now, s))
 		}
 	}
+	for _, p := range w.Parts.All() {
+		if len(m.Parts) < fullStateRows {
+			m.Parts = append(m.Parts, partUpdate(now, p))
+		}
+	}
 	SendTo(w, to, m)
 }
 
--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -58,6 +58,7 @@
 	recountPeerLoad(now, w)
 	gossip(now, w)
 	sendWork(now, w)
+	sendParts(now, w)
 }
 
 // listInterval returns the time until the next read of the platform's list. It grows with the number of live hosts: the
--- a/core/rockmember/updates.go
+++ b/core/rockmember/updates.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"sassafrasrock/core/rockpart"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -39,6 +40,9 @@
 	for _, u := range m.Suspects {
 		applySuspectUpdate(now, w, u)
 	}
+	for _, u := range m.Parts {
+		rockpart.Merge(now, w, u, len(u.Crashes) >= forwardCrashes)
+	}
 }
 
 // applyReports replaces the reports that a message carries. Those that it does not carry stay in force.
--- /dev/null
+++ b/core/rockpart/judge.go
@@ -0,0 +1,116 @@
+package rockpart
+
+import (
+	"cmp"
+	"slices"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// judge decides which parts are blamed.
+func judge(w *rocktable.World) {
+	var parts []*rocktable.PromptPart
+	for _, p := range w.Parts.All() {
+		parts = append(parts, p)
+	}
+	explained := make(map[uint64]bool)
+	for _, p := range parts {
+		if p.Blamed && len(counted(p)) >= blameCrashes {
+			explain(explained, p)
+		} else if p.Blamed {
+			setBlamed(w, p, false)
+		}
+	}
+	for {
+		p := worst(parts, explained)
+		if p == nil {
+			return
+		}
+		setBlamed(w, p, true)
+		explain(explained, p)
+	}
+}
+
+// worst returns the part with the most crashes that are not explained, or nil if none has enough to be blamed.
+func worst(parts []*rocktable.PromptPart, explained map[uint64]bool) *rocktable.PromptPart {
+	unexplained := func(p *rocktable.PromptPart) int {
+		return len(slices.DeleteFunc(counted(p), func(crash uint64) bool { return explained[crash] }))
+	}
+	var found *rocktable.PromptPart
+	most := blameCrashes - 1
+	for _, p := range parts {
+		n := unexplained(p)
+		switch {
+		case p.Blamed || n < blameCrashes:
+		case n > most || n == most && found != nil && isMoreSpecific(p, found):
+			found, most = p, n
+		}
+	}
+	return found
+}
+
+// isMoreSpecific reports whether fewer sound requests share a part than another one. The order is the same at all hosts.
+func isMoreSpecific(a, b *rocktable.PromptPart) bool {
+	return cmp.Or(cmp.Compare(a.Depth, b.Depth), cmp.Compare(a.ID, b.ID)) > 0
+}
+
+// counted returns the crashes of a part that are not excused.
+func counted(p *rocktable.PromptPart) []uint64 {
+	return slices.DeleteFunc(slices.Clone(p.Crashes), func(crash uint64) bool { return slices.Contains(p.Excused, crash) })
+}
+
+func explain(explained map[uint64]bool, p *rocktable.PromptPart) {
+	for _, crash := range p.Crashes {
+		explained[crash] = true
+	}
+}
+
+func setBlamed(w *rocktable.World, p *rocktable.PromptPart, blamed bool) {
+	p.Blamed = blamed
+	states := [2]string{"suspect", "blamed"}
+	if !blamed {
+		states = [2]string{"blamed", "excused"}
+	}
+	w.LogChange("part", p.ID.String(), states[0], states[1])
+}
+
+// IsBlamed reports whether a request has a blamed part.
+func IsBlamed(w *rocktable.World, r *rocktable.Request) bool {
+	return slices.ContainsFunc(r.Parts, func(id rocktable.PartID) bool {
+		p := w.Parts.Get(id)
+		return p != nil && p.Blamed
+	})
+}
+
+// MustWait reports whether a request may not start now: a request that shares a part with crashes waits until the other
+// ones of this host have begun or ended, so that not all of them are lost to one cause.
+func MustWait(w *rocktable.World, r *rocktable.Request) bool {
+	if w.Parts.Len()+w.CrashChecks.Len() == 0 {
+		return false
+	}
+	return slices.ContainsFunc(r.Parts, func(id rocktable.PartID) bool { return isChecked(w, id) || isTried(w, r, id) })
+}
+
+// isChecked reports whether a sign against a part is not resolved yet.
+func isChecked(w *rocktable.World, id rocktable.PartID) bool {
+	for _, c := range w.CrashChecks.All() {
+		if slices.ContainsFunc(c.Parts, func(p rocktable.PartAtDepth) bool { return p.Part == id }) {
+			return true
+		}
+	}
+	return false
+}
+
+// isTried reports whether another request with a part that has crashes waits for its first token.
+func isTried(w *rocktable.World, r *rocktable.Request, id rocktable.PartID) bool {
+	if p := w.Parts.Get(id); p == nil || len(counted(p)) == 0 {
+		return false
+	}
+	for _, a := range w.Attempts.All() {
+		other := w.Requests.Get(a.Request)
+		if other != nil && other.ID != r.ID && a.Tokens == 0 && !a.Canceled && slices.Contains(other.Parts, id) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/rockpart/part.go
@@ -0,0 +1,206 @@
+package rockpart
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// blameCrashes is the number of crashes from which a part is blamed. Two may be chance: a backend server that fails
+	// for another reason has a few requests without a token.
+	blameCrashes = 3
+	// keepCrashes is the time for which a part is kept after its last crash. A blamed part is refused until then.
+	keepCrashes = 10 * time.Minute
+	// keepExcused is the time for which a part without crashes that count is kept, so that peers learn that they are
+	// excused.
+	keepExcused = time.Minute
+	// maxCrashIDs limits the crashes of a part. The oldest are dropped.
+	maxCrashIDs = 32
+	// checkTimeout is the time without an answer after which a crash check counts as unanswered.
+	checkTimeout = time.Second
+)
+
+// System finds parts of prompts that crash backend servers.
+var System = rocktable.System{
+	Name:        "rockpart",
+	Description: "Finds parts of prompts that crash each backend server that begins to write an answer on them.",
+	Run:         run,
+}
+
+func run(now time.Time, w *rocktable.World) {
+	for _, p := range w.Inbox.Progress {
+		if p.Tokens > 0 {
+			excuseParts(now, w, p.Attempt)
+		}
+	}
+	for _, e := range w.Inbox.AttemptsEnded {
+		applyEnd(now, w, e)
+	}
+	for _, reset := range w.Inbox.Resets {
+		if p := w.Parts.Get(rocktable.PartID(reset.Fingerprint)); p != nil {
+			excuse(now, w, p)
+		}
+	}
+	for _, a := range w.Inbox.CrashChecks {
+		applyCheck(now, w, a)
+	}
+	for server, c := range w.CrashChecks.All() {
+		if now.Sub(c.SentAt) >= checkTimeout {
+			w.CrashChecks.Delete(server)
+		} else {
+			w.WakeAt(c.SentAt.Add(checkTimeout))
+		}
+	}
+	for id, p := range w.Parts.All() {
+		if !now.Before(p.ExpiresAt) {
+			w.Parts.Delete(id)
+			w.JudgeParts = true
+		}
+	}
+	if w.JudgeParts {
+		w.JudgeParts = false
+		judge(w)
+	}
+}
+
+// applyEnd records a sign against the parts of a request whose attempt ended with a backend server before its first
+// token, and excuses those of a complete answer.
+func applyEnd(now time.Time, w *rocktable.World, e rocktable.AttemptEnded) {
+	if e.Tokens > 0 || e.Reason == "" {
+		excuseParts(now, w, e.Attempt)
+		return
+	}
+	a := w.Attempts.Get(e.Attempt)
+	// A request that did not reach the backend server did not crash it.
+	if a == nil || a.Tokens > 0 || !e.Crashed || e.Reason == rockreason.StageUnreachable {
+		return
+	}
+	r, s := w.Requests.Get(a.Request), w.Servers.Get(e.FailedServer)
+	if r == nil || s == nil || len(r.Parts) == 0 {
+		return
+	}
+	incarnation := s.Incarnation
+	for _, stage := range a.Path {
+		if stage.Server == s.ID && stage.Incarnation != 0 {
+			incarnation = stage.Incarnation
+		}
+	}
+	c := w.CrashChecks.Get(s.ID)
+	if c == nil || c.Incarnation != incarnation {
+		w.CrashChecks.Put(s.ID, rocktable.CrashCheck{Server: s.ID, Incarnation: incarnation, SentAt: now})
+		c = w.CrashChecks.Get(s.ID)
+		w.Outbox.CrashChecks = append(w.Outbox.CrashChecks, rocktable.CrashQuestion{Server: s.ID, Address: s.Address})
+		w.WakeAt(now.Add(checkTimeout))
+	}
+	for depth, id := range r.Parts {
+		c.Parts = append(c.Parts, rocktable.PartAtDepth{Part: id, Depth: depth})
+	}
+	if c.Confirmed {
+		addCrash(now, w, c)
+	}
+}
+
+// applyCheck resolves the signs at a backend server by its answer.
+func applyCheck(now time.Time, w *rocktable.World, a rocktable.CrashAnswer) {
+	c := w.CrashChecks.Get(a.Server)
+	switch {
+	case c == nil || c.Confirmed:
+	case a.Gone || a.Incarnation != 0 && a.Incarnation != c.Incarnation:
+		c.Confirmed, c.SentAt = true, now // attempts that the same crash ended may still be reported
+		addCrash(now, w, c)
+	default:
+		w.CrashChecks.Delete(a.Server) // it still runs, or does not answer
+	}
+}
+
+// addCrash adds a confirmed crash to the parts of its signs.
+func addCrash(now time.Time, w *rocktable.World, c *rocktable.CrashCheck) {
+	s := w.Servers.Get(c.Server)
+	if s == nil {
+		return
+	}
+	crash := xxhash.Sum64String(s.Name + "/" + strconv.FormatUint(c.Incarnation, 10))
+	for _, p := range c.Parts {
+		Merge(now, w, rocktable.PartUpdate{Part: p.Part, Depth: p.Depth, Crashes: []uint64{crash}, Remaining: keepCrashes}, true)
+	}
+	c.Parts = nil
+}
+
+// excuseParts excuses the crashes of all parts of a request that got a token.
+func excuseParts(now time.Time, w *rocktable.World, attempt rocktable.AttemptID) {
+	if w.Parts.Len() == 0 {
+		return
+	}
+	a := w.Attempts.Get(attempt)
+	if a == nil {
+		return
+	}
+	r := w.Requests.Get(a.Request)
+	if r == nil {
+		return
+	}
+	for _, id := range r.Parts {
+		if p := w.Parts.Get(id); p != nil && len(counted(p)) > 0 {
+			excuse(now, w, p)
+		}
+	}
+}
+
+// excuse excuses the crashes of a part. Peers are told at once if they were told of the crashes in this way.
+func excuse(now time.Time, w *rocktable.World, p *rocktable.PromptPart) {
+	Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Excused: p.Crashes, Remaining: keepExcused}, len(p.Crashes) > 1)
+}
+
+// Merge adds crashes to a part, and excuses crashes. Both sets only grow, so that updates may arrive in any order. What
+// is new is reported to peers in the rounds of gossip, or at once.
+func Merge(now time.Time, w *rocktable.World, u rocktable.PartUpdate, atOnce bool) {
+	if u.Remaining <= 0 {
+		return
+	}
+	p := w.Parts.GetOrPut(u.Part)
+	p.ID, p.Depth = u.Part, u.Depth
+	before := len(counted(p))
+	added := addIDs(&p.Crashes, u.Crashes)
+	excused := addIDs(&p.Excused, u.Excused)
+	if !added && !excused {
+		if p.ExpiresAt.IsZero() {
+			w.Parts.Delete(u.Part)
+		}
+		return
+	}
+	if until := now.Add(min(u.Remaining, keepCrashes)); until.After(p.ExpiresAt) {
+		p.ExpiresAt = until
+	}
+	if len(counted(p)) == 0 {
+		p.ExpiresAt = now.Add(keepExcused)
+	}
+	p.ChangeSeq = w.NextChangeSeq()
+	w.JudgeParts = true
+	if atOnce {
+		w.Gossip.ChangedParts = append(w.Gossip.ChangedParts, p.ID)
+		w.WakeAt(now)
+	}
+	w.LogChange("part", p.ID.String(), crashCount(before), crashCount(len(counted(p))))
+}
+
+func crashCount(n int) string { return strconv.Itoa(n) + " crashes" }
+
+// addIDs adds the ids that a set does not have yet, and reports whether there were any.
+func addIDs(set *[]uint64, ids []uint64) bool {
+	added := false
+	for _, id := range ids {
+		if !slices.Contains(*set, id) {
+			*set, added = append(*set, id), true
+		}
+	}
+	if extra := len(*set) - maxCrashIDs; extra > 0 {
+		*set = slices.Clone((*set)[extra:])
+	}
+	return added
+}
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -294,7 +294,7 @@
 	switch {
 	case ok && reason.Kind != rockreason.Retry:
 		return e.Reason
-	case rockcrash.IsQuarantined(now, w, r.Fingerprint):
+	case rockcrash.IsQuarantined(now, w, r):
 		return rockreason.BackendFailed
 	case r.AtMostOnce && r.EarlierMayHaveRun, r.MaxAttempts > 0 && r.MaybeRanAttempts >= r.MaxAttempts:
 		return rockreason.BackendFailed
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -5,6 +5,7 @@
 
 	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rockcrash"
+	"sassafrasrock/core/rockpart"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
@@ -161,6 +162,9 @@
 		w.WakeAt(r.NotBefore)
 		return nil
 	}
+	if rockpart.MustWait(w, r) {
+		return nil
+	}
 	if r.Alone {
 		if rockcrash.MustWait(w, r.Fingerprint) {
 			return nil
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -14,6 +14,7 @@
 	Answers      []Answer
 	CallStarts   []CallStart
 	Probes       []Probe
+	CrashChecks  []CrashQuestion
 	ListReads    int // reads of the platform's host list
 	TableReads   []TableRead
 	TableChanges []TableChange
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -14,6 +14,7 @@
 	AttemptsEnded     []AttemptEnded
 	Stalls            []Stall
 	Probes            []ProbeResult
+	CrashChecks       []CrashAnswer
 	HostLists         []HostList
 	TableReads        []TableReadEnded
 	ConfigPushes      []ConfigPush
@@ -131,6 +132,7 @@
 	Demands           []DemandUpdate
 	Suspects          []SuspectUpdate
 	Work              []SuspectWork
+	Parts             []PartUpdate
 	FollowsStore      bool // the sender reads changes of the followed tables from the platform's store
 	StoreLost         bool // its last read failed
 	StoreReached      bool // its last read succeeded; neither is set before its first read has ended
--- /dev/null
+++ b/core/rocktable/parts.go
@@ -0,0 +1,51 @@
+package rocktable
+
+import "time"
+
+// PromptPart is a part of prompts that was in flight, without a token, when a backend server crashed.
+type PromptPart struct {
+	ID        PartID
+	Depth     int      // position in the prompt, 0 for the first part
+	Crashes   []uint64 // ids of the crashes; a crash has the same id at all hosts
+	Excused   []uint64 // those of the crashes after which a request with the part got a token
+	Blamed    bool     // requests with it are refused
+	ExpiresAt time.Time
+	ChangeSeq uint64 // World.ChangeSeq at the last change to report to peers
+}
+
+// PartUpdate reports a PromptPart to peers.
+type PartUpdate struct {
+	Part      PartID
+	Depth     int
+	Crashes   []uint64
+	Excused   []uint64
+	Remaining time.Duration // until it expires
+}
+
+// PartAtDepth is a part of one prompt with its position.
+type PartAtDepth struct {
+	Part  PartID
+	Depth int
+}
+
+// CrashCheck is an open question whether a backend server has crashed, with the signs against parts that depend on it.
+type CrashCheck struct {
+	Server      BackendServerID
+	Incarnation uint64 // that is suspected to have crashed
+	SentAt      time.Time
+	Confirmed   bool
+	Parts       []PartAtDepth
+}
+
+// CrashQuestion asks a backend server whether it still runs.
+type CrashQuestion struct {
+	Server  BackendServerID
+	Address string
+}
+
+// CrashAnswer is the answer to a CrashQuestion.
+type CrashAnswer struct {
+	Server      BackendServerID
+	Gone        bool   // no process listens at the address
+	Incarnation uint64 // of the process that answered; 0 if none did
+}
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -80,7 +80,7 @@
 	Servers       []BackendServer
 	DataCentres   map[DataCentreID]DataCentre
 	Callers       map[CallerID]string
-	Suspects      []Suspect
+	Suspects      []Suspect // contents of requests, and parts of prompts
 	Tallies       map[ShareKey]Tally
 	Counters      map[rockreason.Code]uint64
 	Lease         Lease
@@ -114,6 +114,9 @@
 	for _, row := range w.Suspects.All() {
 		s.Suspects = append(s.Suspects, *row)
 	}
+	for _, row := range w.Parts.All() {
+		s.Suspects = append(s.Suspects, Suspect{Fingerprint: uint64(row.ID), Crashes: row.Crashes, Quarantined: row.Blamed, ExpiresAt: row.ExpiresAt})
+	}
 	for id, row := range w.DataCentres.All() {
 		s.DataCentres[id] = *row
 	}
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -80,6 +80,9 @@
 	Lanes       Table[LaneKey, Lane]
 	Prefixes    Table[uint64, PrefixHint] // by hash of the prefix
 	Suspects    Table[uint64, Suspect]
+	Parts       Table[PartID, PromptPart]
+	CrashChecks Table[BackendServerID, CrashCheck]
+	JudgeParts  bool // Parts changed since they were judged
 	Orders      Table[BackendServerID, Order]
 	Plan        Table[BackendServerID, Placement] // layers that rockplace assigns to backend servers of this data centre
 	PlanState   PlanState
@@ -213,6 +216,8 @@
 	WorkChanged     bool     // this host's work on suspects changed and is to be reported
 	ChangedSuspects []uint64 // fingerprints of suspects to report
 	NextWork        time.Time
+	ChangedParts    []PartID // parts of prompts to report
+	NextParts       time.Time
 	LeaseLost       bool // this host's lease ended without a renewal, which is to be reported
 }
 
--- a/core/rocktick/tick.go
+++ b/core/rocktick/tick.go
@@ -13,6 +13,7 @@
 	"sassafrasrock/core/rocklease"
 	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rockoutcome"
+	"sassafrasrock/core/rockpart"
 	"sassafrasrock/core/rockplace"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rockretry"
@@ -29,6 +30,7 @@
 	rockplace.System,
 	rocklease.System,
 	rockcrash.System,
+	rockpart.System,
 	rockclaim.System,
 	rockretry.System,
 	rockadmit.System,
--- a/io/rockdaemon/dispatch.go
+++ b/io/rockdaemon/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +19,8 @@
 	probeTimeout    = time.Second
 	platformTimeout = 2 * time.Second
 	peerTimeout     = 2 * time.Second
+	// crashCheckTimeout is short because requests wait for the answer. A process that has crashed refuses at once.
+	crashCheckTimeout = 300 * time.Millisecond
 )
 
 // The tables of the platform's table service.
@@ -50,6 +54,9 @@
 	for _, p := range out.Probes {
 		go d.probe(p)
 	}
+	for _, q := range out.CrashChecks {
+		go d.checkCrash(q)
+	}
 	for _, s := range out.PeerSends {
 		go d.guard().Do(func() { d.sendToPeer(s) })
 	}
@@ -111,6 +118,21 @@
 	d.control.Post(func(in *rocktable.Inbox) { in.Probes = append(in.Probes, result) })
 }
 
+// checkCrash asks a backend server for its status, which shows whether the process that worked for this host still runs.
+func (d *Daemon) checkCrash(q rocktable.CrashQuestion) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	var status rocktable.EngineStatus
+	err := errPanicked
+	d.guard().Do(func() { status, _, err = d.engine.Status(ctx, q.Address) })
+	answer := rocktable.CrashAnswer{Server: q.Server, Gone: errors.Is(err, syscall.ECONNREFUSED)}
+	if err == nil {
+		answer.Incarnation = status.Incarnation
+	}
+	d.log.Info("backend server checked for a crash", "address", q.Address, "gone", answer.Gone, "incarnation", answer.Incarnation, "error", err)
+	d.control.Post(func(in *rocktable.Inbox) { in.CrashChecks = append(in.CrashChecks, answer) })
+}
+
 func (d *Daemon) probeService(ctx context.Context, address string) (rocktable.EngineStatus, time.Duration, error) {
 	begin := time.Now()
 	health, err := d.service.Probe(ctx, address)
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -39,6 +39,7 @@
 		Demand:            convertAll(p.Demands, demandUpdateToProto),
 		Suspects:          convertAll(p.Suspects, suspectUpdateToProto),
 		Work:              convertAll(p.Work, suspectWorkToProto),
+		Parts:             convertAll(p.Parts, partUpdateToProto),
 		LostLease:         p.LostLeaseVersion,
 		ReportsWork:       p.ReportsWork,
 		FollowsStore:      p.FollowsStore,
@@ -82,6 +83,7 @@
 		Demands:           convertAll(m.GetDemand(), demandUpdateFromProto),
 		Suspects:          convertAll(m.GetSuspects(), suspectUpdateFromProto),
 		Work:              convertAll(m.GetWork(), suspectWorkFromProto),
+		Parts:             convertAll(m.GetParts(), partUpdateFromProto),
 		LostLeaseVersion:  m.GetLostLease(),
 		ReportsWork:       m.GetReportsWork(),
 		FollowsStore:      m.GetFollowsStore(),
@@ -256,6 +258,26 @@
 	}
 }
 
+func partUpdateToProto(u rocktable.PartUpdate) *v1.PartNews {
+	return &v1.PartNews{
+		Part:        uint64(u.Part),
+		Depth:       clampUint32(u.Depth),
+		Crashes:     u.Crashes,
+		Excused:     u.Excused,
+		RemainingMs: clampUint32(int(u.Remaining.Milliseconds())),
+	}
+}
+
+func partUpdateFromProto(m *v1.PartNews) rocktable.PartUpdate {
+	return rocktable.PartUpdate{
+		Part:      rocktable.PartID(m.GetPart()),
+		Depth:     int(m.GetDepth()),
+		Crashes:   m.GetCrashes(),
+		Excused:   m.GetExcused(),
+		Remaining: time.Duration(m.GetRemainingMs()) * time.Millisecond,
+	}
+}
+
 func suspectWorkToProto(w rocktable.SuspectWork) *v1.SuspectWork {
 	return &v1.SuspectWork{Fingerprint: w.Fingerprint, Signs: clampUint32(w.Signs), Servers: w.Servers, Running: w.Running}
 }
