Let the verdict on a part settle before it is refused

Cause: a sound part that shares its requests with the cause had three crashes a few milliseconds earlier than the cause at these hosts, since each host learns of a crash at another moment. A verdict holds until a request with the part gets a token.

Change: a part is blamed 250 ms after it has enough crashes, by what is known then. Requests with it wait meanwhile, so that no further server is lost.

TestVerdictWaitsForNewsOfTheCause fails with a time of 0 ("blamed parts [1], want only 2").

--- a/core/rockpart/judge.go
+++ b/core/rockpart/judge.go
@@ -3,27 +3,33 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"sassafrasrock/core/rocktable"
 )
 
 // judge decides which parts are blamed.
-func judge(w *rocktable.World) {
+func judge(now time.Time, w *rocktable.World) {
 	var parts []*rocktable.PromptPart
+	explained := make(map[uint64]bool)
 	for _, p := range w.Parts.All() {
 		parts = append(parts, p)
-	}
-	explained := make(map[uint64]bool)
-	for _, p := range parts {
-		if p.Blamed && len(counted(p)) >= blameCrashes {
+		switch suspect := len(counted(p)) >= blameCrashes; {
+		case !suspect:
+			p.SuspectAt = time.Time{}
+			if p.Blamed {
+				setBlamed(w, p, false)
+			}
+		case p.Blamed:
 			explain(explained, p)
-		} else if p.Blamed {
-			setBlamed(w, p, false)
+		case p.SuspectAt.IsZero():
+			p.SuspectAt = now
 		}
 	}
-	for {
-		p := worst(parts, explained)
-		if p == nil {
+	for p := worst(parts, explained); p != nil; p = worst(parts, explained) {
+		if settled := p.SuspectAt.Add(settleTime); now.Before(settled) {
+			w.JudgeParts = true
+			w.WakeAt(settled)
 			return
 		}
 		setBlamed(w, p, true)
@@ -83,12 +89,20 @@
 }
 
 // MustWait reports whether a request may not start now: a request that shares a part with crashes waits until the other
-// ones of this host have begun or ended, so that not all of them are lost to one cause.
-func MustWait(w *rocktable.World, r *rocktable.Request) bool {
+// ones of this host have begun or ended, and until the verdict is reached, so that not all of them are lost to one cause.
+func MustWait(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
 	if w.Parts.Len()+w.CrashChecks.Len() == 0 {
 		return false
 	}
-	return slices.ContainsFunc(r.Parts, func(id rocktable.PartID) bool { return isChecked(w, id) || isTried(w, r, id) })
+	return slices.ContainsFunc(r.Parts, func(id rocktable.PartID) bool {
+		return isChecked(w, id) || isSettling(now, w, id) || isTried(w, r, id)
+	})
+}
+
+// isSettling reports whether the verdict on a part is about to be reached.
+func isSettling(now time.Time, w *rocktable.World, id rocktable.PartID) bool {
+	p := w.Parts.Get(id)
+	return p != nil && !p.SuspectAt.IsZero() && now.Before(p.SuspectAt.Add(settleTime))
 }
 
 // isChecked reports whether a sign against a part is not resolved yet.
--- a/core/rockpart/part.go
+++ b/core/rockpart/part.go
@@ -15,6 +15,9 @@
 	// blameCrashes is the number of crashes from which a part is blamed. Two may be chance: a backend server that fails
 	// for another reason has a few requests without a token.
 	blameCrashes = 3
+	// settleTime is the time from then until a part is blamed. Hosts learn of the same crash some milliseconds apart, and
+	// a sound part that shares its requests with the cause may have enough crashes before the cause has them.
+	settleTime = 250 * time.Millisecond
 	// keepCrashes is the time for which a part is kept after its last crash. A blamed part is refused until then.
 	keepCrashes = 10 * time.Minute
 	// keepExcused is the time for which a part without crashes that count is kept, so that peers learn that they are
@@ -65,7 +68,7 @@
 	}
 	if w.JudgeParts {
 		w.JudgeParts = false
-		judge(w)
+		judge(now, w)
 	}
 }
 
--- a/core/rockpart/part_test.go
+++ b/core/rockpart/part_test.go
@@ -51,6 +51,18 @@
 	})
 }
 
+// blamed returns the blamed parts once the verdict has settled.
+func blamed(now time.Time, w *rocktable.World) []rocktable.PartID {
+	tick(now.Add(settleTime), w, nil)
+	var found []rocktable.PartID
+	for id, p := range w.Parts.All() {
+		if p.Blamed {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
 var (
 	none = rocktable.AttemptEnded{}
 	gone = rocktable.CrashAnswer{Gone: true}
@@ -76,6 +88,7 @@
 			for i := range blameCrashes + 2 {
 				lose(start, w, begin(w, fmt.Sprintf("s%d", i), c.parts...), c.end, c.answer)
 			}
+			blamed(start, w)
 			if got := IsBlamed(w, &rocktable.Request{Parts: c.parts}); got != c.blamed {
 				t.Errorf("blamed: %t, want %t", got, c.blamed)
 			}
@@ -99,14 +112,24 @@
 			})
 		}
 	}
-	var blamed []rocktable.PartID
-	for id, p := range w.Parts.All() {
-		if p.Blamed {
-			blamed = append(blamed, id)
-		}
+	if got := blamed(start, w); !slices.Equal(got, []rocktable.PartID{deadly}) {
+		t.Errorf("blamed parts %v, want only %d", got, deadly)
 	}
-	if !slices.Equal(blamed, []rocktable.PartID{deadly}) {
-		t.Errorf("blamed parts %v, want only %d", blamed, deadly)
+}
+
+// Guards against a sound part that is blamed for seconds because news of its crashes came some milliseconds before that
+// of the cause, which has the same crashes.
+func TestVerdictWaitsForNewsOfTheCause(t *testing.T) {
+	w := newWorld()
+	const first, deadly = 1, 2
+	crashes := []uint64{1, 2, 3}
+	Merge(start, w, rocktable.PartUpdate{Part: first, Crashes: crashes, Remaining: time.Minute}, false)
+	tick(start, w, nil)
+	now := start.Add(settleTime / 2)
+	Merge(now, w, rocktable.PartUpdate{Part: deadly, Depth: 1, Crashes: crashes, Remaining: time.Minute}, false)
+	tick(now, w, nil)
+	if got := blamed(now, w); !slices.Equal(got, []rocktable.PartID{deadly}) {
+		t.Errorf("blamed parts %v, want only %d", got, deadly)
 	}
 }
 
@@ -123,6 +146,7 @@
 			Merge(start, w, updates[(i+shift)%len(updates)], false)
 			tick(start, w, nil)
 		}
+		blamed(start, w)
 		one, two := w.Parts.Get(1), w.Parts.Get(2)
 		if !one.Blamed || two.Blamed {
 			t.Errorf("order %d: part 1 blamed: %t, part 2 blamed: %t; want only part 1", shift, one.Blamed, two.Blamed)
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -162,7 +162,7 @@
 		w.WakeAt(r.NotBefore)
 		return nil
 	}
-	if rockpart.MustWait(w, r) {
+	if rockpart.MustWait(now, w, r) {
 		return nil
 	}
 	if r.Alone {
--- a/core/rocktable/parts.go
+++ b/core/rocktable/parts.go
@@ -5,10 +5,11 @@
 // PromptPart is a part of prompts that was in flight, without a token, when a backend server crashed.
 type PromptPart struct {
 	ID        PartID
-	Depth     int      // position in the prompt, 0 for the first part
-	Crashes   []uint64 // ids of the crashes; a crash has the same id at all hosts
-	Excused   []uint64 // those of the crashes after which a request with the part got a token
-	Blamed    bool     // requests with it are refused
+	Depth     int       // position in the prompt, 0 for the first part
+	Crashes   []uint64  // ids of the crashes; a crash has the same id at all hosts
+	Excused   []uint64  // those of the crashes after which a request with the part got a token
+	SuspectAt time.Time // since when enough crashes count that it can be blamed; zero while too few do
+	Blamed    bool      // requests with it are refused
 	ExpiresAt time.Time
 	ChangeSeq uint64 // World.ChangeSeq at the last change to report to peers
 }
