Suspect no stream that has begun to write of a crash

What callers would see (shown by a test): sound streams that have to wait until whole paths are reserved for them, or are refused, because they were moved from one crashed backend server to another.

Cause: all requests in flight on a crashed server became suspects. Where engines run a full path, a request that crashes them does so when it begins to write.

Change: an attempt with a token is no candidate there.

TestStreamThatWritesIsNoSuspect failed before (the stream was a suspect after two crashes).

--- a/core/rockcrash/crash.go
+++ b/core/rockcrash/crash.go
@@ -144,10 +144,11 @@
 }
 
 // addCandidate adds the content of an attempt to the candidates of a new sign. known is the number of candidates of
-// earlier signs.
+// earlier signs. Content that crashes engines of a full path does so when it begins to write: an attempt with a token is
+// no candidate there.
 func addCandidate(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt, known int) {
 	r := w.Requests.Get(a.Request)
-	if r == nil || r.Fingerprint == 0 {
+	if r == nil || r.Fingerprint == 0 || a.Tokens > 0 && w.FullPathPipeline(r) != nil {
 		return
 	}
 	for _, c := range s.CrashCandidates[known:] {
--- a/core/rockcrash/crash_test.go
+++ b/core/rockcrash/crash_test.go
@@ -101,3 +101,37 @@
 		t.Errorf("suspect %+v, want one crash", row)
 	}
 }
+
+// Guards against sound streams that are suspected, and have to run alone, because they were moved from one crashed
+// backend server to another: a request that crashes engines of a full path does so when it begins to write.
+func TestStreamThatWritesIsNoSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		tokens  int
+		suspect bool
+	}{"writes": {1, false}, "waits for its first token": {0, true}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+			const content, cause = 9, 10
+			w := rocktable.NewWorld(now, rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: "yoff"}, 1)
+			p := w.InternPipeline("pool")
+			p.Config.Engine.Kinds = []rocktable.KindConfig{{Name: "k"}}
+			for i, server := range []string{"runner-1", "runner-2"} {
+				s := w.InternServer(server)
+				s.Incarnation = 1
+				stream, other := rocktable.AttemptID(2*i+1), rocktable.AttemptID(2*i+2)
+				startAttempt(w, now, stream, content, s)
+				startAttempt(w, now, other, cause, s)
+				for _, r := range w.Requests.All() {
+					r.Pipeline = p.ID
+				}
+				w.Attempts.Get(stream).Tokens = c.tokens
+				endAttempt(w, now, other, s)
+				w.Attempts.Delete(stream)
+				now = now.Add(time.Second)
+			}
+			if !IsSuspect(now, w, cause) || IsSuspect(now, w, content) != c.suspect {
+				t.Errorf("the cause is a suspect: %t, the stream: %t; want true and %t", IsSuspect(now, w, cause), IsSuspect(now, w, content), c.suspect)
+			}
+		})
+	}
+}
