--- a/core/rocktick/overload_test.go
+++ b/core/rocktick/overload_test.go
@@ -1,7 +1,6 @@
 package rocktick_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -44,20 +43,9 @@
 func newOverload(open bool) *overload {
 	o := &overload{now: start, waiting: make(map[overloadKey]*overloadRequest), capacity: engineCapacity, open: open}
 	for i := range overloadHosts {
-		limits := rocktable.DefaultLimits()
-		limits.PlatformPushes = true
-		w := rocktable.NewWorld(start, rocktable.Host{Name: fmt.Sprintf("entry-%d", i), Address: "a"}, rocktable.DataCentre{Name: "yoff"}, 1, rocktable.WithLimits(limits))
-		w.Ready = true
-		p := w.InternPipeline("pool")
-		p.Config = rocktable.PipelineConfig{Name: "pool", Model: "m", Layers: 8, Engine: rocktable.EngineConfig{
-			LayerMB: 1, TokenBytes: 1, StepMs: 1, ReadPerSecond: 1e6, ActivationMB: 0.01, LinkMbps: 13000, AnswerTokens: 10, PromptTokens: 500,
-			Kinds: []rocktable.KindConfig{{Name: "k", MemoryMB: 80000, Pace: 1, ReadFactor: 1}},
-		}}
+		w := newFullPathWorld(i)
 		w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{Name: "r", FirstTokenMs: int(overloadTarget.Milliseconds()), GapMs: 250, Worth: 1}})
-		w.InternCaller("guild").Config = rocktable.CallerConfig{Name: "guild"}
-		s := w.InternServer("runner")
-		s.Address, s.DataCentre, s.ListedService, s.Kind, s.State, s.Listed = "runner:80", w.SelfHost().DataCentre, "pool", "k", rocktable.StateLive, true
-		s.Status = rocktable.EngineStatus{Model: "m", Kind: "k", Slots: 4000, LastLayer: 7, SubRanges: true}
+		addFullPathServer(w, "runner")
 		o.worlds = append(o.worlds, w)
 	}
 	return o
--- a/core/rocktick/parts_test.go
+++ b/core/rocktick/parts_test.go
@@ -88,17 +88,8 @@
 }
 
 func (f *partFleet) newWorld(i int) *rocktable.World {
-	limits := rocktable.DefaultLimits()
-	limits.PlatformPushes = true
-	name := fmt.Sprintf("entry-%d", i)
-	w := rocktable.NewWorld(start, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: "yoff"}, uint64(i+1), rocktable.WithLimits(limits))
-	w.Ready = true
-	w.InternPipeline("pool").Config = rocktable.PipelineConfig{Name: "pool", Model: "m", Layers: 8, Engine: rocktable.EngineConfig{
-		LayerMB: 1, TokenBytes: 1, StepMs: 1, ReadPerSecond: 1e6, ActivationMB: 0.01, LinkMbps: 13000, AnswerTokens: 10, PromptTokens: 500,
-		Kinds: []rocktable.KindConfig{{Name: "k", MemoryMB: 80000, Pace: 1, ReadFactor: 1}},
-	}}
+	w := newFullPathWorld(i)
 	w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{Name: "r", FirstTokenMs: 500, GapMs: 250, Worth: 1}})
-	w.InternCaller("guild").Config = rocktable.CallerConfig{Name: "guild"}
 	for peer := range partHosts {
 		if peer != i {
 			h := w.InternHost(fmt.Sprintf("entry-%d", peer))
@@ -106,10 +97,7 @@
 		}
 	}
 	for n := range partServers {
-		s := w.InternServer(fmt.Sprintf("runner-%d", n))
-		s.Address, s.DataCentre, s.ListedService, s.Kind, s.State, s.Listed = s.Name, w.SelfHost().DataCentre, "pool", "k", rocktable.StateLive, true
-		s.Status = rocktable.EngineStatus{Model: "m", Kind: "k", Slots: 4000, LastLayer: 7, SubRanges: true, Incarnation: 1}
-		s.Incarnation = 1
+		addFullPathServer(w, fmt.Sprintf("runner-%d", n))
 	}
 	return w
 }
