--- a/core/rockpart/part_test.go
+++ b/core/rockpart/part_test.go
@@ -137,8 +137,10 @@
 // refused after a request with it was answered.
 func TestUpdatesInAnyOrder(t *testing.T) {
 	updates := []rocktable.PartUpdate{
-		{Part: 1, Crashes: []uint64{1, 2}, Remaining: time.Minute}, {Part: 1, Crashes: []uint64{2, 3}, Remaining: time.Minute},
-		{Part: 2, Crashes: []uint64{1, 2, 3}, Depth: 1, Remaining: time.Minute}, {Part: 2, Excused: []uint64{1, 2, 3}, Depth: 1, Remaining: time.Minute},
+		{Part: 1, Crashes: []uint64{1, 2}, Remaining: time.Minute},
+		{Part: 1, Crashes: []uint64{2, 3}, Remaining: time.Minute},
+		{Part: 2, Crashes: []uint64{1, 2, 3}, Depth: 1, Remaining: time.Minute},
+		{Part: 2, Excused: []uint64{1, 2, 3}, Depth: 1, Remaining: time.Minute},
 	}
 	for shift := range updates {
 		w := newWorld()
