--- a/core/rockmember/part.go
+++ b/core/rockmember/part.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// addParts adds the blamed parts, and then those that changed last.
+// addParts adds the blamed parts, and then those that changed last, as far as they fit.
 func addParts(now time.Time, w *rocktable.World, d *draft) {
 	var parts []*rocktable.PromptPart
 	for _, p := range w.Parts.All() {
--- a/core/rockpart/judge.go
+++ b/core/rockpart/judge.go
@@ -60,7 +60,7 @@
 	return cmp.Or(cmp.Compare(a.Depth, b.Depth), cmp.Compare(a.ID, b.ID)) > 0
 }
 
-// counted returns the crashes of a part that are not excused.
+// counted returns the crashes that count against a part: those that are not excused.
 func counted(p *rocktable.PromptPart) []uint64 {
 	return slices.DeleteFunc(slices.Clone(p.Crashes), func(crash uint64) bool { return slices.Contains(p.Excused, crash) })
 }
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -186,7 +186,7 @@
 	{
 		Code: Quarantined, Kind: Refusal, Status: 422, Ran: NotRun, Retryable: false,
 		Title:          "Request quarantined",
-		Text:           "This request crashed backend servers while it ran alone.",
+		Text:           "This request, or others with a part of its prompt, crashed backend servers.",
 		OperatorAction: "Find out why it crashes them; then sassafrasrock reset FINGERPRINT.",
 	},
 	{
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -132,10 +132,10 @@
 	Demands           []DemandUpdate
 	Suspects          []SuspectUpdate
 	Work              []SuspectWork
-	Parts             []PartUpdate
-	FollowsStore      bool // the sender reads changes of the followed tables from the platform's store
-	StoreLost         bool // its last read failed
-	StoreReached      bool // its last read succeeded; neither is set before its first read has ended
+	Parts             []PartUpdate // of prompts
+	FollowsStore      bool         // the sender reads changes of the followed tables from the platform's store
+	StoreLost         bool         // its last read failed
+	StoreReached      bool         // its last read succeeded; neither is set before its first read has ended
 	Tables            []TableUpdate
 	TableRequests     []TableRequest
 }
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -43,7 +43,7 @@
 
 	// ConfirmedAt is when the store, or a host that reaches it, last showed that the copy has all changes.
 	ConfirmedAt time.Time
-	Unconfirmed bool // the log says that ConfirmedAt is too long ago
+	Unconfirmed bool // the log says that it has not been confirmed for too long
 
 	// Reads from the store.
 	Reading     bool
