Keep the handler of hang-ups until the process ends

Cause: the task that reloads the settings removed the handler when it ended, before the process did. Without a handler SIGHUP ends the process, and with it what the stop still waits for.

Change: the handler stays.

--- a/io/rockdaemon/reload.go
+++ b/io/rockdaemon/reload.go
@@ -29,9 +29,9 @@
 // restartOnlyLimits. All other fields take effect at the next start.
 func WithSettingsFile(file string) Option {
 	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP) // without a handler the signal ends the process
+	// Without a handler the signal ends the process, also while it stops. The handler therefore stays.
+	signal.Notify(hangups, syscall.SIGHUP)
 	return WithTask(func(ctx context.Context, d *Daemon) {
-		defer signal.Stop(hangups)
 		r := reloader{daemon: d, file: file, current: d.settings}
 		r.modifiedAt = r.fileModifiedAt()
 		ticks := time.NewTicker(settingsCheckInterval)
