Ignore crashes of a part above its limit instead of dropping others

Found on reading the change again. A part keeps 32 crashes and dropped the oldest for a new one. Two hosts with other 32 crashes of the same part each took what the other had dropped for news, and reported the part to each other for ever, at once. A common part reaches the limit where many servers fail.

Change: crashes above the limit are ignored, so that the set only grows, as the design says. Excuses have no limit: each crash that a host knows must be excusable.

--- a/core/rockmember/part.go
+++ b/core/rockmember/part.go
@@ -59,8 +59,11 @@
 		parts = append(parts, p)
 	}
 	slices.SortFunc(parts, func(a, b *rocktable.PromptPart) int {
-		if a.Blamed != b.Blamed {
-			return cmp.Compare(rankOf(a), rankOf(b))
+		switch {
+		case a.Blamed && !b.Blamed:
+			return -1
+		case b.Blamed && !a.Blamed:
+			return 1
 		}
 		return cmp.Compare(b.ChangeSeq, a.ChangeSeq)
 	})
@@ -71,13 +74,6 @@
 	}
 }
 
-func rankOf(p *rocktable.PromptPart) int {
-	if p.Blamed {
-		return 0
-	}
-	return 1
-}
-
 func partUpdate(now time.Time, p *rocktable.PromptPart) rocktable.PartUpdate {
 	return rocktable.PartUpdate{
 		Part: p.ID, Depth: p.Depth, Crashes: slices.Clone(p.Crashes), Excused: slices.Clone(p.Excused), Remaining: p.ExpiresAt.Sub(now),
--- a/core/rockpart/part.go
+++ b/core/rockpart/part.go
@@ -1,6 +1,7 @@
 package rockpart
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -23,7 +24,8 @@
 	// keepExcused is the time for which a part without crashes that count is kept, so that peers learn that they are
 	// excused.
 	keepExcused = time.Minute
-	// maxCrashIDs limits the crashes of a part. The oldest are dropped.
+	// maxCrashIDs limits the crashes of a part. Further ones are ignored: hosts that dropped others for them would report
+	// the part to each other for ever.
 	maxCrashIDs = 32
 	// checkTimeout is the time without an answer after which a crash check counts as unanswered.
 	checkTimeout = time.Second
@@ -169,8 +171,8 @@
 	p := w.Parts.GetOrPut(u.Part)
 	p.ID, p.Depth = u.Part, u.Depth
 	before := len(counted(p))
-	added := addIDs(&p.Crashes, u.Crashes)
-	excused := addIDs(&p.Excused, u.Excused)
+	added := addIDs(&p.Crashes, u.Crashes, maxCrashIDs)
+	excused := addIDs(&p.Excused, u.Excused, math.MaxInt) // as many as the hosts have crashes
 	if !added && !excused {
 		if p.ExpiresAt.IsZero() {
 			w.Parts.Delete(u.Part)
@@ -194,16 +196,13 @@
 
 func crashCount(n int) string { return strconv.Itoa(n) + " crashes" }
 
-// addIDs adds the ids that a set does not have yet, and reports whether there were any.
-func addIDs(set *[]uint64, ids []uint64) bool {
+// addIDs adds the ids that a set does not have yet, up to a limit, and reports whether there were any.
+func addIDs(set *[]uint64, ids []uint64, limit int) bool {
 	added := false
 	for _, id := range ids {
-		if !slices.Contains(*set, id) {
+		if len(*set) < limit && !slices.Contains(*set, id) {
 			*set, added = append(*set, id), true
 		}
 	}
-	if extra := len(*set) - maxCrashIDs; extra > 0 {
-		*set = slices.Clone((*set)[extra:])
-	}
 	return added
 }
--- a/core/rockpart/part_test.go
+++ b/core/rockpart/part_test.go
@@ -167,3 +167,38 @@
 		t.Errorf("%d parts and %d checks are left, want none", w.Parts.Len(), w.CrashChecks.Len())
 	}
 }
+
+// Guards against hosts that report a part to each other for ever: each drops crashes above the limit, and takes the
+// other's for new ones.
+func TestUpdatesAboveTheLimitSettle(t *testing.T) {
+	one, two := newWorld(), newWorld()
+	for id := range uint64(maxCrashIDs) {
+		Merge(start, one, rocktable.PartUpdate{Part: 1, Crashes: []uint64{id + 1}, Remaining: time.Minute}, false)
+		Merge(start, two, rocktable.PartUpdate{Part: 1, Crashes: []uint64{id + 2}, Remaining: time.Minute}, false)
+	}
+	exchange := func(from, to *rocktable.World) bool {
+		p, before := from.Parts.Get(1), to.Parts.Get(1).ChangeSeq
+		Merge(start, to, rocktable.PartUpdate{Part: 1, Crashes: p.Crashes, Excused: p.Excused, Remaining: time.Minute}, false)
+		return to.Parts.Get(1).ChangeSeq != before
+	}
+	changes := 0
+	for range 10 {
+		if exchange(one, two) {
+			changes++
+		}
+		if exchange(two, one) {
+			changes++
+		}
+	}
+	if changes > 2 {
+		t.Errorf("%d of 20 updates changed something, want at most one at each host", changes)
+	}
+	// A token at one host still excuses all crashes at both.
+	excuse(start, one, one.Parts.Get(1))
+	excuse(start, two, two.Parts.Get(1))
+	exchange(one, two)
+	exchange(two, one)
+	if n := len(counted(one.Parts.Get(1))) + len(counted(two.Parts.Get(1))); n > 0 {
+		t.Errorf("%d crashes still count after a token at each host, want none", n)
+	}
+}
