--- a/core/rocktick/parts_test.go
+++ b/core/rocktick/parts_test.go
@@ -21,16 +21,16 @@
 	partAnswer      = 400 * time.Millisecond // after the start of an attempt
 	partRestart     = 3 * time.Second        // of a crashed server
 	partArrivalGap  = 10 * time.Millisecond
-	partContact     = 3 * time.Second // contactMs of the users
+	partContact     = 3 * time.Second // in which hosts must have learned of a fault
 	partMaxLate     = 3               // requests that may reach a server later than partContact after the fifth crash
 	partCrashes     = 5
-	deadlyPart      = rocktable.PartID(666)
-	firstPart       = rocktable.PartID(7) // of the deadly requests, and of sound ones
+	crashingPart    = rocktable.PartID(666)
+	firstPart       = rocktable.PartID(7) // of the crashing requests, and of sound ones
 	otherFirstParts = 60
 )
 
 // partFleet is a model of hosts before servers that crash when they begin to write the answer to a request with
-// deadlyPart.
+// crashingPart.
 type partFleet struct {
 	t       *testing.T
 	now     time.Time
@@ -41,10 +41,10 @@
 	lastID  rocktable.RequestID
 	kinds   map[rocktable.RequestID]partKind
 
-	crashes      []time.Time
-	deadlyStarts []time.Time
-	quarantined  int                          // sound requests that were refused as quarantined
-	begun        map[rocktable.RequestID]bool // requests that began at their first attempt
+	crashes        []time.Time
+	crashingStarts []time.Time
+	quarantined    int                          // sound requests that were refused as quarantined
+	begun          map[rocktable.RequestID]bool // requests that began at their first attempt
 }
 
 type partServer struct {
@@ -53,8 +53,8 @@
 }
 
 type partKind struct {
-	deadly, sharesFirst bool
-	arrivedAt           time.Time
+	crashes, sharesFirst bool
+	arrivedAt            time.Time
 }
 
 type partKey struct {
@@ -102,11 +102,11 @@
 	return w
 }
 
-// run lets requests arrive for a time. A twentieth is deadly if that is set, and a tenth shares its first part.
-func (f *partFleet) run(d time.Duration, deadly bool) {
+// run lets requests arrive for a time. A twentieth is crashing if that is set, and a tenth shares its first part.
+func (f *partFleet) run(d time.Duration, crashing bool) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(partStep)
-		f.arrive(deadly)
+		f.arrive(crashing)
 		f.serve()
 		for i, w := range f.worlds {
 			result := rocktick.Run(f.now, w)
@@ -118,7 +118,7 @@
 	}
 }
 
-func (f *partFleet) arrive(deadly bool) {
+func (f *partFleet) arrive(crashing bool) {
 	if f.now.Sub(start)%partArrivalGap != 0 {
 		return
 	}
@@ -131,8 +131,8 @@
 	kind := partKind{arrivedAt: f.now}
 	switch n % 20 {
 	case 0:
-		if deadly {
-			kind.deadly, r.Parts = true, []rocktable.PartID{firstPart, deadlyPart}
+		if crashing {
+			kind.crashes, r.Parts = true, []rocktable.PartID{firstPart, crashingPart}
 		}
 	case 5, 13:
 		kind.sharesFirst, r.Parts = true, []rocktable.PartID{firstPart}
@@ -145,10 +145,10 @@
 // lastCounted returns the time of the fifth crash, or of the last one if there are fewer.
 func (f *partFleet) lastCounted() time.Time { return f.crashes[min(len(f.crashes), partCrashes)-1] }
 
-// lateDeadly returns the deadly requests that reached a server later than partContact after the last counted crash.
-func (f *partFleet) lateDeadly() int {
+// lateCrashing returns the crashing requests that reached a server later than partContact after the last counted crash.
+func (f *partFleet) lateCrashing() int {
 	n := 0
-	for _, at := range f.deadlyStarts {
+	for _, at := range f.crashingStarts {
 		if at.Sub(f.lastCounted()) > partContact {
 			n++
 		}
@@ -156,9 +156,9 @@
 	return n
 }
 
-// soundBesideDeadly returns the sound requests with firstPart from two times partContact after the last counted crash,
+// soundBesideCrashing returns the sound requests with firstPart from two times partContact after the last counted crash,
 // and how many of them began at their first attempt.
-func (f *partFleet) soundBesideDeadly() (sound, begun int) {
+func (f *partFleet) soundBesideCrashing() (sound, begun int) {
 	for id, k := range f.kinds {
 		if k.sharesFirst && k.arrivedAt.Sub(f.lastCounted()) > 2*partContact && f.now.Sub(k.arrivedAt) > partFirstToken+partStep {
 			sound++
@@ -185,7 +185,7 @@
 		}
 		age := f.now.Sub(a.startedAt)
 		switch {
-		case !a.begun && age >= partFirstToken && f.kinds[a.request].deadly:
+		case !a.begun && age >= partFirstToken && f.kinds[a.request].crashes:
 			f.crash(a.server)
 		case !a.begun && age >= partFirstToken:
 			a.begun = true
@@ -252,8 +252,8 @@
 			continue
 		}
 		kind := f.kinds[s.Request]
-		if kind.deadly {
-			f.deadlyStarts = append(f.deadlyStarts, f.now)
+		if kind.crashes {
+			f.crashingStarts = append(f.crashingStarts, f.now)
 		}
 		f.running[partKey{host, s.Attempt}] = &partAttempt{request: s.Request, server: server, first: w.Requests.Get(s.Request).Attempts == 1, startedAt: f.now}
 	}
@@ -267,7 +267,7 @@
 		w.Inbox.CrashChecks = append(w.Inbox.CrashChecks, answer)
 	}
 	for _, a := range out.Answers {
-		if a.Reason == rockreason.Quarantined && !f.kinds[a.Request].deadly {
+		if a.Reason == rockreason.Quarantined && !f.kinds[a.Request].crashes {
 			f.quarantined++
 		}
 	}
@@ -283,9 +283,9 @@
 	f := newPartFleet(t)
 	f.run(2*time.Second, false)
 	f.run(22*time.Second, true)
-	late := f.lateDeadly()
-	sound, begun := f.soundBesideDeadly()
-	t.Logf("%d servers crashed, %d deadly requests came late, %d of %d sound ones with their first part began", len(f.crashes), late, begun, sound)
+	late := f.lateCrashing()
+	sound, begun := f.soundBesideCrashing()
+	t.Logf("%d servers crashed, %d crashing requests came late, %d of %d sound ones with their first part began", len(f.crashes), late, begun, sound)
 	if late > partMaxLate {
 		t.Errorf("%d servers crashed, and %d requests with the part reached one later than %s after the fifth crash; want at most %d", len(f.crashes), late, partContact, partMaxLate)
 	}
