Measure round trips from the connection's readiness

Cause: the transport calls WroteRequest in the goroutine that writes, after its last write. The answer of a server on the same machine can be read first, so that the difference was negative and cut to 0. The control thread then took 0 s for the server's round trip.

Change: the time begins when the connection is ready, which the transport reports before it writes. Only the status query uses the figure, and it has no body.

--- a/io/rockengine/client.go
+++ b/io/rockengine/client.go
@@ -129,32 +129,31 @@
 
 // traceState records the progress of a request. The transport updates it from several goroutines.
 type traceState struct {
-	connected  atomic.Bool
-	wroteAt    atomic.Int64 // Unix time in ns
-	answeredAt atomic.Int64 // Unix time in ns
+	connectedAt atomic.Int64 // Unix time in ns; 0 without a connection
+	answeredAt  atomic.Int64 // Unix time in ns
 }
 
 // withTrace returns a context that records the progress of one request in the returned state.
 func withTrace(ctx context.Context) (context.Context, *traceState) {
 	t := new(traceState)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:              func(httptrace.GotConnInfo) { t.connected.Store(true) },
-		WroteRequest:         func(httptrace.WroteRequestInfo) { t.wroteAt.Store(time.Now().UnixNano()) },
+		GotConn:              func(httptrace.GotConnInfo) { t.connectedAt.Store(time.Now().UnixNano()) },
 		GotFirstResponseByte: func() { t.answeredAt.Store(time.Now().UnixNano()) },
 	}), t
 }
 
 // classify wraps an error of the transport in ErrLost if there was a connection, and in ErrUnreachable otherwise.
 func (t *traceState) classify(err error) error {
-	if t.connected.Load() {
+	if t.connectedAt.Load() != 0 {
 		return fmt.Errorf("%w: %w", ErrLost, err)
 	}
 	return fmt.Errorf("%w: %w", ErrUnreachable, err)
 }
 
-// roundTrip returns the time from the end of the request to the first byte of the answer.
+// roundTrip returns the time from the connection's readiness to the first byte of the answer. The transport reports
+// the end of a request in its own goroutine, which may be later than the answer.
 func (t *traceState) roundTrip() time.Duration {
-	return max(0, time.Duration(t.answeredAt.Load()-t.wroteAt.Load()))
+	return max(0, time.Duration(t.answeredAt.Load()-t.connectedAt.Load()))
 }
 
 // doJSON sends one request and decodes a JSON answer of at most limit bytes.
