Tell that the store is lost when a read is overdue, not when it has failed

What callers would see: a change that the store acknowledged was not in force 2 s later on hosts without a fault (CONFIG), or a backend server that had left was still used (DRAIN), because the followers of their data centre had just lost the store.

Cause: a follower says in its notices that it reaches the store until a read that waits has failed, 1.2 s of wait and 0.8 s of margin after its start. The others trust it for that long, check their followers each 0.25 s and need a read themselves: up to 2.3 s.

Change: a read of changes whose answer is 0.3 s late counts as a lost store, although it may still be answered; both prompt tables count, not the backend servers alone; a source that loses the store is checked at once. Reads are not repeated earlier, and a host whose one table fails does not poll the other.

Ruled out: reads of both tables that end at different moments (tried, and not needed).

Measured: TestConfigurationIsInForceWhenFollowersLoseTheStore failed in 9 of 15 phases before, with 26 to 114 of 114 tables of the 57 other hosts behind, and passes.

--- a/core/rockfollow/confirm.go
+++ b/core/rockfollow/confirm.go
@@ -11,9 +11,9 @@
 const confirmLimit = 2500 * time.Millisecond
 
 // reportUnconfirmed logs when a copy has not been confirmed for confirmLimit, with what it waits for, and when it is
-// confirmed again. The table of hosts is left out: its reads wait for longer.
+// confirmed again.
 func reportUnconfirmed(now time.Time, w *rocktable.World) {
-	for _, id := range []rocktable.FollowedTableID{rocktable.ConfigurationTable, rocktable.BackendServersTable} {
+	for _, id := range promptTables {
 		t := w.FollowedTables.Get(id)
 		since := t.ConfirmedAt
 		if since.IsZero() {
--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -58,6 +58,7 @@
 	stopped bool
 	frozen  bool
 	alone   bool   // no message of another host reaches it, and none of it another host
+	cut     bool   // the store answers none of its reads
 	row     uint64 // version of its row in the table of hosts, which has the key that peers trust
 	inbox   rocktable.Inbox
 	reads   []pendingRead
@@ -184,7 +185,7 @@
 // answerReads answers the reads of a host whose changes are there, whose wait is over or that the store refuses.
 func (f *fleet) answerReads(h *host) {
 	h.reads = slices.DeleteFunc(h.reads, func(p pendingRead) bool {
-		silent := f.store.silent || p.silent
+		silent := f.store.silent || p.silent || h.cut
 		if f.now.Sub(p.sentAt) < readLatency || silent && f.now.Sub(p.sentAt) < p.read.Limit {
 			return false
 		}
@@ -200,7 +201,7 @@
 func (f *fleet) result(h *host, p pendingRead) rocktable.TableReadEnded {
 	end := rocktable.TableReadEnded{Read: p.read, Version: f.store.version}
 	switch {
-	case f.store.refuses(h) || f.store.silent || p.silent:
+	case f.store.refuses(h) || f.store.silent || p.silent || h.cut:
 		end.Status = rocktable.TableReadFailed
 	case p.read.After == 0:
 		end.Rows = slices.Collect(maps.Values(f.store.rows[p.read.Table]))
--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -1,6 +1,7 @@
 package rockfollow
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasrock/core/rocktable"
@@ -22,6 +23,9 @@
 	changeWait = 1200 * time.Millisecond
 	// answerMargin is the time that the answer to a read may take beyond its wait.
 	answerMargin = 800 * time.Millisecond
+	// overdueMargin is the time beyond its wait after which a read is overdue. The hosts that have this one as their source
+	// must learn it, and read the store, within the 2 s after which a change must be in force on them.
+	overdueMargin = 300 * time.Millisecond
 	// minReadLimit and fullReadLimit limit a read of changes, and one of the complete table.
 	minReadLimit  = time.Second
 	fullReadLimit = 2 * time.Second
@@ -48,6 +52,10 @@
 	{id: rocktable.HostsTable, wait: 10 * time.Second, interval: 2 * time.Second},
 }
 
+// promptTables lists the tables whose changes must be known within seconds. Their reads show whether this host reaches
+// the store; those of the table of hosts wait for longer.
+var promptTables = []rocktable.FollowedTableID{rocktable.ConfigurationTable, rocktable.BackendServersTable}
+
 // System keeps the copies of the platform's tables.
 var System = rocktable.System{
 	Name:        "rockfollow",
@@ -69,6 +77,7 @@
 	for _, m := range w.Inbox.Peers {
 		applyMessage(now, w, m)
 	}
+	checkOverdue(now, w)
 	if !now.Before(w.Follow.NextCheck) {
 		w.Follow.NextCheck = now.Add(checkEvery)
 		chooseFollowers(now, w)
@@ -94,7 +103,10 @@
 			continue
 		}
 		read := newRead(w, t, f.wait)
-		t.Reading, t.ReadOnce, t.ReadSince = true, false, now
+		t.Reading, t.ReadOnce, t.ReadSince, t.WaitEnd = true, false, now, time.Time{}
+		if read.After > 0 {
+			t.WaitEnd = now.Add(read.Wait)
+		}
 		w.Outbox.TableReads = append(w.Outbox.TableReads, read)
 	}
 }
@@ -105,7 +117,7 @@
 	if t.ReadAll {
 		read.After = 0
 	}
-	if w.Follow.Follows && !w.Follow.StoreReached {
+	if st := w.Follow; st.Follows && !st.StoreReached && (!st.StoreLost || t.ReadFailed) {
 		read.Wait = 0 // the answer shows at once whether this host reaches the store
 	}
 	read.Limit = max(minReadLimit, read.Wait+answerMargin)
@@ -143,9 +155,36 @@
 	case rocktable.TableReadFailed:
 		t.NextRead = now.Add(retryDelay(w, t))
 	}
-	if t.ID == rocktable.BackendServersTable {
-		setStoreState(w, r.Status == rocktable.TableReadFailed)
+	t.ReadFailed = r.Status == rocktable.TableReadFailed
+	if slices.Contains(promptTables, t.ID) {
+		setStoreState(w, hasLostStore(now, w))
+	}
+}
+
+// checkOverdue records the store as lost when a read of changes becomes overdue.
+func checkOverdue(now time.Time, w *rocktable.World) {
+	if w.Follow.StoreReached && hasLostStore(now, w) {
+		setStoreState(w, true)
+	}
+}
+
+// hasLostStore reports whether the last read of a prompt table failed, or the answer to one is overdue.
+func hasLostStore(now time.Time, w *rocktable.World) bool {
+	for _, id := range promptTables {
+		t := w.FollowedTables.Get(id)
+		if t.ReadFailed {
+			return true
+		}
+		if !t.Reading || t.WaitEnd.IsZero() {
+			continue
+		}
+		overdueAt := t.WaitEnd.Add(overdueMargin)
+		if !now.Before(overdueAt) {
+			return true
+		}
+		w.WakeAt(overdueAt)
 	}
+	return false
 }
 
 func intervalOf(id rocktable.FollowedTableID) time.Duration {
--- a/core/rockfollow/late_test.go
+++ b/core/rockfollow/late_test.go
@@ -114,3 +114,26 @@
 		}
 	}
 }
+
+// Guards against a configuration that is late on hosts without a fault because their followers have lost the store, and
+// tell so only when a read that waits has failed.
+func TestConfigurationIsInForceWhenFollowersLoseTheStore(t *testing.T) {
+	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 100 * time.Millisecond {
+		f := newFleet(t, 3, 63)
+		f.run(settlingTime)
+		f.store.write(rocktable.ConfigurationTable, "config", false)
+		f.run(phase)
+		cut := f.followers()
+		for _, h := range cut {
+			h.cut = true
+		}
+		f.change()
+		f.run(configLimit)
+		for _, h := range cut {
+			h.stopped = true // a host with a fault has no limit to keep
+		}
+		if late := f.latecomers(); len(late) > 0 {
+			t.Errorf("%d tables lack a change %s after its acknowledgement, at which the followers lost the store, %s after another change: %s", len(late), configLimit, phase, late[0])
+		}
+	}
+}
--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -47,6 +47,9 @@
 		return
 	}
 	s := w.Sources.GetOrPut(id)
+	if m.StoreLost && !s.StoreLost {
+		w.Follow.NextCheck = now // another host may have to follow the store
+	}
 	s.NoticeAt, s.StoreLost, s.StoreReached = now, m.StoreLost, m.StoreReached
 }
 
--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -65,6 +65,9 @@
 	if follows != w.Follow.Follows {
 		w.Follow.Follows, w.Follow.NoticeDue = follows, true
 		w.Follow.StoreLost, w.Follow.StoreReached = false, false // not known before the first read
+		for _, t := range w.FollowedTables.All() {
+			t.ReadFailed = false
+		}
 		w.LogChange("follower", w.SelfHost().Name, onOff(!follows), onOff(follows))
 	}
 }
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -134,7 +134,7 @@
 	Work              []SuspectWork
 	Parts             []PartUpdate // of prompts
 	FollowsStore      bool         // the sender reads changes of the followed tables from the platform's store
-	StoreLost         bool         // its last read failed
+	StoreLost         bool         // its last read failed, or is overdue
 	StoreReached      bool         // its last read succeeded; neither is set before its first read has ended
 	Tables            []TableUpdate
 	TableRequests     []TableRequest
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -48,11 +48,13 @@
 	// Reads from the store.
 	Reading     bool
 	ReadSince   time.Time // start of the last read
+	WaitEnd     time.Time // end of its wait for a change; zero for a read of the complete table
 	FullReadAt  time.Time // end of the last read of the complete table
 	ReadAll     bool      // the store no longer has the changes after Version
 	ReadOnce    bool      // a read is due although this host does not follow the store
 	NextRead    time.Time
-	FailedReads int // in a row
+	FailedReads int  // in a row
+	ReadFailed  bool // the last read was not answered, or refused
 
 	// Changes that a peer has and this host lacks.
 	GapVersion  uint64 // of the peer's copy; 0 if no change is known to be missing
@@ -73,15 +75,15 @@
 type Source struct {
 	NoticeAt      time.Time // last message in which it said that it follows the store; zero if it does not
 	ExpectedSince time.Time // since when this host expects it to follow the store; zero if it does not
-	StoreLost     bool      // its last read from the store failed
+	StoreLost     bool      // a read from the store failed or is overdue, and none has succeeded since
 	StoreReached  bool      // its last read from the store succeeded
 }
 
 // FollowState is this host's part in following the store.
 type FollowState struct {
 	Follows       bool // this host reads changes from the store
-	StoreLost     bool // its last read failed
-	StoreReached  bool // its last read since it follows the store succeeded
+	StoreLost     bool // the last read of a prompt table failed, or one is overdue
+	StoreReached  bool // a read since it follows the store succeeded, and StoreLost is not set
 	Disconnected  bool // neither this host nor a source of it reaches the store
 	SourceSilent  bool // a host that this one expects to follow the store has fallen silent
 	NextCheck     time.Time
