Guard the changes that another follower must tell when one fails

The limit of 2 s holds, with the follower stopped and with it cut off from the store (2 x 10 phases).

--- a/core/rockfollow/late_test.go
+++ b/core/rockfollow/late_test.go
@@ -137,3 +137,32 @@
 		}
 	}
 }
+
+// Guards against a configuration that is late on the hosts that have a failed follower as their source, while another
+// follower has it.
+func TestConfigurationIsInForceWhenOneFollowerFails(t *testing.T) {
+	for name, fault := range map[string]func(h *host){
+		"stopped":       func(h *host) { h.stopped = true },
+		"without store": func(h *host) { h.cut = true },
+	} {
+		for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+			f := newFleet(t, 3, 63)
+			f.run(settlingTime + phase)
+			failed := make(map[rocktable.DataCentreID]*host)
+			for _, h := range f.followers() {
+				if dc := h.w.SelfHost().DataCentre; failed[dc] == nil {
+					failed[dc] = h
+					fault(h)
+				}
+			}
+			f.change()
+			f.run(configLimit)
+			for _, h := range failed {
+				h.stopped = true // a host with a fault has no limit to keep
+			}
+			if late := f.latecomers(); len(late) > 0 {
+				t.Errorf("%d tables lack a change %s after its acknowledgement, at which a follower of each data centre was %s: %s", len(late), configLimit, name, late[0])
+			}
+		}
+	}
+}
