Compute the intervals of reads from the platform in one place

rockconfig and rockmember had the same function for reads that grow with the number of live hosts. No change of behaviour: the same draws in the same cases. Tests of core/rockmember, rockcheck and rocktick pass.

--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -108,22 +108,11 @@
 	w.WakeAt(st.NextRead)
 }
 
-// readInterval returns the time until the next read of the row. It grows with the number of live hosts: the row of a
-// large installation has several hundred kilobytes, and a host that reads a new version reports it to the others. The
-// interval is random to keep hosts that started together from reading at the same time. With 340 hosts, one of them
-// reads the row every 0.5 s on average.
+// readInterval returns the time until the next read of the row. The row of a large installation has several hundred
+// kilobytes, and a host that reads a new version reports it to the others. With 340 hosts, one of them reads the row
+// every 0.5 s on average.
 func readInterval(w *rocktable.World) time.Duration {
-	live := 0
-	for _, h := range w.Hosts.All() {
-		if h.State == rocktable.StateLive {
-			live++
-		}
-	}
-	every := w.Limits.ConfigEvery * time.Duration(1+live/hostsPerInterval)
-	if every == w.Limits.ConfigEvery {
-		return every
-	}
-	return every/2 + time.Duration(w.Rand.Int64N(int64(every)))
+	return rockmember.ScaledInterval(w, w.Limits.ConfigEvery, hostsPerInterval)
 }
 
 func applyResult(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.ConfigRow]) {
--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -61,21 +61,28 @@
 	sendParts(now, w)
 }
 
-// listInterval returns the time until the next read of the platform's list. It grows with the number of live hosts: the
-// list of a large installation exceeds 100 KB, and a departure that one host reads there is gossiped to the others at
-// once. The interval is random to keep hosts that started together from reading at the same time.
+// listInterval returns the time until the next read of the platform's list. The list of a large installation exceeds
+// 100 KB, and a departure that one host reads there is gossiped to the others at once.
 func listInterval(w *rocktable.World) time.Duration {
+	return ScaledInterval(w, w.Limits.HostListEvery, hostsPerInterval)
+}
+
+// ScaledInterval returns the time until the next read from the platform: every, and as much again for each hostsPerStep
+// live hosts, so that the reads of all hosts together grow less than their number. Above one step it is random, to keep
+// hosts that started together from reading at the same time.
+func ScaledInterval(w *rocktable.World, every time.Duration, hostsPerStep int) time.Duration {
 	live := 0
 	for _, h := range w.Hosts.All() {
 		if h.State == rocktable.StateLive {
 			live++
 		}
 	}
-	every := w.Limits.HostListEvery * time.Duration(1+live/hostsPerInterval)
-	if every == w.Limits.HostListEvery {
+	steps := live / hostsPerStep
+	if steps == 0 {
 		return every
 	}
-	return every/2 + time.Duration(w.Rand.Int64N(int64(every)))
+	mean := every * time.Duration(1+steps)
+	return mean/2 + time.Duration(w.Rand.Int64N(int64(mean)))
 }
 
 // applyHostList applies the platform's list. A host that the list lacks stays in use while it answers, and so does a
