Tell a host that starts what its peers know, before it serves prompts

What callers saw: each planned restart of the entry hosts was followed by crashes of backend servers by a part of prompts that all hosts had blamed before.

Cause: a host serves before it knows what its peers know. Its first message is refused, since they don't know its new key; the next one follows a round of gossip later, and a verdict that was told settled once more for 250 ms. The class of fault: knowledge that must outlive a process lives in the process.

Change: a host that starts asks three peers each 0.2 s for their state until one that has it answers; a request with parts waits for that, for at most 1 s after the start; an update of a part says whether it is blamed, and is then believed at once. Messages have three new optional fields; older hosts ignore them, and a newer one beside them waits for its first second.

What is left are hosts whose key the peers learn later than 1 s.

--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -91,7 +91,7 @@
 // them in turn. At 340 hosts and 600 backend servers the message is below 150 KB.
 func sendFullState(now time.Time, w *rocktable.World, to rocktable.PeerMessage) {
 	m := SelfMessage(w)
-	m.Reply = true
+	m.Reply, m.FullState = true, knowsState(now, w)
 	for _, h := range w.Hosts.All() {
 		if !h.Self && h.State != rocktable.StateDown && h.Name != to.Sender && len(m.Hosts) < fullStateRows {
 			m.Hosts = append(m.Hosts, hostUpdate(w, h, true))
--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -55,6 +55,7 @@
 	checkLiveness(now, w)
 	assignProbers(w)
 	sendProbes(now, w)
+	requestState(now, w)
 	recountPeerLoad(now, w)
 	gossip(now, w)
 	sendWork(now, w)
--- a/core/rockmember/part.go
+++ b/core/rockmember/part.go
@@ -76,6 +76,7 @@
 
 func partUpdate(now time.Time, p *rocktable.PromptPart) rocktable.PartUpdate {
 	return rocktable.PartUpdate{
-		Part: p.ID, Depth: p.Depth, Crashes: slices.Clone(p.Crashes), Excused: slices.Clone(p.Excused), Remaining: p.ExpiresAt.Sub(now),
+		Part: p.ID, Depth: p.Depth, Crashes: slices.Clone(p.Crashes), Excused: slices.Clone(p.Excused), Blamed: p.Blamed,
+		Remaining: p.ExpiresAt.Sub(now),
 	}
 }
--- a/core/rockmember/updates.go
+++ b/core/rockmember/updates.go
@@ -25,12 +25,13 @@
 	})
 	if sender := w.HostNamed(m.Sender); sender != nil && sender.Incarnation == m.Incarnation {
 		justStarted := m.Heartbeat <= newHostHeartbeats && (sender.DataCentre == w.SelfHost().DataCentre || isOnlyHost(w, sender))
-		if justStarted && sender.LoadReportedAt.IsZero() && !m.Reply {
+		if m.WantState || justStarted && sender.LoadReportedAt.IsZero() && !m.Reply {
 			sendFullState(now, w, m)
 		}
 		sender.MessageReceived, sender.MessageReceivedAt, sender.InFlight = true, now, m.InFlight
 		applyReports(now, w, sender, m)
 	}
+	w.Gossip.StateReceived = w.Gossip.StateReceived || m.FullState
 	for _, u := range m.Hosts {
 		applyHostUpdate(now, w, u)
 	}
--- a/core/rockpart/judge.go
+++ b/core/rockpart/judge.go
@@ -90,7 +90,11 @@
 
 // MustWait reports whether a request may not start now: a request that shares a part with crashes waits until the other
 // ones of this host have begun or ended, and until the verdict is reached, so that not all of them are lost to one cause.
+// At a host that has just started, each request with parts waits until a peer has told which of them are blamed.
 func MustWait(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
+	if now.Before(w.Gossip.StateAwaitedUntil) && len(r.Parts) > 0 {
+		return true
+	}
 	if w.Parts.Len()+w.CrashChecks.Len() == 0 {
 		return false
 	}
--- a/core/rockpart/part.go
+++ b/core/rockpart/part.go
@@ -185,6 +185,9 @@
 	if len(counted(p)) == 0 {
 		p.ExpiresAt = now.Add(keepExcused)
 	}
+	if u.Blamed && len(counted(p)) >= blameCrashes && p.SuspectAt.IsZero() {
+		p.SuspectAt = now.Add(-settleTime) // the verdict has settled at the peer
+	}
 	p.ChangeSeq = w.NextChangeSeq()
 	w.JudgeParts = true
 	if atOnce {
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -123,6 +123,8 @@
 	ConfigVersion     uint64
 	Configuration     *ConfigRow // present if the receiver asked for it or is known to lack it
 	WantConfiguration bool
+	WantState         bool   // the sender has started and lacks what the hosts know
+	FullState         bool   // the rows are all that the sender knows
 	Reply             bool   // expects no answer; Loads and Demands are not set, and the last reported ones stay valid
 	ReportsWork       bool   // Work is complete even if Reply is set
 	LostLeaseVersion  uint64 // version of the lease row when the sender's lease expired; 0 if it did not
--- a/core/rocktable/parts.go
+++ b/core/rocktable/parts.go
@@ -20,6 +20,7 @@
 	Depth     int
 	Crashes   []uint64
 	Excused   []uint64
+	Blamed    bool          // the sender refuses requests with it
 	Remaining time.Duration // until it expires
 }
 
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -210,6 +210,12 @@
 	UnreportedFraction float64   // fraction of the live peers without a recent report of their load
 	NextCheck          time.Time // next check for silent hosts
 
+	// The state of the peers, which a host that has started asks for.
+	StateReceived     bool
+	StateAwaitedUntil time.Time // until when requests wait for it that may crash backend servers; zero if they need not
+	NextStateRequest  time.Time
+	StateRequests     int // sent, from which the next receivers follow
+
 	// Reports that do not wait for the next round.
 	Departures      []Departure
 	NextUrgent      time.Time
--- a/core/rocktick/parts_test.go
+++ b/core/rocktick/parts_test.go
@@ -24,6 +24,7 @@
 	partContact     = 3 * time.Second // in which hosts must have learned of a fault
 	partMaxLate     = 3               // requests that may reach a server later than partContact after the fifth crash
 	partCrashes     = 5
+	partTrustDelay  = 500 * time.Millisecond // from the start of a host until its peers know its key
 	crashingPart    = rocktable.PartID(666)
 	firstPart       = rocktable.PartID(7) // of the crashing requests, and of sound ones
 	otherFirstParts = 60
@@ -35,6 +36,7 @@
 	t       *testing.T
 	now     time.Time
 	worlds  []*rocktable.World
+	trusted []time.Time // from when a host and its peers accept each other's messages
 	byName  map[string]int
 	servers []partServer
 	running map[partKey]*partAttempt
@@ -82,18 +84,20 @@
 		f.byName[fmt.Sprintf("entry-%d", i)] = i
 	}
 	for i := range partHosts {
-		f.worlds = append(f.worlds, f.newWorld(i))
+		f.worlds = append(f.worlds, f.newWorld(i, uint64(i+1)))
+		f.trusted = append(f.trusted, f.now)
 	}
 	return f
 }
 
-func (f *partFleet) newWorld(i int) *rocktable.World {
+func (f *partFleet) newWorld(i int, incarnation uint64) *rocktable.World {
 	w := newFullPathWorld(i)
+	w.StartedAt, w.Incarnation, w.SelfHost().Incarnation = f.now, incarnation, incarnation
 	w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{Name: "r", FirstTokenMs: 500, GapMs: 250, Worth: 1}})
 	for peer := range partHosts {
 		if peer != i {
 			h := w.InternHost(fmt.Sprintf("entry-%d", peer))
-			h.Address, h.DataCentre, h.State, h.Incarnation, h.HeartbeatAt = h.Name, w.SelfHost().DataCentre, rocktable.StateLive, uint64(peer+1), start
+			h.Address, h.DataCentre, h.State, h.Incarnation, h.HeartbeatAt = h.Name, w.SelfHost().DataCentre, rocktable.StateLive, uint64(peer+1), f.now
 		}
 	}
 	for n := range partServers {
@@ -170,6 +174,22 @@
 	return sound, begun
 }
 
+// restartHost replaces a host by a process that knows its peers and the servers, but not what they have seen.
+func (f *partFleet) restartHost(i int) {
+	for _, key := range f.keys() {
+		if key.host == i {
+			delete(f.running, key)
+		}
+	}
+	f.worlds[i] = f.newWorld(i, f.worlds[i].Incarnation+partHosts)
+	f.trusted[i] = f.now.Add(partTrustDelay)
+	for n, server := range f.servers {
+		if s := f.worlds[i].Servers.Get(f.serverID(i, n)); s != nil {
+			s.Incarnation, s.Status.Incarnation = server.incarnation, server.incarnation
+		}
+	}
+}
+
 // serve lets attempts begin to write and end.
 func (f *partFleet) serve() {
 	for i := range f.servers {
@@ -272,7 +292,7 @@
 		}
 	}
 	for _, s := range out.PeerSends {
-		if to, ok := f.byName[s.Address]; ok {
+		if to, ok := f.byName[s.Address]; ok && !f.now.Before(f.trusted[to]) && !f.now.Before(f.trusted[host]) {
 			f.worlds[to].Inbox.Peers = append(f.worlds[to].Inbox.Peers, s.Message)
 		}
 	}
@@ -294,6 +314,23 @@
 	}
 }
 
+// Guards against hosts that serve requests with a blamed part after their restart, because they do not know of it yet.
+func TestPartStaysRefusedAtRestartedHosts(t *testing.T) {
+	f := newPartFleet(t)
+	f.run(2*time.Second, false)
+	f.run(6*time.Second, true)
+	for range 2 {
+		for i := range partHosts {
+			f.restartHost(i)
+			f.run(1500*time.Millisecond, true)
+		}
+	}
+	t.Logf("%d servers crashed", len(f.crashes))
+	if late := f.lateCrashing(); late > partMaxLate {
+		t.Errorf("%d servers crashed, and %d requests with the part reached one later than %s after the fifth crash; want at most %d", len(f.crashes), late, partContact, partMaxLate)
+	}
+}
+
 // Guards against parts that are refused because they are common where servers crash for other reasons.
 func TestCommonPartIsNotRefused(t *testing.T) {
 	f := newPartFleet(t)
--- a/io/rockschema/peer.go
+++ b/io/rockschema/peer.go
@@ -47,6 +47,8 @@
 		StoreReached:      p.StoreReached,
 		Tables:            convertAll(p.Tables, tableUpdateToProto),
 		TableRequests:     convertAll(p.TableRequests, tableRequestToProto),
+		WantState:         p.WantState,
+		FullState:         p.FullState,
 	}
 	if p.Configuration != nil {
 		m.ChangeId = p.Configuration.ChangeID
@@ -91,6 +93,8 @@
 		StoreReached:      m.GetStoreReached(),
 		Tables:            convertAll(m.GetTables(), tableUpdateFromProto),
 		TableRequests:     convertAll(m.GetTableRequests(), tableRequestFromProto),
+		WantState:         m.GetWantState(),
+		FullState:         m.GetFullState(),
 	}
 	if m.GetConfiguration() != nil {
 		p.Configuration = &rocktable.ConfigRow{
@@ -264,6 +268,7 @@
 		Depth:       clampUint32(u.Depth),
 		Crashes:     u.Crashes,
 		Excused:     u.Excused,
+		Blamed:      u.Blamed,
 		RemainingMs: clampUint32(int(u.Remaining.Milliseconds())),
 	}
 }
@@ -274,6 +279,7 @@
 		Depth:     int(m.GetDepth()),
 		Crashes:   m.GetCrashes(),
 		Excused:   m.GetExcused(),
+		Blamed:    m.GetBlamed(),
 		Remaining: time.Duration(m.GetRemainingMs()) * time.Millisecond,
 	}
 }
