Learn the new keys of restarted hosts within 1 s of their start

Cause: the followers pause for 2 s between two reads of the table of hosts, so that the row of the second host that restarts is read late; and for 1.25 s a follower that has restarted still counts as the source of others, which nobody tells of the new row.

Change: a pause of 0.5 s; a host whose row has changed is no source until it says so.

--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -49,7 +49,7 @@
 var followedTables = []followed{
 	{id: rocktable.ConfigurationTable, wait: changeWait},
 	{id: rocktable.BackendServersTable, wait: changeWait, interval: 400 * time.Millisecond},
-	{id: rocktable.HostsTable, wait: 10 * time.Second, interval: 2 * time.Second},
+	{id: rocktable.HostsTable, wait: 10 * time.Second, interval: 500 * time.Millisecond},
 }
 
 // promptTables lists the tables whose changes must be known within seconds. Their reads show whether this host reaches
@@ -77,6 +77,7 @@
 	for _, m := range w.Inbox.Peers {
 		applyMessage(now, w, m)
 	}
+	forgetRestarted(w, w.Outbox.TableChanges[firstChange:])
 	checkOverdue(now, w)
 	if !now.Before(w.Follow.NextCheck) {
 		w.Follow.NextCheck = now.Add(checkEvery)
--- a/core/rockfollow/late_test.go
+++ b/core/rockfollow/late_test.go
@@ -14,6 +14,8 @@
 	configLimit = 2 * time.Second
 	// contactLimit is the time after a fault of its own from which a host must keep the limits again.
 	contactLimit = 3 * time.Second
+	// keyLimit is the time from its start for which a host waits for what its peers know. They must know its key by then.
+	keyLimit = time.Second
 )
 
 // latecomers returns the running hosts whose configuration or backend servers differ from the store.
@@ -166,3 +168,18 @@
 		}
 	}
 }
+
+// Guards against hosts that restart in turn and are refused by their peers, which do not know their new keys.
+func TestKeysOfRestartedHostsAreKnownInTime(t *testing.T) {
+	f := newFleet(t, 2, 8)
+	f.run(settlingTime)
+	for _, restarted := range f.hosts {
+		f.restart([]*host{restarted})
+		f.run(keyLimit - registerDelay)
+		for _, h := range f.hosts {
+			if h != restarted && !h.trusts(restarted) {
+				t.Errorf("%s does not know the key of %s %s after its start", h.w.SelfHost().Name, restarted.w.SelfHost().Name, keyLimit)
+			}
+		}
+	}
+}
--- a/core/rockfollow/sources.go
+++ b/core/rockfollow/sources.go
@@ -118,6 +118,21 @@
 	return now.Sub(w.StartedAt) < startGrace
 }
 
+// forgetRestarted forgets as sources the hosts whose rows have changed: they have restarted, and do not follow the store
+// until they say so. Those that had them as their sources must learn the new keys from others.
+func forgetRestarted(w *rocktable.World, changes []rocktable.TableChange) {
+	for _, c := range changes {
+		if c.Table != rocktable.HostsTable || c.Full {
+			continue
+		}
+		for _, r := range c.Rows {
+			if h := w.HostNamed(r.Key); h != nil && w.Sources.Get(h.ID) != nil {
+				w.Sources.Get(h.ID).NoticeAt = time.Time{}
+			}
+		}
+	}
+}
+
 // isHeard reports whether a source sent a notice within silenceLimit.
 func isHeard(now time.Time, s *rocktable.Source) bool {
 	return !s.NoticeAt.IsZero() && now.Sub(s.NoticeAt) <= silenceLimit
