--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -4,24 +4,10 @@
 	"time"
 
 	"sassafrasrock/core/rockadmit"
-	"sassafrasrock/core/rockcrash"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
 
-// maxAttempts limits the attempts of one request.
-const maxAttempts = 6
-
-// refusalDelay is the delay of a retry after the second refusal in a row. It doubles with each
-// further one.
-const refusalDelay = 40 * time.Millisecond
-
-// crashReportWait is the delay of a retry after the loss of a backend server if there is more than
-// one host. Within it, peers report whether the same content was in flight when they saw a backend
-// server crash. Without the delay, a request that crashes backend servers would be retried at every
-// host.
-const crashReportWait = 100 * time.Millisecond
-
 // System handles ended attempts.
 var System = rocktable.System{
 	Name:        "rockretry",
@@ -223,135 +209,6 @@
 	}
 }
 
-// handleFailure decides what follows a failed attempt: a final answer or a retry.
-func handleFailure(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded) {
-	w.Count(e.Reason)
-	r.EarlierMayHaveRun = r.EarlierMayHaveRun || !didNotRun(e)
-	if !didNotRun(e) {
-		r.MaybeRanAttempts++
-	}
-	r.MayHaveRun = r.EarlierMayHaveRun
-	s := w.Servers.Get(e.FailedServer)
-	if s != nil && e.Reason != rockreason.StageRefused {
-		recordResult(now, s, 1)
-	}
-	// ConnectionFailed stays set until the next report. Pushed reports arrive only at a change, so
-	// where the platform pushes, only the circuit breaker blocks new work.
-	if s != nil && (e.Reason == rockreason.StageUnreachable || e.Crashed) && !w.Limits.PlatformPushes {
-		s.ConnectionFailed = true
-	}
-	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
-		lowerLimit(now, s)
-	}
-	if code := finalReason(now, w, r, e, s); code != "" {
-		w.Answer(r.ID, code)
-		return
-	}
-	r.Requeued = true
-	delayAfterRefusal(now, w, r, e)
-	if e.Crashed && w.FullPathPipeline(r) == nil && rockadmit.HostCount(w) > 1 {
-		r.NotBefore = now.Add(crashReportWait)
-	}
-	if e.FailedServer != 0 && !avoids(r, e.FailedServer) {
-		r.AvoidServers = append(r.AvoidServers, e.FailedServer)
-	}
-	rockadmit.Requeue(now, w, r)
-}
-
-// delayAfterRefusal delays the retry of a request that a full path refused. Where no other backend
-// server holds the layers, the request would otherwise use up its attempts within milliseconds.
-func delayAfterRefusal(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded) {
-	if e.Reason != rockreason.StageRefused || w.FullPathPipeline(r) == nil {
-		r.ConsecutiveRefusals = 0
-		return
-	}
-	r.ConsecutiveRefusals++
-	if r.ConsecutiveRefusals > 1 { // after the first one, another path is tried at once
-		r.NotBefore = now.Add(refusalDelay << min(r.ConsecutiveRefusals-2, 4))
-	}
-}
-
-// didNotRun reports whether the attempt is known not to have run: the stage reported that it did
-// not start, or was not reached, and no token was delivered.
-func didNotRun(e rocktable.AttemptEnded) bool {
-	return e.Tokens == 0 && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageUnreachable)
-}
-
-// countedAttempts returns the number of attempts that count towards maxAttempts. If the request
-// never ran, all attempts count; otherwise only those that ran. Refusals before the first token thus
-// do not prevent a stream from being resumed.
-func countedAttempts(r *rocktable.Request) int {
-	if r.EarlierMayHaveRun {
-		return r.MaybeRanAttempts
-	}
-	return r.Attempts
-}
-
-// finalReason returns the reason for which the request is not retried, or an empty code if it is
-// retried.
-func finalReason(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded, s *rocktable.BackendServer) rockreason.Code {
-	reason, ok := rockreason.Find(e.Reason)
-	switch {
-	case ok && reason.Kind != rockreason.Retry:
-		return e.Reason
-	case rockcrash.IsQuarantined(now, w, r):
-		return rockreason.BackendFailed
-	case r.AtMostOnce && r.EarlierMayHaveRun, r.MaxAttempts > 0 && r.MaybeRanAttempts >= r.MaxAttempts:
-		return rockreason.BackendFailed
-	case countedAttempts(r) >= maxAttempts, isFirstTokenOverdue(now, w, r):
-		if e.Reason == rockreason.StageStalled {
-			return rockreason.Stalled
-		}
-		return rockreason.BackendFailed
-	case e.Reason == rockreason.StageUnreachable && w.Limits.RetryWindow > 0 && didNotRun(e):
-		return "" // the next attempt is the first that reaches a backend server
-	case !SpendSharedBudget(now, w, r):
-		if !r.MayHaveRun {
-			return rockreason.Shed
-		}
-		return rockreason.RetryBudget
-	case e.Reason == rockreason.StageRefused && didNotRun(e):
-		// A refusal costs the backend server no work, so the retry needs no budget.
-		return ""
-	case w.Limits.RetryWindow == 0 && !spendBudgets(w, r, s):
-		return rockreason.RetryBudget
-	}
-	return ""
-}
-
-// isFirstTokenOverdue reports whether a request has waited for its first token for longer than its
-// rank allows, or has no rank any more.
-func isFirstTokenOverdue(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
-	rank := w.Ranks.Get(r.Rank)
-	return rank == nil || r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(rank.Config)
-}
-
-// expireRequeued ends requeued requests that waited for free capacity for longer than the limit for
-// the first token.
-func expireRequeued(now time.Time, w *rocktable.World, key rocktable.LaneKey, lane *rocktable.Lane) {
-	rank := w.Ranks.Get(key.Rank)
-	if rank == nil {
-		return
-	}
-	limit := FirstTokenLimit(rank.Config)
-	for i := len(lane.FrontQueue) - 1; i >= 0; i-- {
-		r := w.Requests.Get(lane.FrontQueue[i])
-		if !r.Requeued {
-			continue // a suspect that never ran; rockadmit sheds it
-		}
-		if end := r.QueuedAt.Add(limit); now.Before(end) {
-			w.WakeAt(end)
-			continue
-		}
-		rockadmit.Dequeue(w, r)
-		code := rockreason.Stalled
-		if !r.MayHaveRun {
-			code = rockreason.Shed
-		}
-		w.Answer(r.ID, code)
-	}
-}
-
 func avoids(r *rocktable.Request, id rocktable.BackendServerID) bool {
 	for _, avoid := range r.AvoidServers {
 		if avoid == id {
