Name the tables whose changes are urgent, and say why a start asks for state

Found by reading the change as a newcomer: "prompt" also means the input of a model. Names and comments only; tests of core/rockfollow, core/rockmember and io/rockschema pass.

--- a/core/rockfollow/confirm.go
+++ b/core/rockfollow/confirm.go
@@ -13,7 +13,7 @@
 // reportUnconfirmed logs when a copy has not been confirmed for confirmLimit, with what it waits for, and when it is
 // confirmed again.
 func reportUnconfirmed(now time.Time, w *rocktable.World) {
-	for _, id := range promptTables {
+	for _, id := range urgentTables {
 		t := w.FollowedTables.Get(id)
 		since := t.ConfirmedAt
 		if since.IsZero() {
--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -52,9 +52,9 @@
 	{id: rocktable.HostsTable, wait: 10 * time.Second, interval: 500 * time.Millisecond},
 }
 
-// promptTables lists the tables whose changes must be known within seconds. Their reads show whether this host reaches
+// urgentTables lists the tables whose changes must be known within seconds. Their reads show whether this host reaches
 // the store; those of the table of hosts wait for longer.
-var promptTables = []rocktable.FollowedTableID{rocktable.ConfigurationTable, rocktable.BackendServersTable}
+var urgentTables = []rocktable.FollowedTableID{rocktable.ConfigurationTable, rocktable.BackendServersTable}
 
 // System keeps the copies of the platform's tables.
 var System = rocktable.System{
@@ -157,7 +157,7 @@
 		t.NextRead = now.Add(retryDelay(w, t))
 	}
 	t.ReadFailed = r.Status == rocktable.TableReadFailed
-	if slices.Contains(promptTables, t.ID) {
+	if slices.Contains(urgentTables, t.ID) {
 		setStoreState(w, hasLostStore(now, w))
 	}
 }
--- a/core/rockfollow/store.go
+++ b/core/rockfollow/store.go
@@ -13,9 +13,9 @@
 	}
 }
 
-// hasLostStore reports whether the last read of a prompt table failed, or the answer to one is overdue.
+// hasLostStore reports whether the last read of an urgent table failed, or the answer to one is overdue.
 func hasLostStore(now time.Time, w *rocktable.World) bool {
-	for _, id := range promptTables {
+	for _, id := range urgentTables {
 		t := w.FollowedTables.Get(id)
 		if t.ReadFailed {
 			return true
@@ -32,7 +32,7 @@
 	return false
 }
 
-// setStoreState records whether a read from the store failed.
+// setStoreState records whether this host has lost the store, and tells its peers.
 func setStoreState(w *rocktable.World, lost bool) {
 	st := &w.Follow
 	reached := st.Follows && !lost
--- a/core/rockmember/start.go
+++ b/core/rockmember/start.go
@@ -20,7 +20,8 @@
 	stateWait = time.Second
 )
 
-// requestState asks peers for their state until one has sent it.
+// requestState asks peers for their state until one has sent it. A host that serves before it knows of parts of prompts
+// that crash backend servers would lose some for them again.
 func requestState(now time.Time, w *rocktable.World) {
 	g := &w.Gossip
 	g.StateAwaitedUntil = time.Time{}
@@ -42,7 +43,8 @@
 	g.NextStateRequest = now.Add(stateRequestEvery)
 	w.WakeAt(g.NextStateRequest)
 	m := SelfMessage(w)
-	m.Reply, m.WantState = true, true
+	m.WantState = true
+	m.Reply = true // it carries no reports of load
 	for i := range min(stateRequestPeers, len(asked)) {
 		h := asked[(g.StateRequests+i)%len(asked)]
 		send(w, h.ID, h.Address, m)
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -82,7 +82,7 @@
 // FollowState is this host's part in following the store.
 type FollowState struct {
 	Follows       bool // this host reads changes from the store
-	StoreLost     bool // the last read of a prompt table failed, or one is overdue
+	StoreLost     bool // the last read of the configuration or the backend servers failed, or one is overdue
 	StoreReached  bool // a read since it follows the store succeeded, and StoreLost is not set
 	Disconnected  bool // neither this host nor a source of it reaches the store
 	SourceSilent  bool // a host that this one expects to follow the store has fallen silent
