Refuse by the configuration only while it is confirmed

Cause: a host refuses by its copy of the configuration however long ago the store, or a host that reaches it, last confirmed that copy. Any fault that delays a change on one host becomes a wrong refusal for good. FollowedTable knew when it was confirmed; only a log line used it.

Measured: TestLateCopyRefusesNothingForGood failed on the code before with 'refuses with "unknownPath" 2.1s after a change that it lacks' for the faults alone, frozen and store lost, and for store lost if only the age counts.

--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -64,6 +64,8 @@
 	reads   []pendingRead
 	known   map[rocktable.FollowedTableID]map[string]uint64 // versions of the decoded rows
 	listed  map[string]rocktable.ListedHost
+	// snapshot is what traffic of the host sees; nil until a test publishes the first one.
+	snapshot *rocktable.Snapshot
 }
 
 type pendingRead struct {
@@ -83,6 +85,8 @@
 	loseTo   float64 // fraction of the messages that are lost
 	messages int
 	changes  []rocktable.StateChange
+	// changedAt is when a test last changed the configuration.
+	changedAt time.Time
 }
 
 func newFleet(t *testing.T, dataCentres, hosts int) *fleet {
@@ -169,6 +173,9 @@
 	for _, s := range result.Outbox.PeerSends {
 		f.deliver(h, s)
 	}
+	if h.snapshot != nil {
+		h.snapshot = h.snapshot.Update(h.w)
+	}
 }
 
 func (f *fleet) deliver(from *host, s rocktable.PeerSend) {
--- a/core/rockfollow/late_test.go
+++ b/core/rockfollow/late_test.go
@@ -27,6 +27,7 @@
 
 // change writes a new configuration and the departure of a backend server.
 func (f *fleet) change() {
+	f.changedAt = f.now
 	f.store.write(rocktable.ConfigurationTable, "config", false)
 	f.store.write(rocktable.BackendServersTable, "runner-2", true)
 }
--- a/core/rocklookup/route.go
+++ b/core/rocklookup/route.go
@@ -1,6 +1,8 @@
 package rocklookup
 
 import (
+	"time"
+
 	"sassafrasrock/core/rockconfig"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
@@ -16,12 +18,30 @@
 	Service    rocktable.ServiceID  // 0 for a model request
 }
 
+// maxConfirmationAge is the time since its last confirmation for which a configuration decides that a path or a token
+// does not exist. A change must be in force 2 s after its acknowledgement; the rest is for the news to arrive.
+const maxConfirmationAge = 1500 * time.Millisecond
+
 // Route returns the destination of a request, or the reason for a refusal. The argument draw, from
-// 0 to 1, chooses among the targets of a route by their weights.
-func Route(s *rocktable.Snapshot, host, path, tokenSHA256 string, draw float64) (Destination, rockreason.Code) {
+// 0 to 1, chooses among the targets of a route by their weights. What the configuration does not
+// know is refused for good only while the configuration is confirmed: a newer one may know it.
+func Route(now time.Time, s *rocktable.Snapshot, host, path, tokenSHA256 string, draw float64) (Destination, rockreason.Code) {
 	if s.ConfigVersion == 0 {
 		return Destination{}, rockreason.NotReady
 	}
+	d, code := findDestination(s, host, path, tokenSHA256, draw)
+	if code != "" && isUnconfirmed(now, s.ConfigSource) {
+		return Destination{}, rockreason.ConfigUnconfirmed
+	}
+	return d, code
+}
+
+func isUnconfirmed(now time.Time, c rocktable.ConfigSource) bool {
+	return c.Followed && now.Sub(c.ConfirmedAt) > maxConfirmationAge
+}
+
+// findDestination returns the destination of a request in a configuration, or the reason why there is none.
+func findDestination(s *rocktable.Snapshot, host, path, tokenSHA256 string, draw float64) (Destination, rockreason.Code) {
 	route, ok := s.Routes.Find(host, path)
 	if !ok {
 		return Destination{}, rockreason.UnknownPath
--- a/core/rocklookup/route_test.go
+++ b/core/rocklookup/route_test.go
@@ -53,7 +53,7 @@
 		"public with a token": {"a.example", "/x", "aa", 0, "all", "guild", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d, code := Route(s, c.host, c.path, c.token, c.draw)
+			d, code := Route(time.Time{}, s, c.host, c.path, c.token, c.draw)
 			if code != c.code || d.Route.Name != c.route || d.CallerName != c.caller {
 				t.Errorf("route %q, caller %q, reason %q; want %q, %q, %q", d.Route.Name, d.CallerName, code, c.route, c.caller, c.code)
 			}
@@ -64,8 +64,8 @@
 // Guards against a caller's own priority that does not take precedence over the route's.
 func TestRouteRank(t *testing.T) {
 	s := newRoutedSnapshot(t)
-	guild, _ := Route(s, "a.example", "/draft/x", "aa", 0)
-	sponsor, _ := Route(s, "a.example", "/draft/x", "bb", 0)
+	guild, _ := Route(time.Time{}, s, "a.example", "/draft/x", "aa", 0)
+	sponsor, _ := Route(time.Time{}, s, "a.example", "/draft/x", "bb", 0)
 	if guild.Rank <= sponsor.Rank {
 		t.Errorf("rank %d of the guild and %d of the sponsor, want a lower number for the sponsor, whose priority is higher", guild.Rank, sponsor.Rank)
 	}
@@ -76,7 +76,7 @@
 	s := newRoutedSnapshot(t)
 	counts := map[rocktable.ServiceID]int{}
 	for i := range 1000 {
-		d, code := Route(s, "a.example", "/split/x", "aa", float64(i)/1000)
+		d, code := Route(time.Time{}, s, "a.example", "/split/x", "aa", float64(i)/1000)
 		if code != "" {
 			t.Fatal(code)
 		}
@@ -89,7 +89,7 @@
 
 // Guards against 401 or 404 from a host that has no configuration yet.
 func TestRouteBeforeTheConfiguration(t *testing.T) {
-	if _, code := Route(&rocktable.Snapshot{}, "a.example", "/", "", 0); code != rockreason.NotReady {
+	if _, code := Route(time.Time{}, &rocktable.Snapshot{}, "a.example", "/", "", 0); code != rockreason.NotReady {
 		t.Errorf("reason %q, want %q", code, rockreason.NotReady)
 	}
 }
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -14,6 +14,7 @@
 	UnknownService    Code = "unknownService"
 	UnknownPath       Code = "unknownPath"
 	NotReady          Code = "notReady"
+	ConfigUnconfirmed Code = "configUnconfirmed"
 	ShuttingDown      Code = "shuttingDown"
 	HostFull          Code = "hostFull"
 	QueueFull         Code = "queueFull"
@@ -135,6 +136,12 @@
 		Text:           "The host does not have the configuration yet.",
 		OperatorAction: "Check that the host reaches the platform or a peer.",
 	},
+	{
+		Code: ConfigUnconfirmed, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
+		Title:          "Configuration not confirmed",
+		Text:           "The host does not know the path or the token, and has not heard lately whether its configuration is the newest.",
+		OperatorAction: "Check that the host reaches the platform or a peer that does.",
+	},
 	{
 		Code: ShuttingDown, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
 		Title:          "Host shutting down",
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"sassafrasrock/core/rockreason"
 )
@@ -15,6 +16,7 @@
 	Stopping      bool // the signal to stop has arrived; requests are still accepted until Draining
 	ConfigVersion uint64
 	Config        Configuration
+	ConfigSource  ConfigSource
 	Callers       map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
 	CallerConfigs map[CallerID]CallerConfig
 	Models        map[string]PipelineID
@@ -24,9 +26,35 @@
 	Routes        RouteIndex
 }
 
-// IsCurrent reports whether the snapshot still matches the World.
-func (s *Snapshot) IsCurrent(w *World) bool {
-	return s != nil && s.ConfigVersion == w.ConfigVersion && s.Ready == w.Ready && s.Draining == w.Draining && s.Stopping != w.StopSignalAt.IsZero()
+// ConfigSource tells how current a configuration is that comes from a table of the platform's store. It is zero if the
+// configuration is not followed there.
+type ConfigSource struct {
+	Followed bool
+	// ConfirmedAt is when the store, or a host that reaches it, last showed that no newer configuration exists. It is
+	// zero before the first time, and while neither this host nor a source of it reaches the store.
+	ConfirmedAt time.Time
+}
+
+// Update returns a snapshot that matches the World: the same one if nothing has changed.
+func (s *Snapshot) Update(w *World) *Snapshot {
+	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping == w.StopSignalAt.IsZero() {
+		return w.TakeSnapshot()
+	}
+	source := w.configSource()
+	if s.ConfigSource == source {
+		return s
+	}
+	updated := *s // the maps are shared: nobody writes them
+	updated.ConfigSource = source
+	return &updated
+}
+
+func (w *World) configSource() ConfigSource {
+	source := ConfigSource{Followed: w.Limits.PlatformPushes}
+	if t := w.FollowedTables.Get(ConfigurationTable); t != nil && !w.Follow.Disconnected {
+		source.ConfirmedAt = t.ConfirmedAt
+	}
+	return source
 }
 
 // TakeSnapshot returns a new snapshot of the World.
@@ -38,6 +66,7 @@
 		Stopping:      !w.StopSignalAt.IsZero(),
 		ConfigVersion: w.ConfigVersion,
 		Config:        w.Config.Configuration,
+		ConfigSource:  w.configSource(),
 		Callers:       make(map[string]CallerID, w.Callers.Len()),
 		CallerConfigs: make(map[CallerID]CallerConfig, w.Callers.Len()),
 		Models:        make(map[string]PipelineID, w.Pipelines.Len()),
--- a/io/rockcontrol/control.go
+++ b/io/rockcontrol/control.go
@@ -198,9 +198,7 @@
 
 	now := c.now()
 	result := rocktick.Run(now, c.w)
-	if !c.Snapshot().IsCurrent(c.w) {
-		c.snapshot.Store(c.w.TakeSnapshot())
-	}
+	c.snapshot.Store(c.Snapshot().Update(c.w))
 	c.logResult(result)
 	c.answerChanges(result.Outbox.ConfigEnds)
 	c.answerStatus(now, requests)
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -142,7 +142,7 @@
 // error of a write to the caller, or that of the context if the caller left.
 func (t *Relay) Serve(ctx context.Context, req *Request, sink Sink) (err error) {
 	snapshot := t.Snapshot()
-	dest, code := rocklookup.Route(snapshot, req.Host, req.Path, req.TokenSHA256, rand.Float64())
+	dest, code := rocklookup.Route(t.Now(), snapshot, req.Host, req.Path, req.TokenSHA256, rand.Float64())
 	if code != "" {
 		t.Count(code)
 		t.Log.Info("request refused", "request", req.ID, "reason", code, "configVersion", snapshot.ConfigVersion)
