Keep the crashes of parts in the platform's table service

Cause: the crashes that count against a part lived only in the processes. Peers tell a host that starts, but after a restart of all hosts none knows any, and the count begins at 0 each time.

Change: parts with two crashes or more are kept in one row of the table service. A host reads it once at its start, and delays requests with parts until then, for at most 1 s. It writes the row by compare-and-set when it has seen a crash or an excuse itself; a conflict is merged. An expired part is excused instead of deleted, so that the row and peers do not bring it back; TestPartsExpire therefore also asks that the part is not refused after keepCrashes, and that its row is gone keepExcused later.

--- a/core/rockpart/judge.go
+++ b/core/rockpart/judge.go
@@ -90,9 +90,10 @@
 
 // MustWait reports whether a request may not start now: a request that shares a part with crashes waits until the other
 // ones of this host have begun or ended, and until the verdict is reached, so that not all of them are lost to one cause.
-// At a host that has just started, each request with parts waits until a peer has told which of them are blamed.
+// At a host that has just started, each request with parts waits until a peer and the store have told which of them
+// crash backend servers.
 func MustWait(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
-	if now.Before(w.Gossip.StateAwaitedUntil) && len(r.Parts) > 0 {
+	if len(r.Parts) > 0 && (now.Before(w.Gossip.StateAwaitedUntil) || awaitsStored(now, w)) {
 		return true
 	}
 	if w.Parts.Len()+w.CrashChecks.Len() == 0 {
--- a/core/rockpart/part.go
+++ b/core/rockpart/part.go
@@ -55,6 +55,9 @@
 	for _, a := range w.Inbox.CrashChecks {
 		applyCheck(now, w, a)
 	}
+	for _, r := range w.Inbox.PartResults {
+		applyStored(now, w, r)
+	}
 	for server, c := range w.CrashChecks.All() {
 		if now.Sub(c.SentAt) >= checkTimeout {
 			w.CrashChecks.Delete(server)
@@ -62,16 +65,30 @@
 			w.WakeAt(c.SentAt.Add(checkTimeout))
 		}
 	}
-	for id, p := range w.Parts.All() {
+	for _, p := range w.Parts.All() {
 		if !now.Before(p.ExpiresAt) {
-			w.Parts.Delete(id)
-			w.JudgeParts = true
+			expire(now, w, p)
 		}
 	}
 	if w.JudgeParts {
 		w.JudgeParts = false
 		judge(now, w)
 	}
+	syncStored(now, w)
+}
+
+// expire excuses the crashes of a part, and deletes a part without any that count. The excuses keep the row of the store
+// and peers from bringing the crashes back.
+func expire(now time.Time, w *rocktable.World, p *rocktable.PromptPart) {
+	if len(counted(p)) == 0 {
+		w.Parts.Delete(p.ID)
+		w.JudgeParts = true
+		return
+	}
+	if w.Follow.Follows { // these are few, and all hosts know when it expires
+		noteStored(w, p.ID)
+	}
+	Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Excused: p.Crashes, Remaining: keepExcused}, false)
 }
 
 // applyEnd records a sign against the parts of a request whose attempt ended with a backend server before its first
@@ -133,6 +150,7 @@
 	crash := xxhash.Sum64String(s.Name + "/" + strconv.FormatUint(c.Incarnation, 10))
 	for _, p := range c.Parts {
 		Merge(now, w, rocktable.PartUpdate{Part: p.Part, Depth: p.Depth, Crashes: []uint64{crash}, Remaining: keepCrashes}, true)
+		noteStored(w, p.Part)
 	}
 	c.Parts = nil
 }
@@ -159,6 +177,7 @@
 
 // excuse excuses the crashes of a part. Peers are told at once if they were told of the crashes in this way.
 func excuse(now time.Time, w *rocktable.World, p *rocktable.PromptPart) {
+	noteStored(w, p.ID)
 	Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Excused: p.Crashes, Remaining: keepExcused}, len(p.Crashes) > 1)
 }
 
--- a/core/rockpart/part_test.go
+++ b/core/rockpart/part_test.go
@@ -163,6 +163,10 @@
 		lose(start, w, begin(w, fmt.Sprintf("s%d", i), 1), none, gone)
 	}
 	tick(start.Add(keepCrashes), w, nil)
+	if IsBlamed(w, &rocktable.Request{Parts: []rocktable.PartID{1}}) {
+		t.Errorf("the part is still refused %s after its last crash", keepCrashes)
+	}
+	tick(start.Add(keepCrashes+keepExcused), w, nil)
 	if w.Parts.Len() > 0 || w.CrashChecks.Len() > 0 {
 		t.Errorf("%d parts and %d checks are left, want none", w.Parts.Len(), w.CrashChecks.Len())
 	}
--- /dev/null
+++ b/core/rockpart/stored.go
@@ -0,0 +1,128 @@
+package rockpart
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+const (
+	// partsKey is the key of the row that holds the crashes of parts.
+	partsKey = "crashes"
+	// storeCrashes is the number of crashes from which a part is stored. A single crash is most often the backend server's
+	// own, and a token excuses it soon.
+	storeCrashes = 2
+	// maxStoredParts limits the row. Those with the most crashes stay.
+	maxStoredParts = 64
+	// storeRetryDelay is the pause after an operation that failed.
+	storeRetryDelay = 500 * time.Millisecond
+	// storedPartsWait is the longest time from its start for which a host delays requests with parts until it has read the
+	// row.
+	storedPartsWait = time.Second
+)
+
+// syncStored keeps the crashes of parts in a row of the platform's table service, because all hosts may restart at the
+// same time. A host reads the row once, at its start, and writes it when it has seen a crash or an excuse itself.
+func syncStored(now time.Time, w *rocktable.World) {
+	st := &w.StoredParts
+	if !w.Limits.PlatformPushes || st.PendingOp != 0 {
+		return
+	}
+	if awaitsStored(now, w) {
+		w.WakeAt(w.StartedAt.Add(storedPartsWait))
+	}
+	if st.Read && !st.Changed {
+		return
+	}
+	if now.Before(st.NextOp) {
+		w.WakeAt(st.NextOp)
+		return
+	}
+	row := storedRow(w)
+	switch {
+	case st.Read && !isSameRow(row, st.Row):
+		st.Changed, st.PendingRow = false, row
+		sendOp(w, rocktable.TableOp[rocktable.PartsRow]{Write: true, Expected: st.Version, Row: row})
+	case st.Read && st.Current:
+		st.Changed = false
+	default: // another host may have written the row
+		sendOp(w, rocktable.TableOp[rocktable.PartsRow]{})
+	}
+}
+
+func sendOp(w *rocktable.World, op rocktable.TableOp[rocktable.PartsRow]) {
+	op.Op, op.Key = w.NextOp(), partsKey
+	w.StoredParts.PendingOp = op.Op
+	w.Outbox.PartOps = append(w.Outbox.PartOps, op)
+}
+
+// applyStored takes the result of an operation on the row.
+func applyStored(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) {
+	st := &w.StoredParts
+	if r.Op != st.PendingOp {
+		return
+	}
+	st.PendingOp = 0
+	switch {
+	case r.Status == rocktable.TableOK && r.Write:
+		st.Version, st.Row, st.Current = r.Version, st.PendingRow, true
+		w.LogChange("storedParts", partsKey, "written", strconv.Itoa(len(st.Row.Parts))+" parts")
+	case r.Status == rocktable.TableOK:
+		st.Read = true
+		mergeStored(now, w, r)
+		w.LogChange("storedParts", partsKey, "read", strconv.Itoa(len(st.Row.Parts))+" parts")
+	case r.Status == rocktable.TableConflict:
+		st.Changed = true // another host wrote; it may lack what this one knows
+		mergeStored(now, w, r)
+	default:
+		st.Changed = st.Changed || r.Write // the write may not have taken effect
+		st.NextOp = now.Add(storeRetryDelay)
+	}
+}
+
+// mergeStored takes the crashes of a row that was read.
+func mergeStored(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) {
+	st := &w.StoredParts
+	st.Version, st.Row, st.Current = r.Version, r.Row, true
+	for _, p := range r.Row.Parts[:min(len(r.Row.Parts), maxStoredParts)] {
+		Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Crashes: p.Crashes, Remaining: keepCrashes}, false)
+	}
+}
+
+// noteStored records that this host has seen a crash or an excuse of a part which the row has, or may have to.
+func noteStored(w *rocktable.World, id rocktable.PartID) {
+	if p := w.Parts.Get(id); p != nil && len(p.Crashes) >= storeCrashes {
+		w.StoredParts.Changed, w.StoredParts.Current = true, false
+	}
+}
+
+// storedRow returns the row as it should be by what this host knows.
+func storedRow(w *rocktable.World) rocktable.PartsRow {
+	var parts []rocktable.StoredPart
+	for id, p := range w.Parts.All() {
+		if crashes := counted(p); len(crashes) >= storeCrashes {
+			slices.Sort(crashes)
+			parts = append(parts, rocktable.StoredPart{ID: id, Depth: p.Depth, Crashes: crashes})
+		}
+	}
+	slices.SortFunc(parts, func(a, b rocktable.StoredPart) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.ID, b.ID))
+	})
+	parts = parts[:min(len(parts), maxStoredParts)]
+	slices.SortFunc(parts, func(a, b rocktable.StoredPart) int { return cmp.Compare(a.ID, b.ID) })
+	return rocktable.PartsRow{Parts: parts}
+}
+
+func isSameRow(a, b rocktable.PartsRow) bool {
+	return slices.EqualFunc(a.Parts, b.Parts, func(a, b rocktable.StoredPart) bool {
+		return a.ID == b.ID && a.Depth == b.Depth && slices.Equal(a.Crashes, b.Crashes)
+	})
+}
+
+// awaitsStored reports whether requests with parts wait until this host has read the row.
+func awaitsStored(now time.Time, w *rocktable.World) bool {
+	return w.Limits.PlatformPushes && !w.StoredParts.Read && now.Before(w.StartedAt.Add(storedPartsWait))
+}
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -22,6 +22,7 @@
 	ConfigOps    []TableOp[ConfigRow]
 	LeaseOps     []TableOp[LeaseRow]
 	ClaimOps     []TableOp[ClaimRow]
+	PartOps      []TableOp[PartsRow]
 	ConfigEnds   []ConfigEnd
 	Orders       []OrderSend
 	Changes      []StateChange
--- a/core/rocktable/config.go
+++ b/core/rocktable/config.go
@@ -162,6 +162,18 @@
 	Released bool   `json:"over"` // released by its holder
 }
 
+// PartsRow holds parts of prompts with crashes as stored in the table service.
+type PartsRow struct {
+	Parts []StoredPart `json:"parts"` // by ID
+}
+
+// StoredPart is a part of prompts with the crashes that count against it.
+type StoredPart struct {
+	ID      PartID   `json:"id"`
+	Depth   int      `json:"depth"`
+	Crashes []uint64 `json:"crashes"` // in ascending order
+}
+
 // ClaimRow is the claim of one application call as stored in the table service.
 type ClaimRow struct {
 	Attempt     string `json:"attempt"`
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -24,6 +24,7 @@
 	ConfigResults     []TableResult[ConfigRow]
 	LeaseResults      []TableResult[LeaseRow]
 	ClaimResults      []TableResult[ClaimRow]
+	PartResults       []TableResult[PartsRow]
 	CallsEnded        []CallEnded
 	OrdersEnded       []OrderEnded
 	Drains            []Drain
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -81,6 +81,7 @@
 	Prefixes    Table[uint64, PrefixHint] // by hash of the prefix
 	Suspects    Table[uint64, Suspect]
 	Parts       Table[PartID, PromptPart]
+	StoredParts StoredParts
 	CrashChecks Table[BackendServerID, CrashCheck]
 	JudgeParts  bool // Parts changed since they were judged
 	Orders      Table[BackendServerID, Order]
--- a/core/rocktick/parts_test.go
+++ b/core/rocktick/parts_test.go
@@ -24,6 +24,7 @@
 	partContact     = 3 * time.Second // in which hosts must have learned of a fault
 	partMaxLate     = 3               // requests that may reach a server later than partContact after the fifth crash
 	partCrashes     = 5
+	partWrite       = 100 * time.Millisecond // for what a host has learned to be stored
 	partTrustDelay  = 500 * time.Millisecond // from the start of a host until its peers know its key
 	crashingPart    = rocktable.PartID(666)
 	firstPart       = rocktable.PartID(7) // of the crashing requests, and of sound ones
@@ -43,6 +44,10 @@
 	lastID  rocktable.RequestID
 	kinds   map[rocktable.RequestID]partKind
 
+	stored        rocktable.PartsRow
+	storedVersion uint64
+	partOps       int
+
 	crashes        []time.Time
 	crashingStarts []time.Time
 	quarantined    int                          // sound requests that were refused as quarantined
@@ -286,6 +291,9 @@
 		}
 		w.Inbox.CrashChecks = append(w.Inbox.CrashChecks, answer)
 	}
+	for _, op := range out.PartOps {
+		w.Inbox.PartResults = append(w.Inbox.PartResults, f.runPartOp(op))
+	}
 	for _, a := range out.Answers {
 		if a.Reason == rockreason.Quarantined && !f.kinds[a.Request].crashes {
 			f.quarantined++
@@ -298,6 +306,20 @@
 	}
 }
 
+// runPartOp runs an operation on the row of the table service that holds crashes of parts.
+func (f *partFleet) runPartOp(op rocktable.TableOp[rocktable.PartsRow]) rocktable.TableResult[rocktable.PartsRow] {
+	f.partOps++
+	r := rocktable.TableResult[rocktable.PartsRow]{Op: op.Op, Key: op.Key, Write: op.Write}
+	switch {
+	case op.Write && op.Expected != f.storedVersion:
+		r.Status = rocktable.TableConflict
+	case op.Write:
+		f.stored, f.storedVersion = op.Row, f.storedVersion+1
+	}
+	r.Found, r.Version, r.Row = f.storedVersion > 0, f.storedVersion, f.stored
+	return r
+}
+
 // Guards against requests that share nothing but one part of their prompts and crash one server after the other.
 func TestPartThatCrashesServersIsRefused(t *testing.T) {
 	f := newPartFleet(t)
@@ -331,6 +353,36 @@
 	}
 }
 
+// Guards against crashes that are forgotten because all hosts restart at the same time, so that none can tell another.
+func TestPartStaysRefusedWhenAllHostsRestart(t *testing.T) {
+	for name, crashes := range map[string]int{"before the verdict": 2, "after the verdict": 3} {
+		t.Run(name, func(t *testing.T) {
+			f := newPartFleet(t)
+			f.run(2*time.Second, false)
+			for range 5 {
+				f.runUntilCrashes(len(f.crashes)+crashes, 2*time.Second)
+				f.run(partWrite, false)
+				for i := range partHosts {
+					f.restartHost(i)
+				}
+				f.run(partContact+partStep, false)
+			}
+			f.run(2*time.Second, true)
+			t.Logf("%d servers crashed, %d operations on the stored row", len(f.crashes), f.partOps)
+			if late := f.lateCrashing(); late > partMaxLate {
+				t.Errorf("%d servers crashed, and %d requests with the part reached one later than %s after the fifth crash; want at most %d", len(f.crashes), late, partContact, partMaxLate)
+			}
+		})
+	}
+}
+
+// runUntilCrashes lets crashing requests arrive until a number of servers have crashed, or for a time.
+func (f *partFleet) runUntilCrashes(n int, limit time.Duration) {
+	for end := f.now.Add(limit); len(f.crashes) < n && f.now.Before(end); {
+		f.run(partStep, true)
+	}
+}
+
 // Guards against parts that are refused because they are common where servers crash for other reasons.
 func TestCommonPartIsNotRefused(t *testing.T) {
 	f := newPartFleet(t)
--- a/io/rockdaemon/dispatch.go
+++ b/io/rockdaemon/dispatch.go
@@ -28,6 +28,7 @@
 	configTable = "configuration"
 	leaseTable  = "leases"
 	claimTable  = "claims"
+	partsTable  = "parts"
 )
 
 // errPanicked is the error of an operation that ended by a panic.
@@ -72,6 +73,9 @@
 	for _, op := range out.ClaimOps {
 		go runTableOp(d, claimTable, op, func(in *rocktable.Inbox) *[]rocktable.TableResult[rocktable.ClaimRow] { return &in.ClaimResults })
 	}
+	for _, op := range out.PartOps {
+		go runTableOp(d, partsTable, op, func(in *rocktable.Inbox) *[]rocktable.TableResult[rocktable.PartsRow] { return &in.PartResults })
+	}
 	if out.ShutdownDone {
 		d.drainedOnce.Do(func() { close(d.drained) })
 	}
