--- a/core/rockfollow/follow_test.go
+++ b/core/rockfollow/follow_test.go
@@ -37,6 +37,7 @@
 
 // Guards against calls to the store that grow with hosts x changes.
 func TestCallsDoNotGrowWithHosts(t *testing.T) {
+	t.Parallel()
 	few, many := callsWithChanges(t, 5, 20), callsWithChanges(t, 5, 195)
 	t.Logf("%d calls with 20 hosts, %d with 195", few, many)
 	if many > few*5/4 {
@@ -46,6 +47,7 @@
 
 // Guards against a host that starts and reads the tables more often than once before it has a source.
 func TestStartReadsEachTableOnce(t *testing.T) {
+	t.Parallel()
 	const hosts = 195
 	f := newFleet(t, 5, hosts)
 	f.run(settlingTime)
@@ -61,6 +63,7 @@
 // Guards against a departure that does not reach every host in time because the followers failed, were cut off, or
 // missed it.
 func TestDepartureReachesEveryHost(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(f *fleet){
 		"none": func(*fleet) {},
 		"all followers are killed": func(f *fleet) {
--- a/core/rockfollow/late_test.go
+++ b/core/rockfollow/late_test.go
@@ -34,6 +34,7 @@
 
 // Guards against a configuration that is late on all hosts because the reads that wait for it have gone silent.
 func TestConfigurationIsInForceAfterSilentConnections(t *testing.T) {
+	t.Parallel()
 	for phase := time.Duration(0); phase < 4*time.Second; phase += 200 * time.Millisecond {
 		f := newFleet(t, 3, 8)
 		f.run(settlingTime)
@@ -78,6 +79,7 @@
 
 // Guards against pauses between reads that leave a host behind long after the store is back.
 func TestConfigurationIsInForceAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]func(f *fleet){
 		"refusing": func(f *fleet) { f.store.refuses = func(*host) bool { return true } },
 		"silent":   func(f *fleet) { f.store.silent = true },
@@ -104,6 +106,7 @@
 
 // Guards against a configuration that is late on hosts without a fault because the followers failed.
 func TestConfigurationIsInForceWhenFollowersFail(t *testing.T) {
+	t.Parallel()
 	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
 		f := newFleet(t, 3, 63)
 		f.run(settlingTime + phase)
@@ -121,6 +124,7 @@
 // Guards against a configuration that is late on hosts without a fault because their followers have lost the store, and
 // tell so only when a read that waits has failed.
 func TestConfigurationIsInForceWhenFollowersLoseTheStore(t *testing.T) {
+	t.Parallel()
 	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 100 * time.Millisecond {
 		f := newFleet(t, 3, 63)
 		f.run(settlingTime)
@@ -144,6 +148,7 @@
 // Guards against a configuration that is late on the hosts that have a failed follower as their source, while another
 // follower has it.
 func TestConfigurationIsInForceWhenOneFollowerFails(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]func(h *host){
 		"stopped":       func(h *host) { h.stopped = true },
 		"without store": func(h *host) { h.cut = true },
