Let hosts that follow the store remove excused parts from it

Cause: each host that saw a token for a part with crashes read or wrote the row, so that the operations for one excuse would grow with the hosts.

Change: a host still stores a crash that it saw at once. An excuse is removed by the hosts that follow the store, 0.5 to 1 s later, so that one write covers several. An operation that is due carries its time in place of a flag.

--- a/core/rockpart/part.go
+++ b/core/rockpart/part.go
@@ -85,9 +85,6 @@
 		w.JudgeParts = true
 		return
 	}
-	if w.Follow.Follows { // these are few, and all hosts know when it expires
-		noteStored(w, p.ID)
-	}
 	Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Excused: p.Crashes, Remaining: keepExcused}, false)
 }
 
@@ -150,7 +147,9 @@
 	crash := xxhash.Sum64String(s.Name + "/" + strconv.FormatUint(c.Incarnation, 10))
 	for _, p := range c.Parts {
 		Merge(now, w, rocktable.PartUpdate{Part: p.Part, Depth: p.Depth, Crashes: []uint64{crash}, Remaining: keepCrashes}, true)
-		noteStored(w, p.Part)
+		if part := w.Parts.Get(p.Part); part != nil {
+			dueStored(w, part, now)
+		}
 	}
 	c.Parts = nil
 }
@@ -177,7 +176,6 @@
 
 // excuse excuses the crashes of a part. Peers are told at once if they were told of the crashes in this way.
 func excuse(now time.Time, w *rocktable.World, p *rocktable.PromptPart) {
-	noteStored(w, p.ID)
 	Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Excused: p.Crashes, Remaining: keepExcused}, len(p.Crashes) > 1)
 }
 
@@ -204,6 +202,9 @@
 	if len(counted(p)) == 0 {
 		p.ExpiresAt = now.Add(keepExcused)
 	}
+	if excused && w.Follow.Follows {
+		dueStored(w, p, now.Add(excuseDelay+time.Duration(w.Rand.Int64N(int64(excuseSpread)))))
+	}
 	if u.Blamed && len(counted(p)) >= blameCrashes && p.SuspectAt.IsZero() {
 		p.SuspectAt = now.Add(-settleTime) // the verdict has settled at the peer
 	}
--- a/core/rockpart/stored.go
+++ b/core/rockpart/stored.go
@@ -19,13 +19,18 @@
 	maxStoredParts = 64
 	// storeRetryDelay is the pause after an operation that failed.
 	storeRetryDelay = 500 * time.Millisecond
+	// excuseDelay is the time after which an excuse removes a part from the row, and excuseSpread the longest random
+	// addition. Several hosts see the same excuse, and the first one to write spares the others a write.
+	excuseDelay  = 500 * time.Millisecond
+	excuseSpread = 500 * time.Millisecond
 	// storedPartsWait is the longest time from its start for which a host delays requests with parts until it has read the
 	// row.
 	storedPartsWait = time.Second
 )
 
 // syncStored keeps the crashes of parts in a row of the platform's table service, because all hosts may restart at the
-// same time. A host reads the row once, at its start, and writes it when it has seen a crash or an excuse itself.
+// same time. A host reads the row once, at its start, and writes it when it has seen a crash itself. Hosts that follow
+// the store, which are few, remove what is excused.
 func syncStored(now time.Time, w *rocktable.World) {
 	st := &w.StoredParts
 	if !w.Limits.PlatformPushes || st.PendingOp != 0 {
@@ -34,21 +39,20 @@
 	if awaitsStored(now, w) {
 		w.WakeAt(w.StartedAt.Add(storedPartsWait))
 	}
-	if st.Read && !st.Changed {
+	if st.Read && st.DueAt.IsZero() {
 		return
 	}
-	if now.Before(st.NextOp) {
-		w.WakeAt(st.NextOp)
+	if now.Before(st.DueAt) {
+		w.WakeAt(st.DueAt)
 		return
 	}
+	st.DueAt = time.Time{}
 	row := storedRow(w)
 	switch {
 	case st.Read && !isSameRow(row, st.Row):
-		st.Changed, st.PendingRow = false, row
+		st.PendingRow = row
 		sendOp(w, rocktable.TableOp[rocktable.PartsRow]{Write: true, Expected: st.Version, Row: row})
-	case st.Read && st.Current:
-		st.Changed = false
-	default: // another host may have written the row
+	case !st.Read || !st.Current: // another host may have written the row
 		sendOp(w, rocktable.TableOp[rocktable.PartsRow]{})
 	}
 }
@@ -65,37 +69,45 @@
 	if r.Op != st.PendingOp {
 		return
 	}
-	st.PendingOp = 0
+	st.PendingOp, st.Current = 0, st.DueAt.IsZero() // an operation that is due again knows of something later
 	switch {
 	case r.Status == rocktable.TableOK && r.Write:
-		st.Version, st.Row, st.Current = r.Version, st.PendingRow, true
+		st.Version, st.Row = r.Version, st.PendingRow
 		w.LogChange("storedParts", partsKey, "written", strconv.Itoa(len(st.Row.Parts))+" parts")
 	case r.Status == rocktable.TableOK:
+		if !st.Read {
+			w.LogChange("storedParts", partsKey, "unknown", strconv.Itoa(len(r.Row.Parts))+" parts")
+		}
 		st.Read = true
 		mergeStored(now, w, r)
-		w.LogChange("storedParts", partsKey, "read", strconv.Itoa(len(st.Row.Parts))+" parts")
-	case r.Status == rocktable.TableConflict:
-		st.Changed = true // another host wrote; it may lack what this one knows
+	case r.Status == rocktable.TableConflict: // another host wrote; it may lack what this one knows
 		mergeStored(now, w, r)
-	default:
-		st.Changed = st.Changed || r.Write // the write may not have taken effect
-		st.NextOp = now.Add(storeRetryDelay)
+	default: // a write may or may not have taken effect
+		st.DueAt, st.Current = now.Add(storeRetryDelay), false
 	}
 }
 
-// mergeStored takes the crashes of a row that was read.
+// mergeStored takes the crashes of a row that was read, and writes it if it lacks some that this host knows.
 func mergeStored(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) {
 	st := &w.StoredParts
-	st.Version, st.Row, st.Current = r.Version, r.Row, true
+	st.Version, st.Row = r.Version, r.Row
 	for _, p := range r.Row.Parts[:min(len(r.Row.Parts), maxStoredParts)] {
 		Merge(now, w, rocktable.PartUpdate{Part: p.ID, Depth: p.Depth, Crashes: p.Crashes, Remaining: keepCrashes}, false)
 	}
+	if !isSameRow(storedRow(w), st.Row) {
+		st.DueAt = now
+	}
 }
 
-// noteStored records that this host has seen a crash or an excuse of a part which the row has, or may have to.
-func noteStored(w *rocktable.World, id rocktable.PartID) {
-	if p := w.Parts.Get(id); p != nil && len(p.Crashes) >= storeCrashes {
-		w.StoredParts.Changed, w.StoredParts.Current = true, false
+// dueStored makes an operation due at a time, because the row may lack a crash or an excuse of a part.
+func dueStored(w *rocktable.World, p *rocktable.PromptPart, at time.Time) {
+	st := &w.StoredParts
+	if len(p.Crashes) < storeCrashes {
+		return
+	}
+	st.Current = false
+	if st.DueAt.IsZero() || at.Before(st.DueAt) {
+		st.DueAt = at
 	}
 }
 
--- a/core/rockpart/stored_test.go
+++ b/core/rockpart/stored_test.go
@@ -93,6 +93,7 @@
 	if p := b.Parts.Get(one); p == nil || len(p.Crashes) != 2 {
 		t.Errorf("the second host has %v of the part that the first one stored, want its 2 crashes", p)
 	}
+	a.Follow.Follows = true
 	excuse(start, a, a.Parts.Get(one))
 	tick(start, a, nil)
 	s.settle(start, a)
@@ -117,6 +118,7 @@
 		s.settle(start, w)
 	}
 	s.crash(a, 1, 2)
+	b.Follow.Follows = true
 	p := a.Parts.Get(1)
 	Merge(start, b, rocktable.PartUpdate{Part: 1, Crashes: p.Crashes, Remaining: time.Minute}, false) // by gossip
 	excuse(start, b, b.Parts.Get(1))
--- a/core/rocktable/parts.go
+++ b/core/rocktable/parts.go
@@ -26,14 +26,13 @@
 
 // StoredParts is the progress of operations on the row of the table service that holds crashes of parts.
 type StoredParts struct {
-	Read       bool     // the row was read since the start
-	Row        PartsRow // as last read or written
-	Version    uint64   // of Row; 0 if it does not exist
-	Changed    bool     // this host has seen a crash or an excuse that the row may lack
-	Current    bool     // Row was read or written after that
-	PendingOp  uint64   // operation in flight, or 0
-	PendingRow PartsRow // that it writes
-	NextOp     time.Time
+	Read       bool      // the row was read since the start
+	Row        PartsRow  // as last read or written
+	Version    uint64    // of Row; 0 if it does not exist
+	Current    bool      // Row was read or written after the last crash or excuse that it may lack
+	DueAt      time.Time // of the next operation; zero if none is due
+	PendingOp  uint64    // operation in flight, or 0
+	PendingRow PartsRow  // that it writes
 }
 
 // PartAtDepth is a part of one prompt with its position.
--- a/core/rocktick/parts_test.go
+++ b/core/rocktick/parts_test.go
@@ -394,4 +394,5 @@
 	if f.quarantined > 0 {
 		t.Errorf("%d sound requests were refused as quarantined after %d crashes for other reasons, want none", f.quarantined, len(f.crashes))
 	}
+	t.Logf("%d operations on the stored row of %d hosts after %d crashes", f.partOps, partHosts, len(f.crashes))
 }
