Name the freshness of a configuration after what it tells

ConfigSource said where the configuration comes from; the type tells whether a newer one may exist. Names only; the tests of both sides of the rule pass.

--- a/core/rocklookup/route.go
+++ b/core/rocklookup/route.go
@@ -30,14 +30,15 @@
 		return Destination{}, rockreason.NotReady
 	}
 	d, code := findDestination(s, host, path, tokenSHA256, draw)
-	if code != "" && isUnconfirmed(now, s.ConfigSource) {
+	if code != "" && isStale(now, s.Freshness) {
 		return Destination{}, rockreason.ConfigUnconfirmed
 	}
 	return d, code
 }
 
-func isUnconfirmed(now time.Time, c rocktable.ConfigSource) bool {
-	return c.Followed && now.Sub(c.ConfirmedAt) > maxConfirmationAge
+// isStale reports whether a newer configuration may be in force already.
+func isStale(now time.Time, f rocktable.ConfigFreshness) bool {
+	return f.Tracked && now.Sub(f.ConfirmedAt) > maxConfirmationAge
 }
 
 // findDestination returns the destination of a request in a configuration, or the reason why there is none.
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -16,7 +16,7 @@
 	Stopping      bool // the signal to stop has arrived; requests are still accepted until Draining
 	ConfigVersion uint64
 	Config        Configuration
-	ConfigSource  ConfigSource
+	Freshness     ConfigFreshness
 	Callers       map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
 	CallerConfigs map[CallerID]CallerConfig
 	Models        map[string]PipelineID
@@ -26,10 +26,10 @@
 	Routes        RouteIndex
 }
 
-// ConfigSource tells how current a configuration is that comes from a table of the platform's store. It is zero if the
-// configuration is not followed there.
-type ConfigSource struct {
-	Followed bool
+// ConfigFreshness tells whether a newer configuration may exist. It is zero where the configuration does not come from a
+// followed table of the platform's store.
+type ConfigFreshness struct {
+	Tracked bool
 	// ConfirmedAt is when the store, or a host that reaches it, last showed that no newer configuration exists. It is
 	// zero before the first time, and while neither this host nor a source of it reaches the store.
 	ConfirmedAt time.Time
@@ -40,21 +40,21 @@
 	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping == w.StopSignalAt.IsZero() {
 		return w.TakeSnapshot()
 	}
-	source := w.configSource()
-	if s.ConfigSource == source {
+	freshness := w.configFreshness()
+	if s.Freshness == freshness {
 		return s
 	}
 	updated := *s // the maps are shared: nobody writes them
-	updated.ConfigSource = source
+	updated.Freshness = freshness
 	return &updated
 }
 
-func (w *World) configSource() ConfigSource {
-	source := ConfigSource{Followed: w.Limits.PlatformPushes}
+func (w *World) configFreshness() ConfigFreshness {
+	f := ConfigFreshness{Tracked: w.Limits.PlatformPushes}
 	if t := w.FollowedTables.Get(ConfigurationTable); t != nil && !w.Follow.Disconnected {
-		source.ConfirmedAt = t.ConfirmedAt
+		f.ConfirmedAt = t.ConfirmedAt
 	}
-	return source
+	return f
 }
 
 // TakeSnapshot returns a new snapshot of the World.
@@ -66,7 +66,7 @@
 		Stopping:      !w.StopSignalAt.IsZero(),
 		ConfigVersion: w.ConfigVersion,
 		Config:        w.Config.Configuration,
-		ConfigSource:  w.configSource(),
+		Freshness:     w.configFreshness(),
 		Callers:       make(map[string]CallerID, w.Callers.Len()),
 		CallerConfigs: make(map[CallerID]CallerConfig, w.Callers.Len()),
 		Models:        make(map[string]PipelineID, w.Pipelines.Len()),
