--- /dev/null
+++ b/io/rockrelay/event.go
@@ -0,0 +1,162 @@
+package rockrelay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// forwardEvents sends the events of an answer to the caller as they arrive. It drops events that
+// the caller already has.
+func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
+	defer resp.Body.Close()
+	if resp.Status < 200 || resp.Status > 299 {
+		return StatusError(resp.Status)
+	}
+	lines := bufio.NewReaderSize(resp.Body, 4096)
+	var held []byte // events without data before the first one with data
+	for {
+		event, err := x.readEvent(lines)
+		if errors.Is(err, io.EOF) {
+			return x.finishStream(resp, held, event)
+		}
+		if err != nil {
+			return err
+		}
+		id, hasID := eventID(event)
+		if hasID && !isAfter(id, x.stream.lastEventID) {
+			x.relay.Count(rockreason.RepeatedIndex)
+			continue
+		}
+		switch {
+		case carriesData(event):
+			watch.progressMade()
+			x.recordEvent(start)
+		case !x.stream.headerSent:
+			if held = append(held, event...); len(held) > maxEventBytes {
+				return errTooLarge
+			}
+			continue
+		}
+		if err := x.forward(resp, append(held, event...)); err != nil {
+			return err
+		}
+		held = nil
+		x.releaseHeld()
+		if hasID {
+			x.stream.lastEventID = id
+		}
+	}
+}
+
+// forward sends a part of an answer to the caller, after the headers if it is the first one.
+func (x *exchange) forward(resp *Response, p []byte) error {
+	x.sendHeader(resp)
+	if err := x.sink.Write(p); err != nil {
+		return errors.Join(errCallerWrite, err)
+	}
+	return nil
+}
+
+// finishStream handles the end of an answer. held has events that were not forwarded yet, and rest the bytes after the
+// last complete event.
+func (x *exchange) finishStream(resp *Response, held, rest []byte) error {
+	if len(rest) > 0 {
+		return errPartialEvent
+	}
+	if len(held) > 0 {
+		return x.forward(resp, held)
+	}
+	x.sendHeader(resp)
+	return nil
+}
+
+// carriesData reports whether an event brings the caller something. Comments, empty lines and empty events do not: a
+// backend server that waits for another one may send them.
+func carriesData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok && len(bytes.TrimSpace(data)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// recordEvent records an event and reports the first one of an attempt to the control thread.
+func (x *exchange) recordEvent(start rocktable.Start) {
+	now := x.relay.Now()
+	s := &x.stream
+	s.events++
+	if !s.lastEventAt.IsZero() {
+		if gap := now.Sub(s.lastEventAt); gap > s.longestGap {
+			s.longestGap, s.eventsBeforeGap = gap, s.events-1
+		}
+	}
+	s.lastEventAt = now
+	if s.events > s.eventsBefore+1 {
+		return
+	}
+	if s.firstEventAt.IsZero() {
+		s.firstEventAt = now
+	}
+	first := s.firstEventAt
+	x.relay.Post(func(in *rocktable.Inbox) {
+		in.Progress = append(in.Progress, rocktable.Progress{Attempt: start.Attempt, Tokens: 1, FirstTokenAt: first})
+	})
+}
+
+// readEvent returns the next event with the empty line that ends it. At the end of the answer it
+// returns the remaining bytes and io.EOF.
+func (x *exchange) readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	counted := uncountedEventBytes
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return event, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return event, nil
+		}
+		if len(event) > maxEventBytes {
+			return nil, errTooLarge
+		}
+		if len(event) > counted {
+			if !x.hold(answerChunkBytes) {
+				return nil, errHostFull
+			}
+			counted += answerChunkBytes
+		}
+	}
+}
+
+// eventID returns the ID of an event and whether it has one. An empty ID is none.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id := string(bytes.TrimSpace(rest))
+			return id, id != ""
+		}
+	}
+	return "", false
+}
+
+// isAfter reports whether an event ID follows another one. IDs that are not numbers follow all others.
+func isAfter(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"sassafrasrock/core/rocklookup"
@@ -115,29 +114,6 @@
 	exchanges map[rocktable.RequestID]*exchange
 }
 
-// exchange is a request that has arrived and is not answered completely yet.
-type exchange struct {
-	relay      *Relay
-	id         rocktable.RequestID
-	req        *Request
-	dest       rocklookup.Destination
-	sink       Sink
-	starts     chan rocktable.Start
-	callStarts chan rocktable.CallStart
-	answer     chan rocktable.Answer
-
-	mu        sync.Mutex
-	attemptID rocktable.AttemptID
-	attempt   Attempt            // the current one
-	cancel    context.CancelFunc // of the current attempt
-
-	calledServer rocktable.BackendServerID // of the call that is running, or 0
-
-	held       int64 // bytes of answers and events that count towards Relay.MaxHeldBytes
-	stream     stream
-	callAnswer *callAnswer // last complete answer to a call
-}
-
 // Serve answers a request and returns when the answer has ended. The error is ErrIncomplete, the
 // error of a write to the caller, or that of the context if the caller left.
 func (t *Relay) Serve(ctx context.Context, req *Request, sink Sink) (err error) {
@@ -170,32 +146,6 @@
 
 func (t *Relay) guard() rockguard.Guard { return rockguard.Guard{Log: t.Log, Count: t.Count} }
 
-// endAfterPanic ends the answer and releases what the control thread holds for the request.
-func (x *exchange) endAfterPanic() error {
-	x.cancelAttempt(0)
-	attempt := x.currentAttempt()
-	x.relay.Post(func(in *rocktable.Inbox) {
-		in.CallerDisconnects = append(in.CallerDisconnects, rocktable.CallerDisconnect{Request: x.id})
-		if attempt != 0 {
-			in.AttemptsEnded = append(in.AttemptsEnded, rocktable.AttemptEnded{Attempt: attempt, Reason: rockreason.CallerLeft})
-		}
-		if x.calledServer != 0 {
-			in.CallsEnded = append(in.CallsEnded, rocktable.CallEnded{Request: x.id, Server: x.calledServer, Reason: rockreason.OutcomeUnknown, Sent: true})
-		}
-	})
-	if x.stream.headerSent {
-		return ErrIncomplete
-	}
-	x.sink.Refuse(rockreason.InternalError, 0)
-	return nil
-}
-
-func (x *exchange) currentAttempt() rocktable.AttemptID {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.attemptID
-}
-
 func (t *Relay) maxHeldBytes() int64 {
 	if t.MaxHeldBytes > 0 {
 		return t.MaxHeldBytes
@@ -251,136 +201,3 @@
 	default:
 	}
 }
-
-// row returns the control thread's row for the request.
-func (x *exchange) row() rocktable.Request {
-	r := x.req
-	route := x.dest.Route
-	row := rocktable.Request{
-		ID: x.id, Caller: x.dest.Caller, Rank: x.dest.Rank, Pipeline: x.dest.Pipeline, ArrivedAt: r.ReceivedAt,
-		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Prefix: r.Prefix, Parts: r.Parts, Fingerprint: x.fingerprint(),
-		AtMostOnce: !route.Repeatable && !route.Resumable, MaxAttempts: route.Attempts, Deadline: x.deadline(),
-	}
-	if x.dest.Pipeline == 0 {
-		row.Call = &rocktable.Call{
-			Service: x.dest.Service, Method: r.Method, Path: r.Path, Idempotent: route.Repeatable, NeedsNoClaim: true,
-		}
-	}
-	return row
-}
-
-// deadline returns the earlier of the caller's deadline and the route's, or zero if there is none.
-func (x *exchange) deadline() time.Time {
-	wait := x.req.Timeout
-	if limit := x.dest.Route.Timeout(); limit > 0 && (wait == 0 || limit < wait) {
-		wait = limit
-	}
-	if wait == 0 {
-		return time.Time{}
-	}
-	return x.req.ReceivedAt.Add(wait)
-}
-
-// fingerprint returns a hash of the request's content that is the same on all hosts.
-func (x *exchange) fingerprint() uint64 {
-	d := xxhash.New()
-	for _, s := range []string{x.req.Method, x.req.RequestURI, x.req.TokenSHA256} {
-		d.WriteString(s)
-		d.Write([]byte{0})
-	}
-	d.Write(x.req.Body)
-	return d.Sum64()
-}
-
-// serve runs the attempts and calls that the control thread starts until the answer has ended.
-func (x *exchange) serve(ctx context.Context) error {
-	for {
-		select {
-		case start := <-x.starts:
-			x.runAttempt(ctx, start)
-			continue
-		case start := <-x.callStarts:
-			x.runCall(ctx, start)
-			continue
-		default:
-		}
-		select {
-		case start := <-x.starts:
-			x.runAttempt(ctx, start)
-		case start := <-x.callStarts:
-			x.runCall(ctx, start)
-		case answer := <-x.answer:
-			return x.finish(answer)
-		case <-ctx.Done():
-			x.relay.Post(func(in *rocktable.Inbox) {
-				in.CallerDisconnects = append(in.CallerDisconnects, rocktable.CallerDisconnect{Request: x.id})
-			})
-			x.log("caller left", "sent", x.stream.headerSent)
-			return ctx.Err()
-		case <-x.relay.Stopped:
-			return x.finish(rocktable.Answer{Request: x.id, Reason: rockreason.StoppedNow})
-		}
-	}
-}
-
-// finish sends the rest of the answer, or an error response if nothing was sent yet.
-func (x *exchange) finish(answer rocktable.Answer) error {
-	x.relay.ObserveRequest(x.dest.Route.Name, answer.Reason, x.relay.Now().Sub(x.req.ReceivedAt))
-	x.log("request ended", "reason", answer.Reason, "attempts", answer.Outcome.Attempts, "events", x.stream.events,
-		"firstMs", x.stream.firstEventMs(x.req.ReceivedAt), "gapMs", x.stream.longestGap.Milliseconds(), "gapAt", x.stream.eventsBeforeGap)
-	switch {
-	case x.stream.headerSent && answer.Reason == "":
-		return nil
-	case x.stream.headerSent:
-		return ErrIncomplete
-	case x.callAnswer != nil && (answer.Recorded != nil || answer.Reason == rockreason.BackendFailed):
-		x.sink.WriteHeader(x.callAnswer.status, x.callAnswer.header)
-		return x.sink.Write(x.callAnswer.body)
-	case answer.Reason == "":
-		x.sink.Refuse(rockreason.BackendFailed, 0)
-		return nil
-	}
-	x.sink.Refuse(answer.Reason, answer.RetryAfter)
-	return nil
-}
-
-// beginAttempt makes an attempt the current one, which cancelAttempt and move act on.
-func (x *exchange) beginAttempt(ctx context.Context, id rocktable.AttemptID, a Attempt) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.attemptID, x.attempt, x.cancel = id, a, cancel
-	return ctx, cancel
-}
-
-// move moves the running attempt to another path. The stallWatch cancels the attempt if no event follows.
-func (x *exchange) move(to rocktable.Repath) {
-	x.mu.Lock()
-	a := x.attempt
-	stale := x.attemptID != to.Attempt || len(a.Path) == 0
-	a.Path = to.Path
-	if !stale {
-		x.attempt = a
-	}
-	x.mu.Unlock()
-	if stale {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
-	defer cancel()
-	err := x.relay.Move(ctx, a)
-	x.log("attempt moved", "attempt", to.Attempt, "path", formatPath(to.Path), "ok", err == nil, "error", err)
-}
-
-// cancelAttempt cancels the attempt if it is the current one; an id of 0 means any attempt.
-func (x *exchange) cancelAttempt(id rocktable.AttemptID) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.cancel != nil && (id == 0 || x.attemptID == id) {
-		x.cancel()
-	}
-}
-
-func (x *exchange) log(message string, args ...any) {
-	x.relay.Log.Info(message, append([]any{"request", x.req.ID, "route", x.dest.Route.Name, "ageMs", x.relay.Now().Sub(x.req.ReceivedAt).Milliseconds()}, args...)...)
-}
