Wake requests that wait for the stored crashes while the read is under way

Cause: the tick at which a starting host stops to wait for the row was only requested before the read was sent. If the store does not answer, requests with parts would wait for the next tick of another cause.

Change: the tick is requested as long as the row is awaited. Found by reading.

Measured: TestRequestsWaitForTheRowForALimitedTime failed before with 'the next tick is at 0001-01-01 00:00:00 +0000 UTC', and passes now.

--- a/core/rockpart/stored.go
+++ b/core/rockpart/stored.go
@@ -33,13 +33,13 @@
 // the store, which are few, remove what is excused.
 func syncStored(now time.Time, w *rocktable.World) {
 	st := &w.StoredParts
-	if !w.Limits.PlatformPushes || st.PendingOp != 0 {
+	if !w.Limits.PlatformPushes {
 		return
 	}
 	if awaitsStored(now, w) {
 		w.WakeAt(w.StartedAt.Add(storedPartsWait))
 	}
-	if st.Read && st.DueAt.IsZero() {
+	if st.PendingOp != 0 || st.Read && st.DueAt.IsZero() {
 		return
 	}
 	if now.Before(st.DueAt) {
--- a/core/rockpart/stored_test.go
+++ b/core/rockpart/stored_test.go
@@ -186,6 +186,8 @@
 	if MustWait(start, w, &rocktable.Request{ID: 2}) {
 		t.Error("a request without parts waits for the row, want it to start")
 	}
+	w.TakeWake()
+	tick(start, w, nil) // the read is under way
 	if wake := w.TakeWake(); !wake.Equal(start.Add(storedPartsWait)) {
 		t.Errorf("the next tick is at %s, want %s", wake, start.Add(storedPartsWait))
 	}
