Name scheduleStored after what it does, and compare the stop in plain words

Names and one local variable; no behaviour changes, and the tests of rockpart, rocktick, rocklookup and rockcontrol pass.

--- a/core/rockpart/part.go
+++ b/core/rockpart/part.go
@@ -148,7 +148,7 @@
 	for _, p := range c.Parts {
 		Merge(now, w, rocktable.PartUpdate{Part: p.Part, Depth: p.Depth, Crashes: []uint64{crash}, Remaining: keepCrashes}, true)
 		if part := w.Parts.Get(p.Part); part != nil {
-			dueStored(w, part, now)
+			scheduleStored(w, part, now)
 		}
 	}
 	c.Parts = nil
@@ -203,7 +203,7 @@
 		p.ExpiresAt = now.Add(keepExcused)
 	}
 	if excused && w.Follow.Follows {
-		dueStored(w, p, now.Add(excuseDelay+time.Duration(w.Rand.Int64N(int64(excuseSpread)))))
+		scheduleStored(w, p, now.Add(excuseDelay+time.Duration(w.Rand.Int64N(int64(excuseSpread)))))
 	}
 	if u.Blamed && len(counted(p)) >= blameCrashes && p.SuspectAt.IsZero() {
 		p.SuspectAt = now.Add(-settleTime) // the verdict has settled at the peer
--- a/core/rockpart/stored.go
+++ b/core/rockpart/stored.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// dueStored makes an operation due at a time, because the row may lack a crash or an excuse of a part.
-func dueStored(w *rocktable.World, p *rocktable.PromptPart, at time.Time) {
+// scheduleStored makes an operation due at a time, because the row may lack a crash or an excuse of a part.
+func scheduleStored(w *rocktable.World, p *rocktable.PromptPart, at time.Time) {
 	st := &w.StoredParts
 	if len(p.Crashes) < storeCrashes {
 		return
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -37,7 +37,8 @@
 
 // Update returns a snapshot that matches the World: the same one if nothing has changed.
 func (s *Snapshot) Update(w *World) *Snapshot {
-	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping == w.StopSignalAt.IsZero() {
+	stopping := !w.StopSignalAt.IsZero()
+	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping != stopping {
 		return w.TakeSnapshot()
 	}
 	freshness := w.configFreshness()
@@ -49,6 +50,7 @@
 	return &updated
 }
 
+// configFreshness returns the freshness of the configuration that is active at this host.
 func (w *World) configFreshness() ConfigFreshness {
 	f := ConfigFreshness{Tracked: w.Limits.PlatformPushes}
 	if t := w.FollowedTables.Get(ConfigurationTable); t != nil && !w.Follow.Disconnected {
