--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -11,6 +11,14 @@
 	"sassafrasrock/core/rocktable"
 )
 
+const (
+	// maxEventBytes limits one event of a stream.
+	maxEventBytes = 1 << 20
+	// uncountedEventBytes is the size up to which an event does not count towards Relay.MaxHeldBytes. Usual events have
+	// some hundred bytes.
+	uncountedEventBytes = 16 << 10
+)
+
 // forwardEvents sends the events of an answer to the caller as they arrive. It drops events that
 // the caller already has.
 func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -12,6 +12,9 @@
 	"sassafrasrock/core/rocktable"
 )
 
+// moveTimeout limits the order that moves a request to another path.
+const moveTimeout = 500 * time.Millisecond
+
 // exchange is a request that has arrived and is not answered completely yet.
 type exchange struct {
 	relay      *Relay
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -21,9 +21,6 @@
 // DefaultMaxHeldBytes is a third of the memory of the smallest hosts.
 const DefaultMaxHeldBytes = 64 << 20
 
-// moveTimeout limits the order that moves a request to another path.
-const moveTimeout = 500 * time.Millisecond
-
 var (
 	// ErrNotSent reports that no byte of a request reached the backend server.
 	ErrNotSent = eris.New("request was not sent to the backend server")
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -14,11 +14,6 @@
 )
 
 const (
-	// maxEventBytes limits one event of a stream.
-	maxEventBytes = 1 << 20
-	// uncountedEventBytes is the size up to which an event does not count towards Relay.MaxHeldBytes. Usual events have
-	// some hundred bytes.
-	uncountedEventBytes = 16 << 10
 	// reportTimeout limits the fetch of a report that names the backend server that a silent attempt is waiting for.
 	reportTimeout = 150 * time.Millisecond
 	// firstCheckDivisor sets the time of the first such fetch: the limit for the first event divided by this number,
