End a silent attempt only if its request can go on

Callers saw a stream closed in the middle although its backend server was sound: it had been silent for 0.3 s, and the route had no attempt left.

Cause: the watch over a silent stream canceled the attempt by itself as soon as the server of its first stage gave no report, or a move did not help. Whether the request could go on elsewhere was asked only afterwards; without an attempt, a retry budget or room on another path the caller was cut off. The class of fault: an irreversible step is taken by a part that doesn't know whether the next one is possible. Silence does not show that a server failed.

The watch now only reports that an attempt cannot move. The control thread ends it if the route has an attempt left and the budgets cover it, which it takes at that moment, and if another path has room or the silence has lasted for 1.2 s. Otherwise the attempt keeps waiting, until the server goes on, its connection ends or the deadline passes. The watch asks again.

The tests of the watch in io/rockrelay ask the same as before, with a control thread that ends the attempt; TestSilentLastAttemptGoesOn has one that does not.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -42,11 +42,13 @@
 	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
 		lowerLimit(now, s)
 	}
-	if code := finalReason(now, w, r, e, s); code != "" {
-		w.Answer(r.ID, code)
-		return
+	if !r.RetryGranted {
+		if code := finalReason(now, w, r, e, s); code != "" {
+			w.Answer(r.ID, code)
+			return
+		}
 	}
-	r.Requeued = true
+	r.Requeued, r.RetryGranted = true, false
 	delayAfterRefusal(now, w, r, e)
 	if e.Crashed && w.FullPathPipeline(r) == nil && rockadmit.HostCount(w) > 1 {
 		r.NotBefore = now.Add(crashReportWait)
@@ -57,6 +59,17 @@
 	rockadmit.Requeue(now, w, r)
 }
 
+// GrantRetry reports whether a request may go on with another attempt if its present one is ended because a backend
+// server does not answer, and takes the cost of that attempt from the budgets.
+func GrantRetry(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, s *rocktable.BackendServer) bool {
+	after := *r
+	after.EarlierMayHaveRun, after.MayHaveRun = true, true
+	after.MaybeRanAttempts++
+	e := rocktable.AttemptEnded{Attempt: a.ID, Reason: rockreason.StageStalled, FailedServer: s.ID, Crashed: true, Tokens: a.Tokens}
+	r.RetryGranted = finalReason(now, w, &after, e, s) == ""
+	return r.RetryGranted
+}
+
 // delayAfterRefusal delays the retry of a request that a full path refused. Where no other backend
 // server holds the layers, the request would otherwise use up its attempts within milliseconds.
 func delayAfterRefusal(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded) {
--- a/core/rockroute/fullpath_test.go
+++ b/core/rockroute/fullpath_test.go
@@ -185,7 +185,7 @@
 	dead := a.Path[1].Server
 	first := a.Path[0]
 	w.Inbox.Stalls = []rocktable.Stall{{Attempt: a.ID, Server: dead}}
-	moveStalledAttempts(fullPathEpoch, w)
+	continueStalledAttempts(fullPathEpoch, w)
 	if len(w.Outbox.Repaths) != 1 {
 		t.Fatalf("%d moves, want 1", len(w.Outbox.Repaths))
 	}
@@ -209,8 +209,47 @@
 	w, _ := newFullPathWorld("a")
 	a := startRequest(w, 1, 500, 100)
 	w.Inbox.Stalls = []rocktable.Stall{{Attempt: a.ID, Server: a.Path[0].Server}}
-	moveStalledAttempts(fullPathEpoch, w)
+	continueStalledAttempts(fullPathEpoch, w)
 	if len(w.Outbox.Repaths) != 0 {
 		t.Errorf("moved to %+v, want no move", w.Outbox.Repaths[0].Path)
 	}
 }
+
+// Guards against an attempt that is ended because a backend server is silent although its request cannot go on elsewhere:
+// the caller would be cut off from a sound server.
+func TestSilenceEndsAttemptsThatCanGoOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(w *rocktable.World, r *rocktable.Request)
+		stuck  time.Duration // since the first report
+		ends   bool
+	}{
+		"first attempt":            {func(*rocktable.World, *rocktable.Request) {}, 0, true},
+		"last attempt":             {func(_ *rocktable.World, r *rocktable.Request) { r.MaybeRanAttempts = 1 }, 0, false},
+		"last attempt, later":      {func(_ *rocktable.World, r *rocktable.Request) { r.MaybeRanAttempts = 1 }, 3 * time.Second, false},
+		"must not run again":       {func(_ *rocktable.World, r *rocktable.Request) { r.AtMostOnce = true }, 0, false},
+		"no retry budget":          {func(w *rocktable.World, _ *rocktable.Request) { w.Limits.RetryWindow = 10 * time.Second }, 0, false},
+		"no room elsewhere":        {fillServers, 0, false},
+		"no room elsewhere, later": {fillServers, soundSilence, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, _ := newFullPathWorld("a")
+			a := startRequest(w, 1, 500, 100)
+			r := w.Requests.Get(1)
+			r.MaxAttempts, r.Caller = 2, w.InternCaller("guild").ID
+			c.change(w, r)
+			for _, now := range []time.Time{fullPathEpoch, fullPathEpoch.Add(c.stuck)} {
+				w.Inbox.Stalls = []rocktable.Stall{{Attempt: a.ID, Server: a.Path[0].Server, Unmovable: true}}
+				continueStalledAttempts(now, w)
+			}
+			if c.ends != (len(w.Outbox.Cancels) == 1) || c.ends != r.RetryGranted {
+				t.Errorf("%d attempts ended and a retry granted: %t, want %t", len(w.Outbox.Cancels), r.RetryGranted, c.ends)
+			}
+		})
+	}
+}
+
+func fillServers(w *rocktable.World, _ *rocktable.Request) {
+	for _, s := range w.Servers.All() {
+		s.PeerReservedMemory = 1e12
+	}
+}
--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -13,33 +14,61 @@
 	// maxRepaths limits the moves of one attempt. After each move the new stages must process all
 	// tokens so far.
 	maxRepaths = 3
+	// soundSilence is the time for which sound backend servers may be silent. Within it, an attempt is given up only if
+	// another path has room, because the request may find none later.
+	soundSilence = 1200 * time.Millisecond
 	// keptStageFactor multiplies the cost of stages that an attempt already uses, because they keep
 	// its KV cache.
 	keptStageFactor = 0.2
 )
 
-// moveStalledAttempts moves each attempt that waits for a stalled backend server to a path without
-// it.
-func moveStalledAttempts(now time.Time, w *rocktable.World) {
+// continueStalledAttempts lets each request whose attempt waits for a stalled backend server go on without it: on
+// another path, or with another attempt.
+func continueStalledAttempts(now time.Time, w *rocktable.World) {
 	for _, stall := range w.Inbox.Stalls {
 		a := w.Attempts.Get(stall.Attempt)
-		if a == nil || a.Canceled || a.Repaths >= maxRepaths {
+		if a == nil || a.Canceled || a.Abandoned {
 			continue
 		}
 		r := w.Requests.Get(a.Request)
-		if r == nil || r.State != rocktable.RequestRunning || a.Alone {
+		if r == nil || r.State != rocktable.RequestRunning {
 			continue
 		}
 		p := w.FullPathPipeline(r)
 		if p == nil {
 			continue
 		}
+		if stall.Unmovable && abandonAttempt(now, w, r, a, stall.Server) {
+			continue
+		}
+		if a.Repaths >= maxRepaths || a.Alone {
+			continue
+		}
 		if path := pathWithout(now, w, p, r, a, stall.Server); path != nil {
 			moveAttempt(now, w, p, r, a, path)
 		}
 	}
 }
 
+// abandonAttempt ends an attempt that waits for a backend server if the request can go on with another one, and reports
+// whether it did. Silence does not show that a backend server has failed, so that an attempt whose request cannot go on
+// elsewhere keeps waiting.
+func abandonAttempt(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) bool {
+	s := w.Servers.Get(server)
+	if s == nil {
+		return false
+	}
+	if a.StuckSince.IsZero() {
+		a.StuckSince = now
+	}
+	if now.Sub(a.StuckSince) < soundSilence && FindPath(now, w, r) == nil || !rockretry.GrantRetry(now, w, r, a, s) {
+		return false
+	}
+	a.Abandoned = true
+	w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Request: r.ID, Attempt: a.ID, StalledServer: server})
+	return true
+}
+
 // pathWithout returns a path that keeps the first stage of an attempt and excludes a backend
 // server, or nil.
 func pathWithout(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request, a *rocktable.Attempt, without rocktable.BackendServerID) []rocktable.Stage {
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -44,7 +44,7 @@
 
 func run(now time.Time, w *rocktable.World, choose PathFunc) {
 	markReportedPipelines(w)
-	moveStalledAttempts(now, w)
+	continueStalledAttempts(now, w)
 	all := mayFreeCapacity(w)
 	var due []*rocktable.Pipeline
 	for _, p := range w.Pipelines.All() {
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -57,6 +57,8 @@
 type Cancel struct {
 	Request RequestID
 	Attempt AttemptID
+	// StalledServer is the backend server for whose silence the attempt ends; 0 for another reason.
+	StalledServer BackendServerID
 }
 
 // Answer ends a request with a complete answer, a recorded one, or the reason of a refusal or failure.
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -54,8 +54,9 @@
 
 // Stall reports that an attempt on a full path receives no events because a backend server does not answer.
 type Stall struct {
-	Attempt AttemptID
-	Server  BackendServerID
+	Attempt   AttemptID
+	Server    BackendServerID
+	Unmovable bool // the first stage does not answer, or a move did not help: only another attempt can go on
 }
 
 // AttemptEnded reports the end of an attempt.
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -50,6 +50,7 @@
 	AtMostOnce          bool      // must not run again once it may have run
 	MaxAttempts         int       // backend servers to which it may be sent; 0 means the limit of rockretry
 	Deadline            time.Time // for the end of its answer; zero means none
+	RetryGranted        bool      // the attempt after the present one is decided and paid for
 
 	EstimatedTokens float64 // taken from the caller's bucket at admission; corrected at the end
 	InQueue         bool
@@ -81,11 +82,13 @@
 	ProgressAt time.Time // last sign of progress
 	Tokens     int
 	Canceled   bool
-	Alone      bool    // its backend servers have no other work of this host
-	Repaths    int     // moves to another path
-	Memory     float64 // reserved for each layer of its path, in tokens
-	Stalled    bool    // a backend server on its path did not answer
-	Late       bool    // its wait for the first token lowered Pipeline.FirstTokenWindow
+	Alone      bool      // its backend servers have no other work of this host
+	Repaths    int       // moves to another path
+	Memory     float64   // reserved for each layer of its path, in tokens
+	Stalled    bool      // a backend server on its path did not answer
+	StuckSince time.Time // since when only another attempt can go on; zero if it is not known to be so
+	Abandoned  bool      // it was told to end because of a silent backend server
+	Late       bool      // its wait for the first token lowered Pipeline.FirstTokenWindow
 }
 
 // PartID is the hash of a part of a prompt, the same at all hosts.
--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -28,8 +28,9 @@
 
 	mu        sync.Mutex
 	attemptID rocktable.AttemptID
-	attempt   Attempt            // the current one
-	cancel    context.CancelFunc // of the current attempt
+	attempt   Attempt                   // the current one
+	cancel    context.CancelFunc        // of the current attempt
+	stalledAt rocktable.BackendServerID // for whose silence the control thread ended the current attempt; 0 for none
 
 	calledServer rocktable.BackendServerID // of the call that is running, or 0
 
@@ -161,7 +162,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.attemptID, x.attempt, x.cancel = id, a, cancel
+	x.attemptID, x.attempt, x.cancel, x.stalledAt = id, a, cancel, 0
 	return ctx, cancel
 }
 
@@ -184,6 +185,22 @@
 	x.log("attempt moved", "attempt", to.Attempt, "path", formatPath(to.Path), "ok", err == nil, "error", err)
 }
 
+// noteStall records the silent backend server for which the current attempt is canceled.
+func (x *exchange) noteStall(c rocktable.Cancel) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.attemptID == c.Attempt {
+		x.stalledAt = c.StalledServer
+	}
+}
+
+// stalledServer returns the silent backend server for which the current attempt was canceled, or 0.
+func (x *exchange) stalledServer() rocktable.BackendServerID {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.stalledAt
+}
+
 // cancelAttempt cancels the attempt if it is the current one; an id of 0 means any attempt.
 func (x *exchange) cancelAttempt(id rocktable.AttemptID) {
 	x.mu.Lock()
--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -23,6 +23,8 @@
 	events   chan rocktable.Inbox
 	attempts chan Attempt
 	answers  chan func() (*Response, error)
+	// canContinue is the control thread's verdict on attempts that wait for a silent backend server.
+	canContinue bool
 }
 
 func newFixture(t *testing.T, route rocktable.RouteConfig) *fixture {
@@ -37,7 +39,8 @@
 	rockconfig.Accept(time.Now(), w, 1, rocktable.ConfigRow{Configuration: cfg})
 	snapshot := w.TakeSnapshot()
 	b := &fixture{
-		events: make(chan rocktable.Inbox, 16), attempts: make(chan Attempt, 4), answers: make(chan func() (*Response, error), 4),
+		events: make(chan rocktable.Inbox, 64), attempts: make(chan Attempt, 4), answers: make(chan func() (*Response, error), 4),
+		canContinue: true,
 	}
 	b.Relay = &Relay{
 		Open: func(ctx context.Context, a Attempt) (*Response, error) {
@@ -52,7 +55,7 @@
 		FetchWaiting:   func(context.Context, string) (map[string]string, error) { return nil, nil },
 		Move:           func(context.Context, Attempt) error { return nil },
 		Snapshot:       func() *rocktable.Snapshot { return snapshot },
-		Post:           func(fill func(in *rocktable.Inbox)) { var in rocktable.Inbox; fill(&in); b.events <- in },
+		Post:           b.post,
 		NextRequestID:  func() rocktable.RequestID { return 1 },
 		Count:          func(rockreason.Code) {},
 		ObserveRequest: func(string, rockreason.Code, time.Duration) {},
@@ -62,6 +65,18 @@
 	return b
 }
 
+// post takes the events of the relay, and ends the attempts that a control thread would end.
+func (b *fixture) post(fill func(in *rocktable.Inbox)) {
+	var in rocktable.Inbox
+	fill(&in)
+	b.events <- in
+	for _, s := range in.Stalls {
+		if s.Unmovable && b.canContinue {
+			go b.Dispatch(rocktable.Outbox{Cancels: []rocktable.Cancel{{Request: 1, Attempt: s.Attempt, StalledServer: s.Server}}})
+		}
+	}
+}
+
 // caller records the answer to a request.
 type caller struct {
 	status  int
@@ -260,6 +275,41 @@
 	})
 }
 
+// Guards against a stream that is cut because the backend server of its last attempt is silent for a while, and against
+// a control thread that hears of the silence only once, when it cannot continue the request yet.
+func TestSilentLastAttemptGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(t, streaming)
+		b.canContinue = false
+		b.FetchWaiting = func(context.Context, string) (map[string]string, error) { return nil, errors.New("no answer") }
+		c := b.send(t.Context(), Request{ID: "a"})
+		waitFor(t, b, arrivals)
+		r, w := io.Pipe()
+		b.answers <- respond(r)
+		b.startAttempt(1)
+		_, _ = io.WriteString(w, event(1))
+		time.Sleep(1500 * time.Millisecond)
+		_, _ = io.WriteString(w, event(2))
+		_ = w.Close()
+		synctest.Wait()
+		stalls := 0
+		for len(b.events) > 0 {
+			in := <-b.events
+			stalls += len(in.Stalls)
+			for _, e := range in.AttemptsEnded {
+				if e.Reason != "" {
+					t.Errorf("attempt ended with %q, want a complete answer", e.Reason)
+				}
+				b.sendAnswer(rocktable.Answer{})
+			}
+		}
+		<-c.done
+		if want := event(1) + event(2); c.body.String() != want || c.err != nil || stalls < 2 {
+			t.Errorf("caller got %q and error %v after %d reports, want %q after several", c.body.String(), c.err, stalls, want)
+		}
+	})
+}
+
 // Guards against a wrong reason or failed backend server for each way in which an attempt can fail:
 // control decides from them whether the request ran.
 func TestRefusals(t *testing.T) {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -60,7 +60,7 @@
 	x.log("attempt started", "attempt", start.Attempt, "path", formatPath(start.Path), "after", a.LastEventID)
 	x.stream.eventsBefore = x.stream.events
 	watch := &stallWatch{
-		guard: x.relay.guard(), findCause: x.silenceCheck(ctx, a), reportStall: x.stallReporter(start), cancel: cancel, silenceLimit: start.SilenceLimit, moveLimit: start.StepLimit,
+		guard: x.relay.guard(), findCause: x.silenceCheck(ctx, a), reportStall: x.stallReporter(start), silenceLimit: start.SilenceLimit, moveLimit: start.StepLimit,
 	}
 	watch.start(max(start.SilenceLimit, start.FirstTokenLimit/firstCheckDivisor))
 	resp, err := x.relay.Open(ctx, a)
@@ -68,16 +68,17 @@
 		err = x.forwardEvents(start, resp, watch)
 		x.releaseHeld()
 	}
-	failedServer, stalled := watch.stop()
+	watch.stop()
+	stalledServer := x.stalledServer()
 	switch {
-	case stalled:
+	case stalledServer != 0:
 		err = errStalled
 	case ctx.Err() != nil:
 		err = ctx.Err() // canceled by the control thread or the caller
 	}
 	e := x.endReport(start, resp, err)
-	if stalled {
-		e.FailedServer = failedServer
+	if errors.Is(err, errStalled) {
+		e.FailedServer = stalledServer
 	}
 	e.Tokens = x.stream.events - x.stream.eventsBefore
 	if err != nil {
@@ -178,12 +179,15 @@
 }
 
 // stallReporter returns a function that reports to the control thread which backend server does not answer.
-func (x *exchange) stallReporter(start rocktable.Start) func(rocktable.BackendServerID) {
-	return func(failedServer rocktable.BackendServerID) {
-		x.log("attempt stalled", "attempt", start.Attempt, "fault", serverName(start.Path, failedServer))
-		x.relay.Post(func(in *rocktable.Inbox) {
-			in.Stalls = append(in.Stalls, rocktable.Stall{Attempt: start.Attempt, Server: failedServer})
-		})
+func (x *exchange) stallReporter(start rocktable.Start) func(rocktable.BackendServerID, bool) {
+	var logged rocktable.Stall // a silent attempt is reported again and again
+	return func(failedServer rocktable.BackendServerID, unmovable bool) {
+		stall := rocktable.Stall{Attempt: start.Attempt, Server: failedServer, Unmovable: unmovable}
+		if stall != logged {
+			x.log("attempt stalled", "attempt", start.Attempt, "fault", serverName(start.Path, failedServer), "unmovable", unmovable)
+			logged = stall
+		}
+		x.relay.Post(func(in *rocktable.Inbox) { in.Stalls = append(in.Stalls, stall) })
 	}
 }
 
--- a/io/rockrelay/watch.go
+++ b/io/rockrelay/watch.go
@@ -1,7 +1,6 @@
 package rockrelay
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -15,25 +14,23 @@
 	atFirstStage bool                      // the first backend server failed; an attempt cannot be moved away from it
 }
 
-// stallWatch finds the failed backend server when an attempt stops sending events. It reports the
-// stall to the control thread, which may move the attempt to another path, and cancels the attempt
-// if no event follows within moveLimit. If no backend server failed, the path is only slow and the
+// stallWatch finds the silent backend server when an attempt stops sending events. It reports the
+// stall to the control thread, which may move the attempt to another path. While no event follows, it
+// reports again that a move does not help, and the control thread ends the attempt once the request
+// can go on with another one. If no backend server is silent, the path is only slow and the
 // attempt continues: a new attempt would lose the work done so far.
 type stallWatch struct {
 	guard        rockguard.Guard
 	findCause    func() silenceCause // nil if the attempt cannot be resumed on another path; then nothing is watched
-	reportStall  func(failedServer rocktable.BackendServerID)
-	cancel       context.CancelFunc
+	reportStall  func(failedServer rocktable.BackendServerID, unmovable bool)
 	silenceLimit time.Duration // time without an event after which findCause is called
-	moveLimit    time.Duration // time without an event after reportStall before the attempt may be canceled
+	moveLimit    time.Duration // time without an event after which a move has not helped
 
-	mu           sync.Mutex
-	timer        *time.Timer
-	events       int
-	reported     bool
-	stopped      bool
-	failedServer rocktable.BackendServerID
-	stalled      bool
+	mu       sync.Mutex
+	timer    *time.Timer
+	events   int
+	reported bool
+	stopped  bool
 }
 
 // start begins the watch. The time to the first check is a parameter, since the first event may
@@ -60,11 +57,14 @@
 		w.timer.Reset(w.silenceLimit)
 	case !w.reported && !found.atFirstStage:
 		w.reported = true
-		w.reportStall(found.failedServer)
+		w.reportStall(found.failedServer, false)
 		w.timer.Reset(w.moveLimit)
+	case found.atFirstStage:
+		w.reportStall(found.failedServer, true)
+		w.timer.Reset(w.silenceLimit)
 	default:
-		w.failedServer, w.stalled = found.failedServer, true
-		w.cancel()
+		w.reportStall(found.failedServer, true)
+		w.timer.Reset(w.moveLimit)
 	}
 }
 
@@ -79,13 +79,12 @@
 	}
 }
 
-// stop ends the watch. It returns the failed backend server and whether the watch canceled the attempt.
-func (w *stallWatch) stop() (rocktable.BackendServerID, bool) {
+// stop ends the watch.
+func (w *stallWatch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	return w.failedServer, w.stalled
 }
