Keep the ids of ranks when a configuration moves them

Cause: the id of a rank was its position in the configuration. A change that inserts, removes or reorders a rank renumbered the rows and the requests that the control thread held, but not the requests on their way to it.

The id now belongs to the name of the rank, as the ids of callers, pipelines and services do, and the position is a field. Nothing has to be renumbered, so RenumberRanks goes.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -154,8 +154,12 @@
 		return 0
 	}
 	ahead := 0.0
-	for rank := rocktable.RankID(0); rank < r.Rank; rank++ {
-		if lane := w.Lanes.Get(rocktable.LaneKey{Rank: rank, Pipeline: r.Pipeline}); lane != nil {
+	own := w.Ranks.Get(r.Rank)
+	for id, rank := range w.Ranks.All() {
+		if compareUrgency(rank, own) >= 0 {
+			continue
+		}
+		if lane := w.Lanes.Get(rocktable.LaneKey{Rank: id, Pipeline: r.Pipeline}); lane != nil {
 			ahead += lane.QueuedTokens
 		}
 	}
@@ -163,7 +167,7 @@
 	rate := p.BacklogTokens / p.BacklogSeconds * (1 - lowerFloorSum(w, r))
 	wait := ahead / rate
 	// The floor bounds the wait of a lower rank: it gets at least this fraction of the rate.
-	if floor := w.Ranks.Get(r.Rank).Config.Floor; floor > 0 {
+	if floor := own.Config.Floor; floor > 0 {
 		wait = min(wait, tokensAheadInRank(w, r, estimate)/(rate*floor))
 	}
 	return time.Duration(min(wait, 1e6) * float64(time.Second))
@@ -171,9 +175,9 @@
 
 // lowerFloorSum returns the fraction of the service rate that goes to the floors of lower ranks with queued requests.
 func lowerFloorSum(w *rocktable.World, r *rocktable.Request) float64 {
-	sum := 0.0
+	sum, own := 0.0, w.Ranks.Get(r.Rank)
 	for id, rank := range w.Ranks.All() {
-		if id <= r.Rank {
+		if compareUrgency(rank, own) <= 0 {
 			continue
 		}
 		if lane := w.Lanes.Get(rocktable.LaneKey{Rank: id, Pipeline: r.Pipeline}); lane != nil && lane.Waiting > 0 {
--- a/core/rockadmit/order.go
+++ b/core/rockadmit/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sassafrasrock/core/rockcrash"
@@ -24,8 +25,9 @@
 // Scheduler decides in which order the queued requests of one pipeline start within one tick.
 type Scheduler struct {
 	Pipeline      *rocktable.Pipeline
-	Lanes         []*rocktable.Lane // by rank; nil for a rank without a lane
-	FrontTried    []int             // entries of Lane.FrontQueue that were tried in this tick, by rank
+	Ranks         []*rocktable.Rank // most urgent first
+	Lanes         []*rocktable.Lane // by position in Ranks; nil for a rank without a lane
+	FrontTried    []int             // entries of Lane.FrontQueue that were tried in this tick, by position in Ranks
 	StartedTokens float64           // of requests started in this tick
 	NoCapacity    bool              // a request of a caller's line found no path with free capacity in this tick
 	Held          bool              // a request of a caller's line waits for the window of first tokens
@@ -33,9 +35,9 @@
 
 // NewScheduler returns the Scheduler of a pipeline for one tick.
 func NewScheduler(now time.Time, w *rocktable.World, p *rocktable.Pipeline) *Scheduler {
-	s := &Scheduler{Pipeline: p, Lanes: make([]*rocktable.Lane, w.Ranks.Len()), FrontTried: make([]int, w.Ranks.Len())}
-	for i := range s.Lanes {
-		lane := w.Lanes.Get(rocktable.LaneKey{Rank: rocktable.RankID(i), Pipeline: p.ID})
+	s := &Scheduler{Pipeline: p, Ranks: ranksByUrgency(w), Lanes: make([]*rocktable.Lane, w.Ranks.Len()), FrontTried: make([]int, w.Ranks.Len())}
+	for i, rank := range s.Ranks {
+		lane := w.Lanes.Get(rocktable.LaneKey{Rank: rank.ID, Pipeline: p.ID})
 		if lane == nil {
 			continue
 		}
@@ -49,11 +51,11 @@
 // again.
 func (s *Scheduler) Next(now time.Time, w *rocktable.World) *rocktable.Request {
 	for {
-		rank := s.nextRank(w)
+		rank := s.nextRank()
 		if rank < 0 {
 			return nil
 		}
-		r := s.firstRequest(w, rocktable.RankID(rank))
+		r := s.firstRequest(w, rank)
 		if r == nil {
 			return nil
 		}
@@ -84,9 +86,9 @@
 	return rockreason.Quarantined
 }
 
-// nextRank returns the rank to serve next among those with a request to try: the first below its floor, otherwise the
-// most urgent. It returns -1 if there is none.
-func (s *Scheduler) nextRank(w *rocktable.World) int {
+// nextRank returns the position in Ranks of the rank to serve next among those with a request to try: the first below
+// its floor, otherwise the most urgent. It returns -1 if there is none.
+func (s *Scheduler) nextRank() int {
 	total := 0.0
 	for _, lane := range s.Lanes {
 		if lane != nil {
@@ -102,7 +104,7 @@
 			urgent = i
 			continue
 		}
-		if lane.StartedTokens < floorMargin*w.Ranks.Get(rocktable.RankID(i)).Config.Floor*total {
+		if lane.StartedTokens < floorMargin*s.Ranks[i].Config.Floor*total {
 			return i
 		}
 	}
@@ -117,12 +119,12 @@
 	return s.FrontTried[i] < min(len(lane.FrontQueue), maxFrontTries) || !s.NoCapacity && !s.Held && len(lane.Callers) > 0
 }
 
-func (s *Scheduler) firstRequest(w *rocktable.World, rank rocktable.RankID) *rocktable.Request {
+func (s *Scheduler) firstRequest(w *rocktable.World, rank int) *rocktable.Request {
 	lane := s.Lanes[rank]
 	if s.FrontTried[rank] < min(len(lane.FrontQueue), maxFrontTries) {
 		return w.Requests.Get(lane.FrontQueue[0])
 	}
-	share := w.Shares.Get(rocktable.ShareKey{Rank: rank, Caller: lane.Callers[0]})
+	share := w.Shares.Get(rocktable.ShareKey{Rank: s.Ranks[rank].ID, Caller: lane.Callers[0]})
 	return head(w, getOrAddLine(share, s.Pipeline.ID))
 }
 
@@ -132,7 +134,7 @@
 	share := w.Shares.Get(shareKey(r))
 	rank.WeightedTokensFloor = max(rank.WeightedTokensFloor, share.WeightedTokens)
 	Dequeue(w, r)
-	lane := s.Lanes[r.Rank]
+	lane := s.Lanes[s.positionOf(r.Rank)]
 	lane.StartedTokens += r.EstimatedTokens
 	s.StartedTokens += r.EstimatedTokens
 	// A replay is not charged again: the caller did not cause it.
@@ -149,9 +151,14 @@
 		return
 	}
 	// The request moves to the end of FrontQueue, which makes the next tick try others first.
-	lane := s.Lanes[r.Rank]
-	lane.FrontQueue = append(lane.FrontQueue[1:], r.ID)
-	s.FrontTried[r.Rank]++
+	i := s.positionOf(r.Rank)
+	s.Lanes[i].FrontQueue = append(s.Lanes[i].FrontQueue[1:], r.ID)
+	s.FrontTried[i]++
+}
+
+// positionOf returns the position of a rank in Ranks.
+func (s *Scheduler) positionOf(id rocktable.RankID) int {
+	return slices.IndexFunc(s.Ranks, func(rank *rocktable.Rank) bool { return rank.ID == id })
 }
 
 // Hold leaves a request queued because the window of first tokens is full. This is no sign of the service rate, which
@@ -177,7 +184,7 @@
 			}
 		}
 		if len(lane.Callers) > 0 {
-			share := w.Shares.Get(rocktable.ShareKey{Rank: rocktable.RankID(i), Caller: lane.Callers[0]})
+			share := w.Shares.Get(rocktable.ShareKey{Rank: s.Ranks[i].ID, Caller: lane.Callers[0]})
 			r := head(w, getOrAddLine(share, s.Pipeline.ID))
 			Dequeue(w, r)
 			return r
--- a/core/rockadmit/ranks.go
+++ b/core/rockadmit/ranks.go
@@ -1,43 +1,30 @@
 package rockadmit
 
 import (
+	"cmp"
+	"slices"
+
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
 
-// RenumberRanks gives ranks new ids after a change of the configuration, and removes the ranks that are not in moves.
-// The id of a rank is its position in the configuration, so a rank that is inserted or removed changes the ids of those
-// behind it.
-func RenumberRanks(w *rocktable.World, moves map[rocktable.RankID]rocktable.RankID) {
-	for id := range w.Ranks.All() {
-		if _, kept := moves[id]; !kept {
-			removeRank(w, id)
-		}
-	}
-	for _, r := range w.Requests.All() {
-		if id, moved := moves[r.Rank]; moved {
-			r.Rank = id
-		}
-	}
-	rekey(&w.Ranks, func(id rocktable.RankID) rocktable.RankID { return moves[id] })
-	for id, rank := range w.Ranks.All() {
-		rank.ID = id
-	}
-	rekey(&w.Lanes, func(key rocktable.LaneKey) rocktable.LaneKey {
-		return rocktable.LaneKey{Rank: moves[key.Rank], Pipeline: key.Pipeline}
-	})
-	moveShare := func(key rocktable.ShareKey) rocktable.ShareKey {
-		if key.Rank == rocktable.NoRank {
-			return key
-		}
-		return rocktable.ShareKey{Rank: moves[key.Rank], Caller: key.Caller}
-	}
-	rekey(&w.Shares, moveShare)
-	rekey(&w.Tallies, moveShare)
+// compareUrgency returns a negative number if rank a is more urgent than rank b.
+func compareUrgency(a, b *rocktable.Rank) int {
+	return cmp.Or(cmp.Compare(a.Position, b.Position), cmp.Compare(a.ID, b.ID))
+}
+
+// ranksByUrgency returns the ranks, the most urgent first.
+func ranksByUrgency(w *rocktable.World) []*rocktable.Rank {
+	ranks := make([]*rocktable.Rank, 0, w.Ranks.Len())
+	for _, rank := range w.Ranks.All() {
+		ranks = append(ranks, rank)
+	}
+	slices.SortFunc(ranks, compareUrgency)
+	return ranks
 }
 
-// removeRank ends the queued requests of a rank and deletes its rows. Running requests continue without a rank.
-func removeRank(w *rocktable.World, id rocktable.RankID) {
+// RemoveRank ends the queued requests of a rank and deletes its rows. Running requests continue without a rank.
+func RemoveRank(w *rocktable.World, id rocktable.RankID) {
 	for _, r := range w.Requests.All() {
 		if r.Rank != id {
 			continue
@@ -74,12 +61,3 @@
 	}
 	return code
 }
-
-// rekey moves every row of a table to a new key. No two rows may get the same key.
-func rekey[K comparable, T any](t *rocktable.Table[K, T], move func(K) K) {
-	var moved rocktable.Table[K, T]
-	for key, row := range t.All() {
-		moved.Put(move(key), *row)
-	}
-	*t = moved
-}
--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -172,7 +172,6 @@
 	w.ConfigState.HighestVersion = max(w.ConfigState.HighestVersion, version)
 	w.SelfHost().ConfigVersion = version
 	w.SelfHost().ChangeSeq = w.NextChangeSeq()
-	moveRanks(w, row.Configuration.Ranks)
 	updateTables(w, row.Configuration)
 	applyDrained(now, w, last, row.Configuration.Drained)
 	return true
@@ -197,11 +196,7 @@
 
 // updateTables updates the tables of ranks, callers, pipelines and services to match the configuration.
 func updateTables(w *rocktable.World, cfg rocktable.Configuration) {
-	for i, c := range cfg.Ranks {
-		id := rocktable.RankID(i)
-		row := w.Ranks.GetOrPut(id)
-		row.ID, row.Config = id, c
-	}
+	updateRanks(w, cfg.Ranks)
 	syncTable(&w.Callers, cfg.Callers, func(c rocktable.CallerConfig) rocktable.CallerID {
 		row := w.InternCaller(c.Name)
 		row.Config = c
@@ -219,19 +214,18 @@
 	})
 }
 
-// moveRanks moves the row and the work of each rank to the new position of its name.
-func moveRanks(w *rocktable.World, next []rocktable.RankConfig) {
-	moves := make(map[rocktable.RankID]rocktable.RankID, len(next))
-	moved := false
-	for id, rank := range w.Ranks.All() {
-		i := slices.IndexFunc(next, func(c rocktable.RankConfig) bool { return c.Name == rank.Config.Name })
-		if i >= 0 {
-			moves[id] = rocktable.RankID(i)
+// updateRanks updates the table of ranks to match the configuration.
+func updateRanks(w *rocktable.World, configs []rocktable.RankConfig) {
+	kept := make(map[rocktable.RankID]bool, len(configs))
+	for i, c := range configs {
+		row := w.InternRank(c.Name)
+		row.Config, row.Position = c, i
+		kept[row.ID] = true
+	}
+	for id := range w.Ranks.All() {
+		if !kept[id] {
+			rockadmit.RemoveRank(w, id)
 		}
-		moved = moved || i != int(id)
-	}
-	if moved {
-		rockadmit.RenumberRanks(w, moves)
 	}
 }
 
--- a/core/rockinvariant/model.go
+++ b/core/rockinvariant/model.go
@@ -82,19 +82,15 @@
 }
 
 func checkQueues(_ time.Time, w *rocktable.World) error {
-	// Rank ids are positions in the configuration, of which there are at most 8.
-	waiting := make([]int, w.Ranks.Len())
+	waiting := make(map[rocktable.RankID]int, w.Ranks.Len())
 	for key, lane := range w.Lanes.All() {
-		if int(key.Rank) >= len(waiting) {
-			continue // the configuration no longer has this rank
-		}
 		waiting[key.Rank] += lane.Waiting
 		if (lane.Waiting > 0) != (len(lane.Callers)+len(lane.FrontQueue) > 0) {
 			return fmt.Errorf("lane of rank %d and pipeline %d: %d requests queued, with %d callers and %d requeued requests to start", key.Rank, key.Pipeline, lane.Waiting, len(lane.Callers), len(lane.FrontQueue))
 		}
 	}
 	for id, rank := range w.Ranks.All() {
-		if int(id) < len(waiting) && rank.Waiting != waiting[id] {
+		if rank.Waiting != waiting[id] {
 			return fmt.Errorf("rank %s: %d requests counted as queued, %d in lanes", rank.Config.Name, rank.Waiting, waiting[id])
 		}
 	}
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -215,7 +215,7 @@
 		Epoch:           r.Epoch,
 		Pipeline:        w.Pipelines.Get(r.Pipeline).Config,
 		Path:            path,
-		Priority:        r.Rank,
+		Priority:        rank.Position,
 		Alone:           r.Alone,
 		StepLimit:       stepLimit,
 		FirstTokenLimit: firstTokenLimit,
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -37,7 +37,7 @@
 	Epoch           uint32
 	Pipeline        PipelineConfig
 	Path            []Stage
-	Priority        RankID
+	Priority        int // position of the rank; 0 is the most urgent
 	Alone           bool
 	StepLimit       time.Duration // longest wait for one step of one stage
 	FirstTokenLimit time.Duration // longest wait for the first token
--- a/core/rocktable/ids.go
+++ b/core/rocktable/ids.go
@@ -12,7 +12,8 @@
 // CallerID identifies a caller within one World.
 type CallerID int32
 
-// RankID is the position of a rank in the configuration; rank 0 is the most urgent.
+// RankID identifies a rank within one World. It stays the same when a change of the configuration moves the rank, because
+// requests may be on their way to the control thread with it.
 type RankID int32
 
 // NoRank is the rank of application calls, which are not queued by rank.
--- a/core/rocktable/intern.go
+++ b/core/rocktable/intern.go
@@ -62,6 +62,16 @@
 // CallerNamed returns the row of the caller with this name, or nil.
 func (w *World) CallerNamed(name string) *Caller { return w.Callers.Get(w.names.callers[name]) }
 
+// InternRank returns the row of the rank with this name, which it adds if there is none.
+func (w *World) InternRank(name string) *Rank {
+	id, _ := intern(&w.names.ranks, name)
+	id-- // ids of ranks start at 0, because NoRank means none
+	if row := w.Ranks.Get(id); row != nil {
+		return row
+	}
+	return w.Ranks.Put(id, Rank{ID: id})
+}
+
 // InternPipeline returns the row of the pipeline with this name, which it adds if there is none.
 func (w *World) InternPipeline(name string) *Pipeline {
 	id, _ := intern(&w.names.pipelines, name)
--- a/core/rocktable/queues.go
+++ b/core/rocktable/queues.go
@@ -58,6 +58,7 @@
 type Rank struct {
 	ID                  RankID
 	Config              RankConfig
+	Position            int         // in the configuration; 0 is the most urgent
 	Waiting             int         // queued requests
 	WeightedTokensFloor float64     // highest Share.WeightedTokens at a start; returning callers begin there if none waits
 	Heaviest            []CallerID  // heap of callers with queued requests, most requests first
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -111,7 +111,8 @@
 	Servers       []BackendServer
 	DataCentres   map[DataCentreID]DataCentre
 	Callers       map[CallerID]string
-	Suspects      []Suspect // contents of requests, and parts of prompts
+	Ranks         map[RankID]string // names
+	Suspects      []Suspect         // contents of requests, and parts of prompts
 	Tallies       map[ShareKey]Tally
 	Counters      map[rockreason.Code]uint64
 	Lease         Lease
@@ -130,6 +131,7 @@
 		Config:        w.Config.Configuration,
 		DataCentres:   make(map[DataCentreID]DataCentre, w.DataCentres.Len()),
 		Callers:       make(map[CallerID]string, w.Callers.Len()),
+		Ranks:         make(map[RankID]string, w.Ranks.Len()),
 		Tallies:       make(map[ShareKey]Tally, w.Tallies.Len()),
 		Counters:      maps.Clone(w.Counters),
 		Lease:         w.Lease,
@@ -155,6 +157,7 @@
 		s.Callers[id] = row.Config.Name
 	}
 	for id, row := range w.Ranks.All() {
+		s.Ranks[id] = row.Config.Name
 		s.Waiting[id] = row.Waiting
 	}
 	for key, row := range w.Tallies.All() {
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -103,6 +103,7 @@
 	dataCentres map[string]DataCentreID
 	servers     map[string]BackendServerID
 	callers     map[string]CallerID
+	ranks       map[string]RankID
 	pipelines   map[string]PipelineID
 	services    map[string]ServiceID
 }
--- a/core/rocktick/ranks_test.go
+++ b/core/rocktick/ranks_test.go
@@ -63,3 +63,38 @@
 		t.Error("got no refusal of the queued requests of the removed ranks")
 	}
 }
+
+// rankOf returns the name of the rank of a request that this host holds, or an empty string.
+func rankOf(w *rocktable.World, id rocktable.RequestID) string {
+	if r := w.Requests.Get(id); r != nil {
+		if rank := w.Ranks.Get(r.Rank); rank != nil {
+			return rank.Config.Name
+		}
+	}
+	return ""
+}
+
+// Guards against a request that is queued in another rank, or refused, because the configuration changed between its
+// lookup in a snapshot and its arrival.
+func TestArrivalKeepsTheRankOfItsSnapshot(t *testing.T) {
+	for name, next := range map[string][]string{
+		"inserted":  {"interactive", "urgent", "background"},
+		"reordered": {"background", "urgent"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			setUpPipeline(t, w)
+			configure(t, start, w, "urgent", "background")
+			snapshot := w.TakeSnapshot()
+			configure(t, start, w, next...)
+			w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
+				ID: 1, Caller: w.CallerNamed("guild").ID, Rank: snapshot.Ranks["background"], Pipeline: snapshot.Pipelines["captions"],
+				ArrivedAt: start, PromptTokens: 10, MaxTokens: 5,
+			}})
+			out := run(t, start, w).Outbox
+			if got := rankOf(w, 1); got != "background" || len(out.Answers) != 0 {
+				t.Errorf("got rank %q and answers %+v, want rank background and no answer", got, out.Answers)
+			}
+		})
+	}
+}
--- a/io/rockfleet/engine.go
+++ b/io/rockfleet/engine.go
@@ -201,7 +201,7 @@
 	e.BatchEndsAt = f.Now.Add(batchTime)
 }
 
-func (f *Fleet) priority(key AttemptKey) rocktable.RankID {
+func (f *Fleet) priority(key AttemptKey) int {
 	if attempt := f.Attempts.Get(key); attempt != nil {
 		return attempt.Start.Priority
 	}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -53,7 +53,7 @@
 func (x *exchange) runAttempt(ctx context.Context, start rocktable.Start) {
 	a := Attempt{
 		Request: x.req, ServerName: start.Path[0].Name, Address: start.Path[0].Address, Path: start.Path,
-		CallerName: x.dest.CallerName, Priority: int(start.Priority), Deadline: start.Deadline, LastEventID: x.resumeAfter(),
+		CallerName: x.dest.CallerName, Priority: start.Priority, Deadline: start.Deadline, LastEventID: x.resumeAfter(),
 	}
 	ctx, cancel := x.beginAttempt(ctx, start.Attempt, a)
 	defer cancel()
--- a/io/rockschema/status.go
+++ b/io/rockschema/status.go
@@ -143,7 +143,7 @@
 	for key, row := range s.Tallies {
 		m.Totals = append(m.Totals, &v1.Total{
 			Caller:   s.Callers[key.Caller],
-			Rank:     rankName(s.Config.Ranks, key.Rank),
+			Rank:     rankName(s.Ranks, key.Rank),
 			Answered: int64(row.Answered),
 			Kept:     int64(row.WithinTarget),
 			Refused:  int64(row.Refused),
@@ -157,14 +157,14 @@
 	return m
 }
 
-func rankName(ranks []rocktable.RankConfig, id rocktable.RankID) string {
+func rankName(ranks map[rocktable.RankID]string, id rocktable.RankID) string {
 	if id == rocktable.NoRank {
 		return ""
 	}
-	if int(id) < 0 || int(id) >= len(ranks) {
-		return fmt.Sprintf("rank %d", id)
+	if name, ok := ranks[id]; ok {
+		return name
 	}
-	return ranks[id].Name
+	return fmt.Sprintf("rank %d", id)
 }
 
 // FormatFingerprint formats a fingerprint as 16 hexadecimal digits.
--- a/io/rocktraffic/attempt.go
+++ b/io/rocktraffic/attempt.go
@@ -76,7 +76,7 @@
 	stage, p := a.start.Path[i], a.start.Pipeline
 	s, err := a.chat.traffic.Engine.Open(ctx, stage.Address, rockengine.OpenRequest{
 		Request: a.chat.name(), Epoch: a.start.Epoch, Model: p.Model, Version: p.Version,
-		FirstLayer: stage.FirstLayer, LastLayer: stage.LastLayer, Priority: int(a.start.Priority),
+		FirstLayer: stage.FirstLayer, LastLayer: stage.LastLayer, Priority: a.start.Priority,
 		Fingerprint: Fingerprint(a.chat.req.Prompt), Alone: a.start.Alone, MaxTokens: a.chat.req.MaxTokens - len(a.replay),
 	})
 	switch {
