Let accepted requests keep a rank that the configuration removes

Callers saw a stream close in the middle of its answer: its backend server went shortly after a change of the configuration, and the stream was not resumed although others could run it. One that already waited to go on was broken off at the change. Requests that waited for their first start got a 400, which callers do not repeat, though every configuration allowed them.

Cause: a change without a rank ended its queued requests and left running ones without a rank, for which rockretry gives up at the first failure. Where ranks are derived from routes, a rank goes with each new target or priority, and with a route or a caller that had its own.

A rank that is no longer configured now stays in the table, closed to new requests, until a change at least 10 s later finds it unused. All systems find the rank of every accepted request, so the cases without one go.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -49,22 +49,18 @@
 	}
 }
 
-// removeUnconfigured ends the queued requests whose rank or pipeline was removed from the configuration.
+// removeUnconfigured ends the queued requests whose pipeline was removed from the configuration.
 func removeUnconfigured(w *rocktable.World) {
 	for id, r := range w.Requests.All() {
-		code := rockreason.Code("")
-		switch {
-		case !r.InQueue:
-			continue
-		case w.Ranks.Get(r.Rank) == nil:
-			code = rockreason.UnknownRank
-		case w.Pipelines.Get(r.Pipeline) == nil:
-			code = rockreason.UnknownModel
-		default:
+		if !r.InQueue || w.Pipelines.Get(r.Pipeline) != nil {
 			continue
 		}
 		Dequeue(w, r)
-		w.Answer(id, removalReason(r, code))
+		code := rockreason.UnknownModel
+		if r.MayHaveRun {
+			code = rockreason.BackendFailed
+		}
+		w.Answer(id, code)
 	}
 }
 
--- a/core/rockadmit/queue.go
+++ b/core/rockadmit/queue.go
@@ -84,10 +84,6 @@
 		p.Waiting += sign
 	}
 	rank := w.Ranks.Get(r.Rank)
-	if rank == nil {
-		share.HeaviestIndex = 0 // the heap was removed with the rank
-		return
-	}
 	rank.Waiting += sign
 	h := byWaiting(w, rank)
 	switch {
--- a/core/rockadmit/ranks.go
+++ b/core/rockadmit/ranks.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -23,18 +22,18 @@
 	return ranks
 }
 
-// RemoveRank ends the queued requests of a rank and deletes its rows. Running requests continue without a rank.
-func RemoveRank(w *rocktable.World, id rocktable.RankID) {
+// IsRankUsed reports whether this host holds a request of a rank.
+func IsRankUsed(w *rocktable.World, id rocktable.RankID) bool {
 	for _, r := range w.Requests.All() {
-		if r.Rank != id {
-			continue
-		}
-		if r.InQueue {
-			Dequeue(w, r)
-			w.Answer(r.ID, removalReason(r, rockreason.UnknownRank))
+		if r.Rank == id {
+			return true
 		}
-		r.Rank = rocktable.NoRank
 	}
+	return false
+}
+
+// RemoveRank deletes the rows of a rank without requests.
+func RemoveRank(w *rocktable.World, id rocktable.RankID) {
 	for key := range w.Lanes.All() {
 		if key.Rank == id {
 			w.Lanes.Delete(key)
@@ -52,12 +51,3 @@
 	}
 	w.Ranks.Delete(id)
 }
-
-// removalReason returns the reason with which a queued request ends whose rank or pipeline was removed from the
-// configuration.
-func removalReason(r *rocktable.Request, code rockreason.Code) rockreason.Code {
-	if r.MayHaveRun {
-		return rockreason.BackendFailed
-	}
-	return code
-}
--- a/core/rockconfig/config.go
+++ b/core/rockconfig/config.go
@@ -21,6 +21,9 @@
 	hostsPerInterval = 10
 	// peerRequestInterval is the time between requests to peers for the configuration.
 	peerRequestInterval = time.Second
+	// removedRankRetention is the least time for which a rank that is no longer configured stays. Requests that were looked
+	// up in an earlier snapshot arrive within it.
+	removedRankRetention = 10 * time.Second
 	// opTimeout is the time without a result after which an operation on the table service counts as lost.
 	opTimeout = 5 * time.Second
 )
@@ -172,7 +175,7 @@
 	w.ConfigState.HighestVersion = max(w.ConfigState.HighestVersion, version)
 	w.SelfHost().ConfigVersion = version
 	w.SelfHost().ChangeSeq = w.NextChangeSeq()
-	updateTables(w, row.Configuration)
+	updateTables(now, w, row.Configuration)
 	applyDrained(now, w, last, row.Configuration.Drained)
 	return true
 }
@@ -195,8 +198,8 @@
 }
 
 // updateTables updates the tables of ranks, callers, pipelines and services to match the configuration.
-func updateTables(w *rocktable.World, cfg rocktable.Configuration) {
-	updateRanks(w, cfg.Ranks)
+func updateTables(now time.Time, w *rocktable.World, cfg rocktable.Configuration) {
+	updateRanks(now, w, cfg.Ranks)
 	syncTable(&w.Callers, cfg.Callers, func(c rocktable.CallerConfig) rocktable.CallerID {
 		row := w.InternCaller(c.Name)
 		row.Config = c
@@ -214,16 +217,21 @@
 	})
 }
 
-// updateRanks updates the table of ranks to match the configuration.
-func updateRanks(w *rocktable.World, configs []rocktable.RankConfig) {
+// updateRanks updates the table of ranks to match the configuration. Accepted requests keep their rank: one that is no
+// longer configured stays, closed to new requests, until a change finds it unused.
+func updateRanks(now time.Time, w *rocktable.World, configs []rocktable.RankConfig) {
 	kept := make(map[rocktable.RankID]bool, len(configs))
 	for i, c := range configs {
 		row := w.InternRank(c.Name)
-		row.Config, row.Position = c, i
+		row.Config, row.Position, row.RemovedAt = c, i, time.Time{}
 		kept[row.ID] = true
 	}
-	for id := range w.Ranks.All() {
-		if !kept[id] {
+	for id, row := range w.Ranks.All() {
+		switch {
+		case kept[id]:
+		case row.RemovedAt.IsZero():
+			row.RemovedAt = now
+		case now.Sub(row.RemovedAt) >= removedRankRetention && !rockadmit.IsRankUsed(w, id):
 			rockadmit.RemoveRank(w, id)
 		}
 	}
--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -132,20 +132,15 @@
 }
 
 // isFirstTokenOverdue reports whether a request has waited for its first token for longer than its
-// rank allows, or has no rank any more.
+// rank allows.
 func isFirstTokenOverdue(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
-	rank := w.Ranks.Get(r.Rank)
-	return rank == nil || r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(rank.Config)
+	return r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(w.Ranks.Get(r.Rank).Config)
 }
 
 // expireRequeued ends requeued requests that waited for free capacity for longer than the limit for
 // the first token.
 func expireRequeued(now time.Time, w *rocktable.World, key rocktable.LaneKey, lane *rocktable.Lane) {
-	rank := w.Ranks.Get(key.Rank)
-	if rank == nil {
-		return
-	}
-	limit := FirstTokenLimit(rank.Config)
+	limit := FirstTokenLimit(w.Ranks.Get(key.Rank).Config)
 	for i := len(lane.FrontQueue) - 1; i >= 0; i-- {
 		r := w.Requests.Get(lane.FrontQueue[i])
 		if !r.Requeued {
--- a/core/rocktable/queues.go
+++ b/core/rocktable/queues.go
@@ -58,7 +58,8 @@
 type Rank struct {
 	ID                  RankID
 	Config              RankConfig
-	Position            int         // in the configuration; 0 is the most urgent
+	Position            int         // in the configuration, or in the last one that had it; 0 is the most urgent
+	RemovedAt           time.Time   // when a configuration without it was activated; zero while it is configured
 	Waiting             int         // queued requests
 	WeightedTokensFloor float64     // highest Share.WeightedTokens at a start; returning callers begin there if none waits
 	Heaviest            []CallerID  // heap of callers with queued requests, most requests first
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -91,7 +91,9 @@
 		s.Pipelines[row.Config.Name] = id
 	}
 	for id, row := range w.Ranks.All() {
-		s.Ranks[row.Config.Name] = id
+		if row.RemovedAt.IsZero() {
+			s.Ranks[row.Config.Name] = id
+		}
 	}
 	for id, row := range w.Services.All() {
 		s.Services[row.Config.Name] = id
