End an attempt or call that is refused before it begins

Callers waited for a refusal that was decided long before, and got no answer if they or the route gave up first: the request ran on after it was refused, and nothing could cancel it.

Cause: the control thread passes a start and a refusal on separate channels. If the request's goroutine had not begun the attempt when the refusal came, the cancel found no attempt and was lost, and the goroutine then took the start before the refusal. A call has no other limit at this host.

The refusal now marks the exchange as stopped, under the mutex that also guards the current attempt. An attempt or call that begins later starts with a canceled context, sends nothing and reports its end as usual.

--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -31,6 +31,7 @@
 	attempt   Attempt                   // the current one
 	cancel    context.CancelFunc        // of the current attempt
 	stalledAt rocktable.BackendServerID // for whose silence the control thread ended the current attempt; 0 for none
+	stopped   bool                      // no attempt or call may run any more
 
 	calledServer rocktable.BackendServerID // of the call that is running, or 0
 
@@ -41,7 +42,7 @@
 
 // endAfterPanic ends the answer and releases what the control thread holds for the request.
 func (x *exchange) endAfterPanic() error {
-	x.cancelAttempt(0)
+	x.stop()
 	attempt := x.currentAttempt()
 	x.relay.Post(func(in *rocktable.Inbox) {
 		in.CallerDisconnects = append(in.CallerDisconnects, rocktable.CallerDisconnect{Request: x.id})
@@ -163,6 +164,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.attemptID, x.attempt, x.cancel, x.stalledAt = id, a, cancel, 0
+	if x.stopped {
+		cancel()
+	}
 	return ctx, cancel
 }
 
@@ -201,11 +205,21 @@
 	return x.stalledAt
 }
 
-// cancelAttempt cancels the attempt if it is the current one; an id of 0 means any attempt.
+// cancelAttempt cancels the attempt if it is the current one.
 func (x *exchange) cancelAttempt(id rocktable.AttemptID) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.cancel != nil && (id == 0 || x.attemptID == id) {
+	if x.cancel != nil && x.attemptID == id {
+		x.cancel()
+	}
+}
+
+// stop cancels the current attempt or call. One whose start is still pending ends as soon as it begins.
+func (x *exchange) stop() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stopped = true
+	if x.cancel != nil {
 		x.cancel()
 	}
 }
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -185,7 +185,7 @@
 		if x := t.exchanges[answer.Request]; x != nil {
 			trySend(x.answer, answer)
 			if answer.Reason != "" {
-				x.cancelAttempt(0)
+				x.stop()
 			}
 		}
 	}
