Report the end of a call that its caller left as such

Callers of plain services saw load pile up beside servers that were sound but not used: each caller that left while its call connected opened the circuit breaker of that server, and one that left while a repeatable call ran had it dispatched again, which spent the budget of retries and left a call counted in flight for good, as nothing reports the end of a run that never begins.

Cause: the end of a canceled call was reported as a failure of the server, serverUnreachable or outcomeUnknown, and rockclaim retries both.

A canceled call now ends as callerLeft, as an attempt of a stream does, and rockclaim neither repeats it nor counts it for or against the server.

Before: TestCallerLeavesCall/while_it_connects: got end "serverUnreachable", sent false, crashed false; want "callerLeft", false, false TestCallerLeavesCall/while_it_runs: got end "outcomeUnknown", sent true, crashed true; want "callerLeft", true, false TestCanceledCallEnds: got dispatch to "a" and reason "", want no dispatch and "callerLeft" (both cases) After: they pass; rockclaim, rockrelay, rocktick and rockcheck pass with -race.

--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -186,7 +186,7 @@
 	if s := w.Servers.Get(e.Server); s != nil && s.Role == rocktable.RoleApplication && s.InFlight > 0 {
 		s.InFlight--
 	}
-	if s := w.Servers.Get(e.Server); s != nil && s.ListedService != "" {
+	if s := w.Servers.Get(e.Server); s != nil && s.ListedService != "" && e.Reason != rockreason.CallerLeft {
 		rockretry.RecordCall(now, s, e.Reason != rockreason.ServerUnreachable)
 	}
 	r, c := w.Requests.Get(e.Request), w.Claims.Get(e.Request)
@@ -205,6 +205,9 @@
 	switch {
 	case e.Reason == "":
 		w.Outbox.Answers = append(w.Outbox.Answers, rocktable.Answer{Request: r.ID, Recorded: &row})
+	case e.Reason == rockreason.CallerLeft:
+		r.MayHaveRun = r.MayHaveRun || e.Sent
+		w.Answer(r.ID, rockreason.CallerLeft)
 	case !e.Sent:
 		retryElsewhere(now, w, r, e)
 	case r.Call.NeedsNoClaim && !r.Call.Idempotent:
--- a/core/rockclaim/listed_test.go
+++ b/core/rockclaim/listed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -98,3 +99,21 @@
 		t.Error("the unreachable backend server was not tried again within 4 calls after 2 s")
 	}
 }
+
+// Guards against a call whose caller has left that is dispatched again, and against counting the cancel as a failure of
+// its backend server: either loses a place at a sound backend server.
+func TestCanceledCallEnds(t *testing.T) {
+	for name, sent := range map[string]bool{"while it connects": false, "while it runs": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWorld(2)
+			first := w.ServerNamed(runArrival(startTime, w, 1, true))
+			next, reason := runEnd(startTime, w, rocktable.CallEnded{Request: 1, Server: first.ID, Reason: rockreason.CallerLeft, Sent: sent})
+			if next != "" || reason != rockreason.CallerLeft {
+				t.Errorf("got dispatch to %q and reason %q, want no dispatch and %q", next, reason, rockreason.CallerLeft)
+			}
+			if first.InFlight != 0 || rockretry.IsBreakerOpen(startTime, first) {
+				t.Errorf("got %d calls in flight and circuit breaker open %v, want none and false", first.InFlight, rockretry.IsBreakerOpen(startTime, first))
+			}
+		})
+	}
+}
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -41,6 +41,8 @@
 		answer, err = x.readAnswer(resp)
 	}
 	switch {
+	case err != nil && ctx.Err() != nil: // canceled by the control thread or the caller
+		e.Reason, e.Sent = rockreason.CallerLeft, !errors.Is(err, ErrNotSent)
 	case errors.Is(err, ErrNotSent):
 		e.Reason, e.Sent = rockreason.ServerUnreachable, false
 	case err == nil && resp.NotRun:
--- a/io/rockrelay/cancel_test.go
+++ b/io/rockrelay/cancel_test.go
@@ -1,6 +1,7 @@
 package rockrelay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,3 +48,36 @@
 		})
 	}
 }
+
+// Guards against the end of a call that its caller left and that is reported as a failure of the backend server. The
+// control thread would open the circuit breaker of a sound one, or run the call again.
+func TestCallerLeavesCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		sent bool
+	}{
+		"while it connects": {ErrNotSent, false},
+		"while it runs":     {context.Canceled, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, rocktable.RouteConfig{
+				Name: "find", Host: "a.example", Prefix: "/", Targets: []rocktable.RouteTarget{{Name: "desk", Weight: 1}}, Repeatable: true, Attempts: 2,
+			})
+			b.Open = func(ctx context.Context, a Attempt) (*Response, error) {
+				b.attempts <- a
+				<-ctx.Done()
+				return nil, c.err
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			sender := b.send(ctx, Request{ID: "a"})
+			waitFor(t, b, arrivals)
+			b.Dispatch(rocktable.Outbox{CallStarts: []rocktable.CallStart{{Request: 1, Server: 1, Name: "d1", Address: "d1:80", Timeout: time.Second}}})
+			<-b.attempts
+			cancel()
+			if e := waitFor(t, b, callEndings); e.Reason != rockreason.CallerLeft || e.Sent != c.sent || e.Crashed {
+				t.Errorf("got end %q, sent %v, crashed %v; want %q, %v, false", e.Reason, e.Sent, e.Crashed, rockreason.CallerLeft, c.sent)
+			}
+			<-sender.done
+		})
+	}
+}
