Answer a failed request whose pipeline was removed

Callers of a pipeline that a configuration removed while their stream ran got nothing for at least 5 s after the attempt failed, and then a broken answer. After the pipeline came back, a request could wait unnoticed, as the count of queued requests was one too low.

Cause: requests that are queued when their pipeline goes are answered at the change, but one that failed later was queued again for the removed pipeline. No system starts or counts what waits there; only the limit of requeued requests ends it.

The rule for queued requests is now a function, UnconfiguredReason, which the decision after a failed attempt applies as well.

TestFailedRequestOfARemovedPipelineIsAnswered before: got answers [], want one with reason "backendFailed" got -1 requests counted as queued in the pipeline that came back, want none After: passes; core/rocktick, rockretry, rockroute, rockadmit and rockcheck pass.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -52,18 +52,25 @@
 // removeUnconfigured ends the queued requests whose pipeline was removed from the configuration.
 func removeUnconfigured(w *rocktable.World) {
 	for id, r := range w.Requests.All() {
-		if !r.InQueue || w.Pipelines.Get(r.Pipeline) != nil {
-			continue
-		}
-		Dequeue(w, r)
-		code := rockreason.UnknownModel
-		if r.MayHaveRun {
-			code = rockreason.BackendFailed
+		if code := UnconfiguredReason(w, r); code != "" && r.InQueue {
+			Dequeue(w, r)
+			w.Answer(id, code)
 		}
-		w.Answer(id, code)
 	}
 }
 
+// UnconfiguredReason returns the reason with which a request ends that cannot be started because its pipeline was
+// removed from the configuration, or an empty code.
+func UnconfiguredReason(w *rocktable.World, r *rocktable.Request) rockreason.Code {
+	switch {
+	case w.Pipelines.Get(r.Pipeline) != nil:
+		return ""
+	case r.MayHaveRun:
+		return rockreason.BackendFailed
+	}
+	return rockreason.UnknownModel
+}
+
 func admit(now time.Time, w *rocktable.World, r *rocktable.Request, hosts int) {
 	r.State = rocktable.RequestQueued
 	r.EstimatedTokens = 0
--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -103,9 +103,12 @@
 // retried.
 func finalReason(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded, s *rocktable.BackendServer) rockreason.Code {
 	reason, ok := rockreason.Find(e.Reason)
+	unconfigured := rockadmit.UnconfiguredReason(w, r)
 	switch {
 	case ok && reason.Kind != rockreason.Retry:
 		return e.Reason
+	case unconfigured != "":
+		return unconfigured
 	case rockcrash.IsQuarantined(now, w, r):
 		return rockreason.BackendFailed
 	case r.AtMostOnce && r.EarlierMayHaveRun, r.MaxAttempts > 0 && r.MaybeRanAttempts >= r.MaxAttempts:
--- /dev/null
+++ b/core/rocktick/removed_test.go
@@ -0,0 +1,46 @@
+package rocktick_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// configurePipelines activates the next configuration version with these pipelines.
+func configurePipelines(t *testing.T, now time.Time, w *rocktable.World, pipelines ...rocktable.PipelineConfig) {
+	t.Helper()
+	cfg := w.Config.Configuration
+	cfg.Pipelines = pipelines
+	w.Inbox.ConfigResults = append(w.Inbox.ConfigResults, rocktable.TableResult[rocktable.ConfigRow]{
+		Status: rocktable.TableOK, Found: true, Version: w.ConfigVersion + 1, Row: rocktable.ConfigRow{ChangeID: "pipelines", Configuration: cfg},
+	})
+	run(t, now, w)
+}
+
+// Guards against a request that waits in the queue of a pipeline that no longer exists, where nothing starts or refuses
+// it for seconds, and against counts of the pipeline that such a request leaves wrong when the pipeline comes back.
+func TestFailedRequestOfARemovedPipelineIsAnswered(t *testing.T) {
+	w := newWorld()
+	setUpPipeline(t, w)
+	pipelines := w.Config.Configuration.Pipelines
+	w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
+		ID: 1, Caller: w.CallerNamed("guild").ID, Pipeline: w.InternPipeline("captions").ID, ArrivedAt: start, PromptTokens: 10, MaxTokens: 5,
+	}})
+	attempt := run(t, start, w).Outbox.Starts[0]
+	configurePipelines(t, start, w)
+	now := start.Add(100 * time.Millisecond)
+	w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{
+		Attempt: attempt.Attempt, Reason: rockreason.StageDied, FailedServer: attempt.Path[0].Server, Tokens: 2, FirstTokenAt: now,
+	})
+	out := run(t, now, w).Outbox
+	if len(out.Answers) != 1 || out.Answers[0].Reason != rockreason.BackendFailed {
+		t.Errorf("got answers %+v, want one with reason %q", out.Answers, rockreason.BackendFailed)
+	}
+	configurePipelines(t, now, w, pipelines...)
+	run(t, now.Add(time.Minute), w)
+	if got := w.Pipelines.Get(w.InternPipeline("captions").ID).Waiting; got != 0 {
+		t.Errorf("got %d requests counted as queued in the pipeline that came back, want none", got)
+	}
+}
