Let no attempt cancel a report that others share

Callers of sound streams saw them move to another server, or end if the route had no attempt left, when another caller's answer ended at the same server.

Cause: attempts with the same first server share one fetch of its report, which ran with the context of the attempt that asked first. When that attempt ended, the fetch failed, and the failure counted for 100 ms as a server that does not report.

The fetch now has a context of its own, with the limit of a report.

TestEndedAttemptBreaksNoSharedReport before: got error context canceled from the shared report, want none. After: passes; io/rockrelay passes with -race.

--- a/io/rockrelay/report.go
+++ b/io/rockrelay/report.go
@@ -41,7 +41,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now := t.Now(); r.receivedAt.IsZero() || now.Sub(r.receivedAt) > waitReportMaxAge {
-		r.waiting, r.err = t.FetchWaiting(ctx, address)
+		// The attempt that asks may end at any moment; others share its report.
+		fetchCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+		defer cancel()
+		r.waiting, r.err = t.FetchWaiting(fetchCtx, address)
 		r.receivedAt = t.Now()
 	}
 	return r.waiting[request], r.err
