Don't give up a silent attempt for a path over the same server

Callers of a stream saw it end although its only server went on after 1 s: the second attempt began at the same silent server, and was silent there as well.

Cause: the check whether another path has room did not exclude the silent server. Its circuit breaker does so only while others hold its layers.

TestSilenceEndsAttemptsThatCanGoOn/only_the_silent_server before: 1 attempts ended and a retry granted: true, want false. After: passes.

--- a/core/rockroute/fullpath_test.go
+++ b/core/rockroute/fullpath_test.go
@@ -229,6 +229,7 @@
 		"must not run again":       {func(_ *rocktable.World, r *rocktable.Request) { r.AtMostOnce = true }, 0, false},
 		"no retry budget":          {func(w *rocktable.World, _ *rocktable.Request) { w.Limits.RetryWindow = 10 * time.Second }, 0, false},
 		"no room elsewhere":        {fillServers, 0, false},
+		"only the silent server":   {keepOnlyFirstPath, 0, false},
 		"no room elsewhere, later": {fillServers, soundSilence, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -248,6 +249,16 @@
 	}
 }
 
+// keepOnlyFirstPath leaves no backend servers but those of the path of the first request.
+func keepOnlyFirstPath(w *rocktable.World, r *rocktable.Request) {
+	path := w.Attempts.Get(r.Attempt).Path
+	for id, s := range w.Servers.All() {
+		if !uses(path, id) {
+			s.State = rocktable.StateDown
+		}
+	}
+}
+
 func fillServers(w *rocktable.World, _ *rocktable.Request) {
 	for _, s := range w.Servers.All() {
 		s.PeerReservedMemory = 1e12
--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -61,7 +61,7 @@
 	if a.StuckSince.IsZero() {
 		a.StuckSince = now
 	}
-	if now.Sub(a.StuckSince) < soundSilence && FindPath(now, w, r) == nil || !rockretry.GrantRetry(now, w, r, a, s) {
+	if now.Sub(a.StuckSince) < soundSilence && !hasPathWithout(now, w, r, server) || !rockretry.GrantRetry(now, w, r, a, s) {
 		return false
 	}
 	a.Abandoned = true
@@ -69,6 +69,12 @@
 	return true
 }
 
+// hasPathWithout reports whether a path without a backend server has room for a request.
+func hasPathWithout(now time.Time, w *rocktable.World, r *rocktable.Request, without rocktable.BackendServerID) bool {
+	path := FindPath(now, w, r)
+	return path != nil && !uses(path, without)
+}
+
 // pathWithout returns a path that keeps the first stage of an attempt and excludes a backend
 // server, or nil.
 func pathWithout(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request, a *rocktable.Attempt, without rocktable.BackendServerID) []rocktable.Stage {
