Order the versions of the platform's store by era and version

Callers got 404 for routes that had been acknowledged more than two seconds before (CONFIG), and the other answers that a configuration of before gives, after the store had come back from an older copy.

Cause: a copy of a table had a plain version, and a complete table replaced it only if its version was higher. The versions of a restored store are lower. Each host read the changes after its old version, got 410, read the complete table, ignored it, and began again, until the new counter passed the old version; then it merged changes of the new store into rows of the old one. Peers compared plain versions too.

Now the store's client decodes the era of each answer, and versions are ordered by the pair of era and version in reads, copies, notices, gaps, requests and updates between hosts. A complete table of a later era replaces a copy whatever its version is; changes of another era than the copy's are not merged; a late answer of an older era is ignored. A host that the store or a peer tells of a new era gets the complete table at once. The store has the last word on the era: an answer with a lower one to a read that began after the host learned of the higher one shows that the higher one was not the store's.

--- a/core/rockfollow/copy.go
+++ b/core/rockfollow/copy.go
@@ -24,7 +24,7 @@
 	maxUpdateBytes = 700 << 10
 )
 
-// replaceRows replaces a copy by the complete table as of a version. A copy that is not older stays.
+// replaceRows replaces a copy by the complete table of the same era as of a version. A copy that is not older stays.
 func replaceRows(now time.Time, w *rocktable.World, t *rocktable.FollowedTable, version uint64, rows []rocktable.TableRow) {
 	if version <= t.Version {
 		return
@@ -37,7 +37,7 @@
 	}
 	t.ForgottenVersion = version
 	advance(now, t, version)
-	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Full: true, Rows: rows})
+	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Era: t.Era, Full: true, Rows: rows})
 }
 
 // mergeRows applies changed rows that are newer than those of a copy. The caller advances its version if no change is
@@ -63,7 +63,7 @@
 	sortByVersion(changed)
 	t.Mixed = true
 	forgetRemoved(t)
-	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Rows: changed})
+	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Era: t.Era, Rows: changed})
 }
 
 // advance records that a copy has all changes up to a version.
@@ -72,11 +72,20 @@
 		t.Version, t.AdvancedAt = version, now
 	}
 	t.Mixed = false
-	if t.GapVersion <= t.Version {
-		t.GapVersion, t.GapHost, t.GapSince, t.RequestedAt = 0, 0, time.Time{}, time.Time{}
+	if gapOf(t).Compare(t.StoreVersion()) <= 0 {
+		clearGap(t)
 	}
 }
 
+// gapOf returns the version of a peer's copy up to which this host lacks changes.
+func gapOf(t *rocktable.FollowedTable) rocktable.StoreVersion {
+	return rocktable.StoreVersion{Era: t.GapEra, Version: t.GapVersion}
+}
+
+func clearGap(t *rocktable.FollowedTable) {
+	t.GapEra, t.GapVersion, t.GapHost, t.GapSince, t.RequestedAt = 0, 0, 0, time.Time{}, time.Time{}
+}
+
 // digestOf returns the part of a row in the digest of its table. A row that does not exist has none.
 func digestOf(r rocktable.TableRow) uint64 {
 	if r.Removed || r.Version == 0 {
@@ -106,7 +115,11 @@
 // applyUpdate applies a peer's report of its copy of a table.
 func applyUpdate(now time.Time, w *rocktable.World, sender rocktable.HostID, u rocktable.TableUpdate) {
 	t := w.FollowedTables.Get(u.Table)
-	if t == nil || u.Version <= t.Version {
+	if t == nil {
+		return
+	}
+	v := rocktable.StoreVersion{Era: comparableEra(w, t, u.Era), Version: u.Version}
+	if v.Compare(t.StoreVersion()) <= 0 {
 		if len(u.Rows) > 0 {
 			w.Count(rockreason.StaleNews)
 		}
@@ -117,27 +130,47 @@
 		w.LogChange("peer", w.Hosts.Get(sender).Name, t.ID.String(), "refused: version from the future")
 		return
 	}
-	if u.Full {
+	switch {
+	case v.Era == t.Era && u.Full:
 		replaceRows(now, w, t, u.Version, u.Rows)
 		return
-	}
-	mergeRows(w, t, u.Rows)
-	if t.Digest == u.Digest && t.Version > 0 {
-		advance(now, t, u.Version)
+	case v.Era == t.Era:
+		mergeRows(w, t, u.Rows)
+		if t.Digest == u.Digest && t.Version > 0 {
+			advance(now, t, u.Version)
+			return
+		}
+	case u.Full && !w.Follow.StoreReached: // a host that reaches the store learns its era there
+		replaceEra(now, w, t, v, u.Rows)
 		return
 	}
-	t.GapVersion, t.GapHost = max(t.GapVersion, u.Version), sender
+	recordGap(now, w, t, v, sender)
+}
+
+// recordGap records that a peer's copy has changes that this host lacks.
+func recordGap(now time.Time, w *rocktable.World, t *rocktable.FollowedTable, v rocktable.StoreVersion, sender rocktable.HostID) {
+	t.GapHost = sender
+	if v.Compare(gapOf(t)) > 0 {
+		if v.Era > t.GapEra && v.Era > t.Era && t.Version > 0 {
+			t.GapSince, t.RequestedAt = now, time.Time{}
+			w.Follow.NextCheck = now
+		}
+		t.GapEra, t.GapVersion = v.Era, v.Version
+	}
 	if t.GapSince.IsZero() {
 		t.GapSince = now
 	}
 }
 
-// isFromFuture reports whether a version, or that of a row, is one that the store cannot have reached yet. A host that
-// took it would ignore the changes of the store.
+// isFromFuture reports whether an era, a version, or that of a row, is one that the store cannot have reached yet. A host
+// that took it would ignore the changes of the store. A restored store continues below the versions of its last era.
 func isFromFuture(now time.Time, t *rocktable.FollowedTable, u rocktable.TableUpdate) bool {
 	if t.Version == 0 {
 		return false // this host knows no version yet
 	}
+	if t.Era > 0 && u.Era > t.Era+maxEraStep {
+		return true
+	}
 	limit := t.Version + uint64(versionsPerSecond*(1+now.Sub(t.AdvancedAt).Seconds()))
 	for _, r := range u.Rows {
 		if r.Version > limit {
@@ -149,8 +182,14 @@
 
 // updateAfter returns the changes of a copy after a version, or the complete table if it cannot tell them, and whether
 // they fit in a message.
-func updateAfter(t *rocktable.FollowedTable, after uint64) (rocktable.TableUpdate, bool) {
-	u := rocktable.TableUpdate{Table: t.ID, Version: t.Version, Digest: t.Digest, Full: after < t.ForgottenVersion}
+func updateAfter(t *rocktable.FollowedTable, v rocktable.StoreVersion) (rocktable.TableUpdate, bool) {
+	after := v.Version
+	if v.Era != t.Era {
+		after = 0
+	}
+	u := rocktable.TableUpdate{
+		Table: t.ID, Era: t.Era, Version: t.Version, Digest: t.Digest, Full: v.Era != t.Era || after < t.ForgottenVersion,
+	}
 	size := 0
 	for r := range maps.Values(t.Rows) {
 		if u.Full && r.Removed || !u.Full && r.Version <= after {
--- a/core/rockfollow/fleet_test.go
+++ b/core/rockfollow/fleet_test.go
@@ -24,7 +24,9 @@
 
 // store is a model of the platform's store.
 type store struct {
+	era       uint64
 	version   uint64
+	copied    storeCopy
 	rows      map[rocktable.FollowedTableID]map[string]rocktable.TableRow
 	history   map[rocktable.FollowedTableID][]rocktable.TableRow
 	droppedTo uint64
@@ -47,6 +49,30 @@
 	return s.version
 }
 
+// storeCopy is a copy of a store, from which it can be restored.
+type storeCopy struct {
+	version uint64
+	rows    map[rocktable.FollowedTableID]map[string]rocktable.TableRow
+}
+
+// copyRows makes a copy of the store.
+func (s *store) copyRows() {
+	s.copied = storeCopy{version: s.version, rows: make(map[rocktable.FollowedTableID]map[string]rocktable.TableRow)}
+	for table, rows := range s.rows {
+		s.copied.rows[table] = maps.Clone(rows)
+	}
+}
+
+// restore takes the store back to its last copy, in a new era.
+func (s *store) restore() {
+	s.era++
+	s.version, s.droppedTo = s.copied.version, s.copied.version
+	for table := range s.rows {
+		s.rows[table] = maps.Clone(s.copied.rows[table])
+	}
+	clear(s.history)
+}
+
 func (s *store) dropHistory() {
 	clear(s.history)
 	s.droppedTo = s.version
@@ -63,6 +89,7 @@
 	inbox   rocktable.Inbox
 	reads   []pendingRead
 	known   map[rocktable.FollowedTableID]map[string]uint64 // versions of the decoded rows
+	eras    map[rocktable.FollowedTableID]uint64            // of the decoded rows
 	listed  map[string]rocktable.ListedHost
 	// snapshot is what traffic of the host sees; nil until a test publishes the first one.
 	snapshot *rocktable.Snapshot
@@ -72,6 +99,9 @@
 	read        rocktable.TableRead
 	sentAt, end time.Time
 	silent      bool // its connection went silent: it is never answered
+	// late is an answer that is delivered at lateAt, whatever the store holds then; unused while lateAt is zero.
+	late   rocktable.TableReadEnded
+	lateAt time.Time
 }
 
 // fleet runs hosts against the store in virtual time.
@@ -91,6 +121,7 @@
 
 func newFleet(t *testing.T, dataCentres, hosts int) *fleet {
 	f := &fleet{t: t, now: startTime, byName: make(map[string]*host), rand: rand.New(rand.NewPCG(7, 7)), store: &store{
+		era:     1,
 		rows:    make(map[rocktable.FollowedTableID]map[string]rocktable.TableRow),
 		history: make(map[rocktable.FollowedTableID][]rocktable.TableRow),
 		refuses: func(*host) bool { return false },
@@ -118,7 +149,7 @@
 	limits := rocktable.DefaultLimits()
 	limits.PlatformPushes, limits.LeaseTTL = true, 0
 	w := rocktable.NewWorld(f.now, rocktable.Host{Name: name, Address: name}, rocktable.DataCentre{Name: dataCentre, Region: "dakar"}, incarnation, rocktable.WithLimits(limits))
-	*h = host{w: w, known: make(map[rocktable.FollowedTableID]map[string]uint64), listed: make(map[string]rocktable.ListedHost)}
+	*h = host{w: w, known: make(map[rocktable.FollowedTableID]map[string]uint64), eras: make(map[rocktable.FollowedTableID]uint64), listed: make(map[string]rocktable.ListedHost)}
 }
 
 // restart replaces the processes of hosts. Each has a new key, which it registers after it has begun to read the tables.
@@ -192,6 +223,13 @@
 // answerReads answers the reads of a host whose changes are there, whose wait is over or that the store refuses.
 func (f *fleet) answerReads(h *host) {
 	h.reads = slices.DeleteFunc(h.reads, func(p pendingRead) bool {
+		if !p.lateAt.IsZero() {
+			if f.now.Before(p.lateAt) {
+				return false
+			}
+			h.inbox.TableReads = append(h.inbox.TableReads, p.late)
+			return true
+		}
 		silent := f.store.silent || p.silent || h.cut
 		if f.now.Sub(p.sentAt) < readLatency || silent && f.now.Sub(p.sentAt) < p.read.Limit {
 			return false
@@ -206,13 +244,13 @@
 }
 
 func (f *fleet) result(h *host, p pendingRead) rocktable.TableReadEnded {
-	end := rocktable.TableReadEnded{Read: p.read, Version: f.store.version}
+	end := rocktable.TableReadEnded{Read: p.read, Era: f.store.era, Version: f.store.version}
 	switch {
 	case f.store.refuses(h) || f.store.silent || p.silent || h.cut:
-		end.Status = rocktable.TableReadFailed
+		end.Status, end.Era = rocktable.TableReadFailed, 0
 	case p.read.After == 0:
 		end.Rows = slices.Collect(maps.Values(f.store.rows[p.read.Table]))
-	case p.read.After < f.store.droppedTo:
+	case p.read.After < f.store.droppedTo, p.read.After > f.store.version:
 		end.Status = rocktable.TableHistoryDropped
 	default:
 		for _, r := range f.store.history[p.read.Table] {
@@ -226,6 +264,13 @@
 
 // decode does what the platform's client does with changed rows.
 func (f *fleet) decode(h *host, c rocktable.TableChange) {
+	if c.Era < h.eras[c.Table] {
+		f.t.Fatalf("%s: table %s goes back from era %d to %d", h.w.SelfHost().Name, c.Table, h.eras[c.Table], c.Era)
+	}
+	if c.Era > h.eras[c.Table] && !c.Full {
+		f.t.Fatalf("%s: table %s has changes of era %d, but its rows are of %d", h.w.SelfHost().Name, c.Table, c.Era, h.eras[c.Table])
+	}
+	h.eras[c.Table] = c.Era
 	if c.Full || h.known[c.Table] == nil {
 		h.known[c.Table] = make(map[string]uint64)
 	}
@@ -285,7 +330,7 @@
 			continue
 		}
 		for table, rows := range f.store.rows {
-			same := len(h.known[table]) == len(rows)
+			same := len(h.known[table]) == len(rows) && h.eras[table] == f.store.era
 			for key, r := range rows {
 				same = same && h.known[table][key] == r.Version
 			}
--- a/core/rockfollow/follow.go
+++ b/core/rockfollow/follow.go
@@ -104,6 +104,8 @@
 			continue
 		}
 		read := newRead(w, t, f.wait)
+		t.ReadNumber++
+		read.Number = t.ReadNumber
 		t.Reading, t.ReadOnce, t.ReadSince, t.WaitEnd = true, false, now, time.Time{}
 		if read.After > 0 {
 			t.WaitEnd = now.Add(read.Wait)
@@ -114,8 +116,8 @@
 
 // newRead returns the next read of a table.
 func newRead(w *rocktable.World, t *rocktable.FollowedTable, wait time.Duration) rocktable.TableRead {
-	read := rocktable.TableRead{Table: t.ID, After: t.Version, Wait: wait}
-	if t.ReadAll {
+	read := rocktable.TableRead{Table: t.ID, Era: t.Era, After: t.Version, Wait: wait}
+	if t.ReadAll || t.Era < w.Follow.Era {
 		read.After = 0
 	}
 	if st := w.Follow; st.Follows && !st.StoreReached && (!st.StoreLost || t.ReadFailed) {
@@ -131,26 +133,23 @@
 // applyRead applies the result of a read from the store and sets the time of the next one.
 func applyRead(now time.Time, w *rocktable.World, r rocktable.TableReadEnded) {
 	t := w.FollowedTables.Get(r.Read.Table)
-	if t == nil {
+	if t == nil || !t.Reading || r.Read.Number != t.ReadNumber {
 		return
 	}
 	t.Reading = false
+	isCurrent := r.Status == rocktable.TableReadFailed || applyEra(now, w, t, &r)
 	switch r.Status {
 	case rocktable.TableReadOK:
-		t.FailedReads, t.NextRead, t.ConfirmedAt = 0, now.Add(minReadPause), now
-		if len(r.Rows) > 0 {
-			t.NextRead = now.Add(max(minReadPause, intervalOf(t.ID)))
-		}
-		if r.Read.After == 0 {
-			t.ReadAll, t.FullReadAt = false, now
-			replaceRows(now, w, t, r.Version, r.Rows)
-		} else {
-			mergeRows(w, t, r.Rows)
-			advance(now, t, r.Version)
+		t.FailedReads, t.NextRead = 0, now.Add(minReadPause)
+		if isCurrent {
+			applyRows(now, w, t, r)
 		}
 	case rocktable.TableHistoryDropped:
+		if !isCurrent {
+			break
+		}
 		t.ReadAll, t.NextRead = true, now
-		if now.Sub(t.FullReadAt) < fullReadPause {
+		if t.Era == w.Follow.Era && now.Sub(t.FullReadAt) < fullReadPause {
 			t.NextRead = now.Add(retryDelay(w, t))
 		}
 	case rocktable.TableReadFailed:
@@ -162,6 +161,34 @@
 	}
 }
 
+// applyRows applies the rows of an answer from the store, which is not late. Changes that follow on another era than that
+// of the copy are of no use: the complete table is read instead.
+func applyRows(now time.Time, w *rocktable.World, t *rocktable.FollowedTable, r rocktable.TableReadEnded) {
+	isFull := r.Read.After == 0
+	if !isFull && (r.Era != t.Era || r.Read.Era != t.Era) {
+		return
+	}
+	t.ConfirmedAt = now
+	if len(r.Rows) > 0 {
+		t.NextRead = now.Add(max(minReadPause, intervalOf(t.ID)))
+	}
+	switch {
+	case !isFull:
+		mergeRows(w, t, r.Rows)
+		advance(now, t, r.Version)
+	case r.Era != t.Era:
+		t.ReadAll, t.FullReadAt = false, now
+		replaceEra(now, w, t, rocktable.StoreVersion{Era: r.Era, Version: r.Version}, r.Rows)
+	default:
+		t.ReadAll, t.FullReadAt = false, now
+		replaceRows(now, w, t, r.Version, r.Rows)
+	}
+	t.EraConfirmed = true
+	if t.GapEra > t.Era && isFull && !t.ReadSince.Before(t.GapSince) {
+		clearGap(t) // the store has not reached that era
+	}
+}
+
 func intervalOf(id rocktable.FollowedTableID) time.Duration {
 	for _, f := range followedTables {
 		if f.id == id {
--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -30,9 +30,14 @@
 	}
 	for _, u := range m.Tables {
 		applyUpdate(now, w, sender.ID, u)
-		if t := w.FollowedTables.Get(u.Table); t != nil && m.StoreReached && t.Digest == u.Digest {
+		t := w.FollowedTables.Get(u.Table)
+		if t == nil || !m.StoreReached {
+			continue
+		}
+		if t.Digest == u.Digest && t.Era == comparableEra(w, t, u.Era) {
 			t.ConfirmedAt = now
 		}
+		doubtEra(now, t, u.Era)
 	}
 	if len(m.TableRequests) > 0 {
 		answerRequests(w, m)
@@ -58,10 +63,14 @@
 	reply := newMessage(w)
 	for _, r := range m.TableRequests {
 		t := w.FollowedTables.Get(r.Table)
-		if t == nil || t.Mixed || t.Version <= r.After {
+		if t == nil || t.Mixed || t.Era < w.Follow.Era {
 			continue
 		}
-		if u, fits := updateAfter(t, r.After); fits {
+		after := rocktable.StoreVersion{Era: comparableEra(w, t, r.Era), Version: r.After}
+		if t.StoreVersion().Compare(after) <= 0 {
+			continue
+		}
+		if u, fits := updateAfter(t, after); fits {
 			setUpdate(&reply, u)
 		}
 	}
@@ -90,6 +99,9 @@
 func requestMissing(now time.Time, w *rocktable.World) {
 	for _, f := range followedTables {
 		t := w.FollowedTables.Get(f.id)
+		if !t.DoubtSince.IsZero() && now.Sub(t.DoubtSince) >= readAfter {
+			t.ReadOnce, t.ReadAll, t.DoubtSince = true, true, time.Time{} // the store shows which era is right
+		}
 		if t.GapVersion == 0 {
 			continue
 		}
@@ -99,12 +111,12 @@
 			t.ReadOnce, t.ReadAll = true, true
 		}
 		h := w.Hosts.Get(t.GapHost)
-		if h == nil || missing < requestAfter || now.Sub(t.RequestedAt) < requestEvery {
+		if h == nil || missing < requestAfter && t.GapEra <= t.Era || now.Sub(t.RequestedAt) < requestEvery {
 			continue
 		}
 		t.RequestedAt = now
 		m := newMessage(w)
-		m.TableRequests = []rocktable.TableRequest{{Table: t.ID, After: t.Version}}
+		m.TableRequests = []rocktable.TableRequest{{Table: t.ID, Era: t.Era, After: t.Version}}
 		w.Outbox.PeerSends = append(w.Outbox.PeerSends, rocktable.PeerSend{Host: h.ID, Address: h.Address, Message: m})
 	}
 }
@@ -122,7 +134,7 @@
 		if c.Full || len(c.Rows) == 0 || t.Mixed || rowBytes(c.Rows) > maxUpdateBytes {
 			continue // peers notice by the digest, and ask for what they lack
 		}
-		setUpdate(&m, rocktable.TableUpdate{Table: t.ID, Version: t.Version, Digest: t.Digest, Rows: c.Rows})
+		setUpdate(&m, rocktable.TableUpdate{Table: t.ID, Era: t.Era, Version: t.Version, Digest: t.Digest, Rows: c.Rows})
 		sent = true
 	}
 	if !sent {
--- /dev/null
+++ b/core/rockfollow/restored_test.go
@@ -0,0 +1,187 @@
+package rockfollow_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// writeSome writes some changes, which a restoration loses.
+func (f *fleet) writeSome(n int) {
+	for i := range n {
+		f.store.write(rocktable.BackendServersTable, fmt.Sprintf("lost-%d", i), false)
+	}
+	f.store.write(rocktable.ConfigurationTable, "config", false)
+}
+
+// restoreStore has the store away for a time and restores it from its last copy.
+func (f *fleet) restoreStore(away time.Duration) {
+	f.silenceConnections()
+	f.store.refuses = func(*host) bool { return true }
+	f.run(away)
+	f.store.refuses = func(*host) bool { return false }
+	f.store.restore()
+}
+
+func (f *fleet) expectCurrent(within time.Duration, what string) {
+	f.t.Helper()
+	f.run(within)
+	if late := f.lagging(); len(late) > 0 {
+		f.t.Fatalf("%s: %d tables differ from the store after %s: %s", what, len(late), within, late[0])
+	}
+}
+
+// Guards against hosts that ignore a restored store for as long as its versions are below those of their copies.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 9)
+	f.run(settlingTime)
+	f.store.copyRows()
+	f.run(2 * time.Second)
+	f.writeSome(50)
+	f.run(4 * time.Second)
+	f.restoreStore(2 * time.Second)
+	f.expectCurrent(contactLimit, "restored")
+	f.change()
+	f.expectCurrent(contactLimit, "changed since")
+}
+
+// Guards against hosts that merge the changes of a restored store into the rows of the old one, because its counter has
+// passed their version before the next read, which then is not refused. Nothing tells them of an outage.
+func TestRestoredStoreThatPassedTheOldVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 9)
+	f.run(settlingTime)
+	f.store.copyRows()
+	f.writeSome(5)
+	f.run(4 * time.Second)
+	f.store.restore()
+	for i := range 60 {
+		f.store.write(rocktable.BackendServersTable, fmt.Sprintf("since-%d", i), false)
+	}
+	f.store.write(rocktable.ConfigurationTable, "config", false)
+	// A read of the table of hosts waits for 10 s.
+	f.expectCurrent(13*time.Second, "restored")
+}
+
+// Guards against hosts that stay with the first of two restorations which follow each other.
+func TestStoreIsRestoredTwice(t *testing.T) {
+	t.Parallel()
+	for _, gap := range []time.Duration{step, time.Second, 3 * time.Second} {
+		f := newFleet(t, 3, 9)
+		f.run(settlingTime)
+		f.store.copyRows()
+		f.writeSome(50)
+		f.run(4 * time.Second)
+		f.restoreStore(time.Second)
+		f.run(gap)
+		f.writeSome(70)
+		f.run(gap)
+		f.restoreStore(time.Second)
+		f.expectCurrent(contactLimit, "restored twice "+gap.String()+" apart")
+	}
+}
+
+// Guards against an answer of the old store that arrives late and takes a host back to the old era.
+func TestLateAnswerOfTheOldEra(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4)
+	f.run(settlingTime)
+	f.store.copyRows()
+	f.writeSome(50)
+	f.run(4 * time.Second)
+	for _, h := range f.hosts {
+		for i := range h.reads {
+			p := &h.reads[i]
+			p.late, p.lateAt = f.result(h, *p), f.now.Add(2500*time.Millisecond)
+			p.late.Version += 40
+			if p.read.Table == rocktable.BackendServersTable {
+				p.late.Rows = []rocktable.TableRow{{Key: "late", Version: p.late.Version, Value: []byte("late")}}
+			}
+		}
+	}
+	f.store.restore()
+	// Hosts that learn of the new era through peers do so before the late answers arrive: one reads at once.
+	f.addHost(9, 0)
+	f.expectCurrent(6*time.Second, "late answers")
+}
+
+// Guards against a host that was cut off during a restoration, and a peer that tells it of old versions afterwards.
+func TestHostCutOffDuringRestoration(t *testing.T) {
+	t.Parallel()
+	for cut := range 9 {
+		f := newFleet(t, 3, 9)
+		f.run(settlingTime)
+		f.store.copyRows()
+		f.writeSome(50)
+		f.run(4 * time.Second)
+		h := f.hosts[cut]
+		h.alone, h.cut = true, true
+		f.run(500 * time.Millisecond)
+		f.restoreStore(time.Second)
+		f.run(3 * time.Second)
+		f.writeSome(20)
+		f.run(time.Second)
+		h.alone = false // peers first: they must neither believe it nor be refused by it
+		f.expectCurrent(5*time.Second, h.w.SelfHost().Name+" is back among its peers")
+		h.cut = false
+		f.change()
+		f.expectCurrent(contactLimit, h.w.SelfHost().Name+" is back at the store")
+	}
+}
+
+// Guards against a host that ignores the store because a peer told it of an era which the store has never reached.
+func TestEraThatTheStoreHasNotReached(t *testing.T) {
+	t.Parallel()
+	for _, era := range []uint64{2, 1 << 40} {
+		f := newFleet(t, 2, 8)
+		f.run(settlingTime)
+		for _, h := range f.hosts {
+			from := f.hosts[0]
+			if h == from {
+				from = f.hosts[2]
+			}
+			f.tellBogus(from, h, era)
+		}
+		f.run(step)
+		for _, h := range f.hosts {
+			if h.eras[rocktable.BackendServersTable] == era {
+				delete(h.eras, rocktable.BackendServersTable) // a wrong era is left for a lower one
+			}
+		}
+		f.run(5 * time.Second)
+		f.change()
+		f.expectCurrent(contactLimit, fmt.Sprintf("era %d", era))
+	}
+}
+
+// tellBogus delivers a complete table of an era in the name of a peer.
+func (f *fleet) tellBogus(from, to *host, era uint64) {
+	to.inbox.Peers = append(to.inbox.Peers, rocktable.PeerMessage{
+		Sender: from.w.SelfHost().Name, Address: from.w.SelfHost().Name, DataCentre: f.dataCentreOf(from.w.SelfHost().Name), Region: "dakar",
+		Incarnation: from.w.Incarnation, Heartbeat: from.w.SelfHost().Heartbeat + 1, State: rocktable.StateLive, Reply: true,
+		Tables: []rocktable.TableUpdate{{
+			Table: rocktable.BackendServersTable, Era: era, Version: 7, Digest: 7, Full: true,
+			Rows: []rocktable.TableRow{{Key: "bogus", Version: 7, Value: []byte("bogus")}},
+		}},
+	})
+}
+
+// Guards against hosts that cost the store many reads when it is restored: those that do not follow it learn from peers.
+func TestRestorationCostsFewCalls(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 40)
+	f.run(settlingTime)
+	f.store.copyRows()
+	f.writeSome(50)
+	f.run(4 * time.Second)
+	f.restoreStore(time.Second)
+	calls := f.store.calls
+	f.expectCurrent(contactLimit, "restored")
+	// Up to six followers of each data centre read three tables, and their changes for 3 s.
+	if n := f.store.calls - calls; n > 40*3 {
+		t.Errorf("%d calls in %s after the restoration, want at most 3 for each host", n, contactLimit)
+	}
+}
--- a/core/rockfollow/store.go
+++ b/core/rockfollow/store.go
@@ -63,7 +63,7 @@
 	case reached || st.StoreReached:
 		if st.Disconnected {
 			st.Disconnected = false
-			w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: rocktable.BackendServersTable})
+			w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: rocktable.BackendServersTable, Era: w.FollowedTables.Get(rocktable.BackendServersTable).Era})
 		}
 	case lost || st.StoreLost:
 		if !st.Disconnected {
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -49,6 +49,7 @@
 	RepeatedIndex     Code = "repeatedIndex"
 	LateEvent         Code = "lateEvent"
 	StaleNews         Code = "staleNews"
+	StoreRestored     Code = "storeRestored"
 	FrameTooLarge     Code = "frameTooLarge"
 	FrameVersion      Code = "frameVersion"
 	FrameBroken       Code = "frameBroken"
@@ -346,6 +347,12 @@
 		Text:           "A peer's news was older than what the host knows.",
 		OperatorAction: "None.",
 	},
+	{
+		Code: StoreRestored, Kind: Dropped, Status: 0, Ran: NotReported, Retryable: false,
+		Title:          "Store restored from an older copy",
+		Text:           "The platform's store began a new era. The host replaced its copies of the store's tables.",
+		OperatorAction: "Check that what was written to the store in the seconds before is there again.",
+	},
 	{
 		Code: FrameTooLarge, Kind: BadInput, Status: 0, Ran: NotReported, Retryable: false,
 		Title:          "Peer frame too large",
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -89,7 +89,8 @@
 // HostList is the platform's host list as read or pushed.
 type HostList struct {
 	OK      bool
-	Pushed  bool // sent by the platform at each change; backend servers that are missing have left
+	Pushed  bool   // sent by the platform at each change; backend servers that are missing have left
+	Era     uint64 // of the platform's store when it was pushed; 0 if it is not known
 	Entries []ListedHost
 }
 
@@ -104,6 +105,9 @@
 
 	Service string        `json:"service,omitempty"` // service or pipeline that the backend server belongs to
 	Status  *EngineStatus `json:"status,omitempty"`  // report carried by the list, which replaces probes
+
+	Version  uint64 `json:"-"` // of the entry in the platform's store
+	Sequence uint64 `json:"-"` // counts what the backend server wrote since its start; 0 if it is not known
 }
 
 // ConfigPush is a configuration that the platform pushed when it changed.
@@ -129,6 +133,7 @@
 	FullState         bool   // the rows are all that the sender knows
 	Reply             bool   // expects no answer; Loads and Demands are not set, and the last reported ones stay valid
 	ReportsWork       bool   // Work is complete even if Reply is set
+	LostLeaseEra      uint64 // of LostLeaseVersion
 	LostLeaseVersion  uint64 // version of the lease row when the sender's lease expired; 0 if it did not
 	Hosts             []HostUpdate
 	Servers           []ServerUpdate
@@ -233,6 +238,7 @@
 	Write   bool
 	Status  TableStatus
 	Found   bool
+	Era     uint64 // of the store that answered; 0 if it did not tell
 	Version uint64
 	Row     T
 }
--- a/io/rockplatform/client.go
+++ b/io/rockplatform/client.go
@@ -218,7 +218,7 @@
 	if result.Status != rocktable.TableOK && result.Status != rocktable.TableConflict {
 		return result
 	}
-	result.Version, result.Found = row.Version, row.Version != 0
+	result.Era, result.Version, result.Found = row.Era, row.Version, row.Version != 0
 	if !result.Found || len(row.Value) == 0 {
 		return result
 	}
--- a/io/rockplatform/platform.go
+++ b/io/rockplatform/platform.go
@@ -30,6 +30,7 @@
 type Row struct {
 	Value   json.RawMessage `json:"value"`
 	Version uint64          `json:"version"` // 0 where there is no row
+	Era     uint64          `json:"-"`       // of the store that answered; 0 if it does not tell
 }
 
 // PutRequest is the JSON body of a write, which takes effect only if the row has the expected version.
--- a/io/rockschema/table.go
+++ b/io/rockschema/table.go
@@ -7,13 +7,13 @@
 
 func tableUpdateToProto(u rocktable.TableUpdate) *v1.TableNews {
 	return &v1.TableNews{
-		Table: uint32(u.Table), Version: u.Version, Digest: u.Digest, Full: u.Full, Rows: convertAll(u.Rows, tableRowToProto),
+		Table: uint32(u.Table), Era: u.Era, Version: u.Version, Digest: u.Digest, Full: u.Full, Rows: convertAll(u.Rows, tableRowToProto),
 	}
 }
 
 func tableUpdateFromProto(m *v1.TableNews) rocktable.TableUpdate {
 	return rocktable.TableUpdate{
-		Table: tableIDFromProto(m.GetTable()), Version: m.GetVersion(), Digest: m.GetDigest(), Full: m.GetFull(),
+		Table: tableIDFromProto(m.GetTable()), Era: m.GetEra(), Version: m.GetVersion(), Digest: m.GetDigest(), Full: m.GetFull(),
 		Rows: convertAll(m.GetRows(), tableRowFromProto),
 	}
 }
@@ -27,11 +27,11 @@
 }
 
 func tableRequestToProto(r rocktable.TableRequest) *v1.TableRequest {
-	return &v1.TableRequest{Table: uint32(r.Table), After: r.After}
+	return &v1.TableRequest{Table: uint32(r.Table), Era: r.Era, After: r.After}
 }
 
 func tableRequestFromProto(m *v1.TableRequest) rocktable.TableRequest {
-	return rocktable.TableRequest{Table: tableIDFromProto(m.GetTable()), After: m.GetAfter()}
+	return rocktable.TableRequest{Table: tableIDFromProto(m.GetTable()), Era: m.GetEra(), After: m.GetAfter()}
 }
 
 // tableIDFromProto returns 0, which identifies no table, for a table that this program does not know.
