Order the entries of a backend server by its own count across eras

Entries that the copy lacked counted as departures at once if the host had not noticed an outage.

Cause: the list of a store that was restored was taken as newer than what the host knew, because it arrived later.

Now the list has the era of the store, and each entry its version and the count that the backend server keeps of its writes. Within an era the store orders entries; across eras the incarnation, which is a time, and that count do. An older entry is ignored and logged.

--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -31,7 +31,8 @@
 		}
 		if list.OK {
 			w.ListState.ReadAt = now
-			applyHostList(now, w, list.Entries)
+			recordListEra(now, w, list.Era)
+			applyHostList(now, w, list)
 		}
 	}
 	for _, m := range w.Inbox.Peers {
@@ -89,20 +90,25 @@
 // applyHostList applies the platform's list. A host that the list lacks stays in use while it answers, and so does a
 // backend server if the list was read, because such a list lags. markUnlistedLeaving handles the backend servers that a
 // pushed list lacks.
-func applyHostList(now time.Time, w *rocktable.World, entries []rocktable.ListedHost) {
+func applyHostList(now time.Time, w *rocktable.World, list rocktable.HostList) {
 	for _, h := range w.Hosts.All() {
 		h.Listed = false
 	}
 	for _, s := range w.Servers.All() {
 		s.Listed = false
 	}
-	for _, e := range entries {
+	for _, e := range list.Entries {
 		dc := w.InternDataCentre(e.DataCentre, e.Region)
 		if e.Role == "entry" {
 			applyListedHost(now, w, e, dc.ID)
 			continue
 		}
-		applyListedServer(now, w, e, dc.ID)
+		applyListedServer(now, w, list.Era, e, dc.ID)
+	}
+	for _, s := range w.Servers.All() {
+		if !s.Listed {
+			s.UnlistedEra = list.Era
+		}
 	}
 }
 
@@ -126,8 +132,12 @@
 	h.ListedLeaving = leaving
 }
 
-func applyListedServer(now time.Time, w *rocktable.World, e rocktable.ListedHost, dc rocktable.DataCentreID) {
+func applyListedServer(now time.Time, w *rocktable.World, era uint64, e rocktable.ListedHost, dc rocktable.DataCentreID) {
 	s := w.InternServer(e.Name)
+	if recordEntry(w, s, era, e) {
+		s.Listed = true
+		return
+	}
 	if s.Address != e.Address || s.DataCentre != dc {
 		s.Address, s.DataCentre = e.Address, dc
 		w.Gossip.ReassignProbers = true
--- a/core/rockmember/push.go
+++ b/core/rockmember/push.go
@@ -1,6 +1,8 @@
 package rockmember
 
 import (
+	"cmp"
+	"strconv"
 	"time"
 
 	"sassafrasrock/core/rocktable"
@@ -23,6 +25,55 @@
 	}
 }
 
+// recordListEra records the era of the store from which a list was pushed. Entries that a restored store lacks are
+// written again, as after an outage.
+func recordListEra(now time.Time, w *rocktable.World, era uint64) {
+	st := &w.ListState
+	if era <= st.Era {
+		return
+	}
+	if st.Era > 0 {
+		st.PushesRestoredAt = now
+		w.LogChange("platform", "list", "era "+strconv.FormatUint(st.Era, 10), "era "+strconv.FormatUint(era, 10))
+	}
+	st.Era = era
+}
+
+// recordEntry records which entry of a backend server was read, and reports whether it is older than what this host knows
+// and must not be believed: a restored store still has entries that their backend servers have replaced, and entries of
+// those that have left.
+func recordEntry(w *rocktable.World, s *rocktable.BackendServer, era uint64, e rocktable.ListedHost) bool {
+	old := isOldEntry(s, era, e)
+	if old && !s.ListedOld {
+		w.LogChange("entry", s.Name, "sequence "+strconv.FormatUint(s.ListedSequence, 10), "older entry ignored: sequence "+strconv.FormatUint(e.Sequence, 10))
+	}
+	s.ListedEra, s.ListedVersion, s.ListedOld = era, e.Version, old
+	if !old && e.Status != nil {
+		s.ListedIncarnation, s.ListedSequence = e.Status.Incarnation, e.Sequence
+	}
+	return old
+}
+
+// isOldEntry reports whether the entry of a backend server is older than what this host knows. Within an era the store
+// orders the entries. Across eras what the backend server itself counts does: its incarnations, which are times, and what
+// it wrote in each.
+func isOldEntry(s *rocktable.BackendServer, era uint64, e rocktable.ListedHost) bool {
+	if era == s.ListedEra {
+		return s.ListedOld && e.Version == s.ListedVersion
+	}
+	if s.ListedEra == 0 || e.Status == nil || e.Status.Incarnation == 0 || e.Sequence == 0 {
+		return false
+	}
+	switch cmp.Or(cmp.Compare(e.Status.Incarnation, s.ListedIncarnation), cmp.Compare(e.Sequence, s.ListedSequence)) {
+	case -1:
+		return true
+	case 0:
+		// The entry that was removed before the restoration, unless this era has been without it too.
+		return s.RemovedFromList && s.UnlistedEra < era
+	}
+	return false
+}
+
 // markUnlistedLeaving marks backend servers as leaving whose entries the platform removed. Entries also lapse during an
 // outage of the platform, so a missing entry means nothing until returnGrace after the end of the outage.
 func markUnlistedLeaving(now time.Time, w *rocktable.World) {
--- a/core/rocktable/progress.go
+++ b/core/rocktable/progress.go
@@ -64,6 +64,7 @@
 	ReadAt           time.Time // last answer; zero before the first
 	PushesLostSince  time.Time // zero while the platform's pushes arrive
 	PushesRestoredAt time.Time
+	Era              uint64 // of the store from which the last list was pushed; 0 if it is not known
 }
 
 // Gossip is the progress of messages to peers and of the choice of probers.
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -73,6 +73,14 @@
 	FailedProbes int    // in a row
 	ChangeSeq    uint64 // World.ChangeSeq at the last change to report to peers
 
+	// Its entry in the platform's list, where the list is pushed from a store.
+	ListedEra         uint64 // of the store when its entry was last read; 0 before
+	ListedVersion     uint64 // of that entry in the store
+	ListedOld         bool   // that entry is older than an earlier one, and was ignored
+	ListedIncarnation uint64 // of the newest entry
+	ListedSequence    uint64 // of the newest entry, which the backend server counts
+	UnlistedEra       uint64 // of the store when the list last lacked it; 0 if it never did
+
 	ListedLeaving   bool      // the platform's list last marked it as leaving
 	RemovedFromList bool      // leaving because the platform removed it from its list
 	LoadAtChange    int       // active and queued sessions when ChangeSeq was last raised for a report
