--- a/core/rockfollow/copy.go
+++ b/core/rockfollow/copy.go
@@ -37,7 +37,7 @@
 	}
 	t.ForgottenVersion = version
 	advance(now, t, version)
-	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Era: t.Era, Full: true, Rows: rows})
+	w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Era: t.Era, Full: true, Version: version, Rows: rows})
 }
 
 // mergeRows applies changed rows that are newer than those of a copy. The caller advances its version if no change is
--- a/core/rocktable/follow.go
+++ b/core/rocktable/follow.go
@@ -161,10 +161,11 @@
 
 // TableChange gives changed rows of a followed table to the client that decodes them.
 type TableChange struct {
-	Table FollowedTableID
-	Era   uint64 // of the copy
-	Full  bool   // Rows are the complete table
-	Rows  []TableRow
+	Table   FollowedTableID
+	Era     uint64 // of the copy
+	Full    bool   // Rows are the complete table
+	Version uint64 // of the complete table; 0 for changes, whose rows have versions
+	Rows    []TableRow
 }
 
 // TableUpdate tells a peer about the sender's copy of a followed table. Without rows it only lets the peer compare.
