Keep one holder of the lease when the store is restored

Two hosts could hold the lease of a data centre after the store came back from a copy: the former holder, whose row the copy still had, renewed it at once while the present one used its lease on; a host that started took a lease whose row was lost. Fencing numbers were given out again. A holder whose row only went back to an earlier renewal counted it as taken.

Cause: the row, its version and the versions that peers report were compared as if the store never went back.

Now answers, the row and the versions in peer messages have the era. The row of an earlier era, or its absence, proves nothing for one TTL after a host learned of the new era. Only the host that holds the lease when it learns of it goes on, by a new acquisition. A fencing number has the era in its upper bits, so that one of a later era is above all that were lost. The answer of an older era to a write, and one that shows that the write took effect in a later era, count as an unknown outcome.

--- a/core/rocklease/lease.go
+++ b/core/rocklease/lease.go
@@ -56,7 +56,7 @@
 	}
 	if l.Held && !now.Before(l.Until) {
 		loseLease(w, "expired")
-		l.LostVersion, w.Gossip.LeaseLost = l.Version, true
+		l.LostEra, l.LostVersion, w.Gossip.LeaseLost = l.Era, l.Version, true
 		w.WakeAt(now)
 	}
 	handleOrderResults(now, w)
@@ -91,7 +91,7 @@
 	}
 	name, _, _ := strings.Cut(w.Lease.StoredRow.Holder, "#")
 	h := w.HostNamed(name)
-	return h != nil && !h.Self && !w.Lease.StoredRow.Released && w.Lease.Version > w.Lease.PeerLostVersion && h.State == rocktable.StateLive &&
+	return h != nil && !h.Self && !w.Lease.StoredRow.Released && rowVersion(&w.Lease).Compare(peerLostVersion(&w.Lease)) > 0 && h.State == rocktable.StateLive &&
 		holderID(h.Name, h.Incarnation) == w.Lease.StoredRow.Holder && now.Sub(h.HeartbeatAt) < holderHeartbeatTimeout
 }
 
@@ -110,8 +110,12 @@
 		if soon := now.Add(holderReleaseDelay); m.State == rocktable.StateLeaving && l.NextOp.After(soon) {
 			l.NextOp = soon
 		}
-		if m.LostLeaseVersion > l.PeerLostVersion {
-			l.PeerLostVersion, l.NextOp = m.LostLeaseVersion, now
+		lost := rocktable.StoreVersion{Era: m.LostLeaseEra, Version: m.LostLeaseVersion}
+		if lost.Era == 0 {
+			lost.Era = l.Era // the sender does not know it
+		}
+		if m.LostLeaseVersion > 0 && lost.Compare(peerLostVersion(l)) > 0 {
+			l.PeerLostEra, l.PeerLostVersion, l.NextOp = lost.Era, lost.Version, now
 		}
 	}
 }
@@ -198,7 +202,12 @@
 	l := &w.Lease
 	sentAt, wrote := l.PendingSince, l.PendingWrite
 	l.PendingOp = 0
-	switch r.Status {
+	status := r.Status
+	answered := status == rocktable.TableOK || status == rocktable.TableConflict
+	if answered && isOfOtherEra(w, r, wrote) {
+		status = rocktable.TableOutcomeUnknown
+	}
+	switch status {
 	case rocktable.TableUnavailable:
 		l.NextOp = now.Add(opRetryDelay)
 	case rocktable.TableOutcomeUnknown:
@@ -210,13 +219,18 @@
 		}
 		l.NextOp = now.Add(opRetryDelay) // a service that resets connections fails a read within a millisecond
 	case rocktable.TableConflict:
+		recordEra(now, w, r.Era)
+		if r.Found || r.Era > 0 {
+			recordRow(now, w, r.Version, r.Row)
+		}
+		if mayReacquire(now, w) {
+			acquire(now, w)
+			return
+		}
 		if l.Held {
 			loseLease(w, "taken")
 		}
 		l.NextOp = now
-		if r.Found {
-			recordRow(now, w, r.Version, r.Row)
-		}
 	case rocktable.TableOK:
 		if wrote {
 			recordRow(now, w, r.Version, l.PendingRow)
@@ -230,7 +244,7 @@
 // recordRow records when a version of the row was first seen, by the local monotonic clock.
 func recordRow(now time.Time, w *rocktable.World, version uint64, row rocktable.LeaseRow) {
 	l := &w.Lease
-	if version != l.Version || l.StoredRowSince.IsZero() {
+	if version != l.Version || row != l.StoredRow || l.StoredRowSince.IsZero() {
 		l.Version, l.StoredRow, l.StoredRowSince = version, row, now
 	}
 }
@@ -239,13 +253,28 @@
 // lease, or wait.
 func handleRow(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.LeaseRow]) {
 	l := &w.Lease
+	recordEra(now, w, r.Era)
 	if !r.Found {
 		recordRow(now, w, 0, rocktable.LeaseRow{})
 		l.Version = 0
+	} else {
+		recordRow(now, w, r.Version, r.Row)
+	}
+	if mayReacquire(now, w) {
+		acquire(now, w)
+		return
+	}
+	if end := otherHolderUntil(w); now.Before(end) {
+		if l.Held {
+			loseLease(w, "taken")
+		}
+		l.NextOp = end
+		return
+	}
+	if !r.Found {
 		acquire(now, w)
 		return
 	}
-	recordRow(now, w, r.Version, r.Row)
 	isOwn := r.Row.Holder == ownHolderID(w) && !r.Row.Released
 	if !isOwn && l.Held {
 		loseLease(w, "taken")
@@ -253,7 +282,7 @@
 	if w.Draining {
 		return
 	}
-	if isOwn {
+	if isOwn && r.Row.Era == l.Era {
 		// Only a renewal shows whether the lease is still this host's; a read does not.
 		sendWrite(now, w, renewedRow(w))
 		return
@@ -261,7 +290,7 @@
 	ttl := max(time.Duration(r.Row.TTLMs)*time.Millisecond, w.Limits.LeaseTTL)
 	// The holder reported that its lease ended at this version. A renewal since then would have
 	// raised the version.
-	isLostByHolder := l.PeerLostVersion != 0 && r.Version == l.PeerLostVersion
+	isLostByHolder := l.PeerLostVersion != 0 && rowVersion(l) == peerLostVersion(l)
 	if r.Row.Released || isLostByHolder || now.Sub(l.StoredRowSince) >= ttl {
 		acquire(now, w)
 		return
@@ -277,7 +306,7 @@
 		return
 	}
 	sendWrite(now, w, rocktable.LeaseRow{
-		Holder: ownHolderID(w), Fencing: w.Lease.StoredRow.Fencing + 1, TTLMs: int(w.Limits.LeaseTTL.Milliseconds()),
+		Holder: ownHolderID(w), Fencing: nextFencing(w), Era: w.Lease.Era, TTLMs: int(w.Limits.LeaseTTL.Milliseconds()),
 	})
 }
 
@@ -304,7 +333,7 @@
 			l.OrdersNotBefore = now.Add(w.Limits.OrderTimeout)
 		}
 	}
-	l.LostVersion = 0
+	l.LostEra, l.LostVersion = 0, 0
 	if !l.Held {
 		l.Held = true
 		w.LogChange("lease", ownDataCentre(w), "none", "held")
--- a/core/rockmember/gossip.go
+++ b/core/rockmember/gossip.go
@@ -39,7 +39,7 @@
 	return rocktable.PeerMessage{
 		Sender: h.Name, Address: h.Address, DataCentre: dc.Name, Region: dc.Region,
 		Incarnation: h.Incarnation, Heartbeat: h.Heartbeat, State: h.State,
-		InFlight: w.Attempts.Len(), ConfigVersion: w.ConfigVersion, LostLeaseVersion: w.Lease.LostVersion,
+		InFlight: w.Attempts.Len(), ConfigVersion: w.ConfigVersion, LostLeaseEra: w.Lease.LostEra, LostLeaseVersion: w.Lease.LostVersion,
 		FollowsStore: w.Follow.Follows, StoreLost: w.Follow.StoreLost, StoreReached: w.Follow.StoreReached, Tables: w.TableNotices(),
 	}
 }
--- a/core/rocktable/leases.go
+++ b/core/rocktable/leases.go
@@ -6,6 +6,8 @@
 type Lease struct {
 	Held            bool
 	Fencing         uint64
+	Era             uint64    // of the table service when Version was read or written; 0 if it is not known
+	EraSince        time.Time // when this host learned of Era
 	Version         uint64    // of StoredRow
 	Until           time.Time // expiry by the local clock, less a margin
 	OrdersNotBefore time.Time // lets the previous holder's orders end first
@@ -23,7 +25,9 @@
 
 	PauseCheckAt    time.Time // next requested tick; a much later tick shows that the process was paused
 	Released        bool      // released for the shutdown
+	LostEra         uint64    // of LostVersion
 	LostVersion     uint64    // Version when this host's lease expired; 0 after the next successful write
+	PeerLostEra     uint64    // of PeerLostVersion
 	PeerLostVersion uint64    // Version at which a peer reported the loss of its lease
 
 	ReconcileAt time.Time // next comparison of engines and placements, unless an event triggers an earlier one
