Write the crashes of parts again when the store is restored

A part of prompts that crashes servers could be forgotten by hosts that start, and an excused one be refused again, after the store came back from a copy: nobody read or wrote the row again until the next crash.

Cause: a host reads the row once and writes it after a crash or an excuse of its own.

An answer of an older era, or a write that took effect in a later one, counts as an unknown outcome, after which the row is read.

--- a/core/rockpart/stored.go
+++ b/core/rockpart/stored.go
@@ -39,6 +39,7 @@
 	if awaitsStored(now, w) {
 		w.WakeAt(w.StartedAt.Add(storedPartsWait))
 	}
+	scheduleRestored(now, w)
 	if st.PendingOp != 0 || st.Read && st.DueAt.IsZero() {
 		return
 	}
@@ -63,6 +64,17 @@
 	w.Outbox.PartOps = append(w.Outbox.PartOps, op)
 }
 
+// scheduleRestored makes an operation due on the hosts that follow the store when it was restored: the row may lack
+// crashes and excuses that they know.
+func scheduleRestored(now time.Time, w *rocktable.World) {
+	st := &w.StoredParts
+	if !st.Read || st.Era == 0 || w.Follow.Era <= st.Era || !w.Follow.Follows || st.PendingOp != 0 || !st.DueAt.IsZero() {
+		return
+	}
+	st.Current = false
+	st.DueAt = now.Add(time.Duration(w.Rand.Int64N(int64(excuseSpread))))
+}
+
 // applyStored takes the result of an operation on the row.
 func applyStored(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) {
 	st := &w.StoredParts
@@ -70,6 +82,12 @@
 		return
 	}
 	st.PendingOp, st.Current = 0, st.DueAt.IsZero() // an operation that is due again knows of something later
+	if isOfOtherEra(w, r) {
+		r.Status = rocktable.TableOutcomeUnknown
+	}
+	if r.Status == rocktable.TableOK || r.Status == rocktable.TableConflict {
+		st.Era = max(st.Era, r.Era)
+	}
 	switch {
 	case r.Status == rocktable.TableOK && r.Write:
 		st.Version, st.Row = r.Version, st.PendingRow
@@ -87,6 +105,16 @@
 	}
 }
 
+// isOfOtherEra reports whether the answer to an operation says nothing about the row as it is: it is a late one of an
+// older era, or a write took effect in a later one, where its expected version was given out again.
+func isOfOtherEra(w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) bool {
+	st := &w.StoredParts
+	if r.Era == 0 {
+		return false
+	}
+	return r.Era < max(st.Era, w.Follow.Era) || r.Write && r.Status == rocktable.TableOK && r.Era != st.Era
+}
+
 // mergeStored takes the crashes of a row that was read, and writes it if it lacks some that this host knows.
 func mergeStored(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) {
 	st := &w.StoredParts
--- a/core/rockpart/stored_test.go
+++ b/core/rockpart/stored_test.go
@@ -11,6 +11,7 @@
 // service is a model of the table service with the row that holds crashes of parts.
 type service struct {
 	row     rocktable.PartsRow
+	era     uint64
 	version uint64
 	ops     int
 	out     bool // refuses all operations
@@ -19,7 +20,7 @@
 
 func (s *service) run(op rocktable.TableOp[rocktable.PartsRow]) rocktable.TableResult[rocktable.PartsRow] {
 	s.ops++
-	r := rocktable.TableResult[rocktable.PartsRow]{Op: op.Op, Key: op.Key, Write: op.Write}
+	r := rocktable.TableResult[rocktable.PartsRow]{Op: op.Op, Key: op.Key, Write: op.Write, Era: s.era}
 	switch {
 	case s.out:
 		r.Status = rocktable.TableUnavailable
@@ -175,6 +176,57 @@
 	}
 }
 
+// Guards against crashes that are lost, and excuses that are undone, because the table service was restored from a copy.
+func TestStoredPartsInRestoredStore(t *testing.T) {
+	const lost, excused = 1, 2
+	s := &service{era: 1}
+	writer, follower := newStoringWorld(), newStoringWorld()
+	for _, w := range []*rocktable.World{writer, follower} {
+		tick(start, w, nil)
+		s.settle(start, w)
+	}
+	follower.Follow.Follows, follower.Follow.Era = true, 1
+	s.crash(writer, excused, 2)
+	Merge(start, follower, rocktable.PartUpdate{Part: excused, Crashes: writer.Parts.Get(excused).Crashes, Remaining: time.Minute}, false)
+	copied := *s
+	s.crash(writer, lost, 3)
+	Merge(start, follower, rocktable.PartUpdate{Part: lost, Crashes: writer.Parts.Get(lost).Crashes, Remaining: time.Minute}, false)
+	excuse(start, follower, follower.Parts.Get(excused))
+	tick(start, follower, nil)
+	s.settle(start, follower)
+	if !s.has(lost) || s.has(excused) {
+		t.Fatalf("before the restoration the row has %v, want only part %d", s.row.Parts, lost)
+	}
+	s.row, s.version, s.era = copied.row, copied.version, 2
+	follower.Follow.Era = 2
+	tick(start, follower, nil)
+	s.settle(start, follower)
+	if !s.has(lost) || s.has(excused) {
+		t.Errorf("after the restoration the row has %v, want only part %d", s.row.Parts, lost)
+	}
+	ops := s.ops
+	s.settle(start.Add(time.Second), follower)
+	if s.ops != ops {
+		t.Errorf("%d operations although nothing changed, want none", s.ops-ops)
+	}
+}
+
+// Guards against crashes that count as stored although the write took effect on a row of a restored store, whose version
+// was given out again.
+func TestStoredPartsWriteInLaterEra(t *testing.T) {
+	s := &service{era: 1}
+	w := newStoringWorld()
+	tick(start, w, nil)
+	s.settle(start, w)
+	s.crash(w, 1, 2)
+	other := rocktable.StoredPart{ID: 9, Crashes: []uint64{7, 8}}
+	s.row, s.era = rocktable.PartsRow{Parts: []rocktable.StoredPart{other}}, 2 // at the same version
+	s.crash(w, 1, 3)
+	if w.StoredParts.Era != 2 || !s.has(1) {
+		t.Errorf("era %d, row %v; want the row read again in era 2", w.StoredParts.Era, s.row.Parts)
+	}
+}
+
 // Guards against requests that are not served while a host that has started can't read the row.
 func TestRequestsWaitForTheRowForALimitedTime(t *testing.T) {
 	w := newStoringWorld()
--- a/core/rocktable/parts.go
+++ b/core/rocktable/parts.go
@@ -28,6 +28,7 @@
 type StoredParts struct {
 	Read       bool      // the row was read since the start
 	Row        PartsRow  // as last read or written
+	Era        uint64    // of the table service when Version was read or written; 0 if it is not known
 	Version    uint64    // of Row; 0 if it does not exist
 	Current    bool      // Row was read or written after the last crash or excuse that it may lack
 	DueAt      time.Time // of the next operation; zero if none is due
