--- a/core/rockfollow/restored_test.go
+++ b/core/rockfollow/restored_test.go
@@ -185,3 +185,30 @@
 		t.Errorf("%d calls in %s after the restoration, want at most 3 for each host", n, contactLimit)
 	}
 }
+
+// Guards against hosts that ignore a peer of an older program, which sends no era, and against one that is taken back to
+// the old era by such a peer after a restoration.
+func TestPeerThatSendsNoEra(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3)
+	f.run(settlingTime)
+	to, from := f.hosts[0], f.hosts[1]
+	table := to.w.FollowedTables.Get(rocktable.BackendServersTable)
+	tell := func(version uint64) {
+		f.tellBogus(from, to, 0)
+		to.inbox.Peers[len(to.inbox.Peers)-1].Tables[0].Version = version
+		f.run(step)
+	}
+	version := table.Version + 5
+	tell(version)
+	if table.Version != version {
+		t.Errorf("version %d before a restoration, want that of the peer, %d", table.Version, version)
+	}
+	f.store.copyRows()
+	f.restoreStore(time.Second)
+	f.expectCurrent(contactLimit, "restored")
+	tell(table.Version + 5)
+	if late := f.lagging(); len(late) > 0 {
+		t.Errorf("a peer without an era changed a copy after the restoration: %s", late)
+	}
+}
--- a/core/rocktable/config.go
+++ b/core/rocktable/config.go
@@ -158,7 +158,7 @@
 	Holder   string `json:"holder"` // host name and incarnation
 	Fencing  uint64 `json:"fencing"`
 	Era      uint64 `json:"era,omitempty"` // of the table service when the lease was acquired; 0 if it has none
-	Renewal  uint64 `json:"renewal"` // rises with each renewal
+	Renewal  uint64 `json:"renewal"`       // rises with each renewal
 	TTLMs    int    `json:"ttlMs"`
 	Released bool   `json:"over"` // released by its holder
 }
