Ignore backend servers whose layers lie outside the model

Callers would see: one entry that another writer left among those of the backend servers, with layers before or after the model, ended the process of each host that got the lease of its data centre, one after the other (the tick panicked), or left the whole pipeline without a path, so that all its requests were refused.

Cause: rockplace marks the layers of each entry in a slice of the model's length without a check of the range, and rockroute takes the first layer of each entry as a boundary at which a path may begin. A first layer below 0 became the first boundary, and no path begins at 0 then. Layers after the model gave paths over a backend server that can't hold them.

Evidence, on the code before:

TestLayersOutsideTheModelAreNotPlanned/far_after_the_end panic: runtime error: index out of range [] with length 80 TestLayersOutsideTheModelAreNotUsed/before_the_model: no path for request 1 TestLayersOutsideTheModelAreNotUsed/after_the_model: the path of request 1 uses the odd backend server TestLayersOutsideTheModelAreNotUsed/greatest_numbers: no path for request 1

Both pass now, and so do the tests of core.

Why it works: both systems ask EngineStatus.IsWithin for the model's number of layers before they use a range. A backend server outside of it is neither planned nor on a path; the others are. A placement that was planned for a longer model is not used either.

--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -105,9 +105,14 @@
 			continue
 		}
 		h := &holder{server: s, memoryMB: kind.MemoryMB, lapsed: lapsed}
-		if planned := w.Plan.Get(s.ID); planned != nil {
+		holdsLayers := s.Status.Model == p.Config.Model && s.Status.LastLayer >= s.Status.FirstLayer
+		planned := w.Plan.Get(s.ID)
+		switch {
+		case holdsLayers && !s.Status.IsWithin(p.Config.Layers):
+			continue // the entry of another writer, which names no backend server
+		case planned != nil && planned.LastLayer < p.Config.Layers:
 			h.from, h.to = planned.FirstLayer, planned.LastLayer+1
-		} else if s.Status.Model == p.Config.Model && s.Status.LastLayer >= s.Status.FirstLayer {
+		case holdsLayers:
 			h.from, h.to = s.Status.FirstLayer, s.Status.LastLayer+1
 		}
 		all = append(all, h)
--- a/core/rockplace/place_test.go
+++ b/core/rockplace/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -233,3 +234,33 @@
 		}
 	}
 }
+
+// Guards against a host that ends, or that plans layers that do not exist, because one entry of another writer claims
+// layers outside the model.
+func TestLayersOutsideTheModelAreNotPlanned(t *testing.T) {
+	for name, status := range map[string]rocktable.EngineStatus{
+		"before the model":  {FirstLayer: -5, LastLayer: 10},
+		"after the model":   {FirstLayer: 79, LastLayer: 80},
+		"greatest numbers":  {FirstLayer: math.MinInt, LastLayer: math.MaxInt - 1},
+		"far after the end": {FirstLayer: math.MaxInt - 2, LastLayer: math.MaxInt - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := pipelineConfig()
+			w := planner(cfg, map[string]int{"fast": 6})
+			plan(w)
+			reportPlan(w)
+			odd := addServer(w, cfg, "fast", "odd")
+			status.Model, status.Kind = cfg.Model, "fast"
+			odd.Status = status
+			w.PlanState.RequestsArrived = true
+			run(start.Add(time.Minute), w)
+			run(start.Add(2*time.Minute), w)
+			if p := w.Plan.Get(odd.ID); p != nil {
+				t.Errorf("the odd backend server was given layers %d to %d", p.FirstLayer, p.LastLayer)
+			}
+			if n := w.Plan.Len(); n != 6 {
+				t.Errorf("the plan has %d backend servers, want the 6 others", n)
+			}
+		})
+	}
+}
--- a/core/rockroute/fullpath_test.go
+++ b/core/rockroute/fullpath_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -259,6 +260,30 @@
 	}
 }
 
+// Guards against a pipeline that loses all paths, or a path with layers that do not exist, because one entry of another
+// writer claims layers outside the model.
+func TestLayersOutsideTheModelAreNotUsed(t *testing.T) {
+	for name, layers := range map[string][2]int{
+		"before the model": {-4, 3}, "after the model": {4, 8}, "greatest numbers": {math.MinInt, math.MaxInt - 1}, "reversed": {5, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, _ := newFullPathWorld("a")
+			odd := w.InternServer("odd")
+			odd.Address, odd.DataCentre, odd.ListedService, odd.Kind, odd.State = "odd:80", 1, "pool", "k", rocktable.StateLive
+			odd.Status = rocktable.EngineStatus{Model: "m", Kind: "k", Slots: 1000, FirstLayer: layers[0], LastLayer: layers[1], SubRanges: true}
+			for id := range rocktable.RequestID(8) {
+				a := startRequest(w, id+1, 500, 100)
+				if a == nil {
+					t.Fatalf("no path for request %d", id+1)
+				}
+				if uses(a.Path, odd.ID) {
+					t.Errorf("the path of request %d uses the odd backend server", id+1)
+				}
+			}
+		})
+	}
+}
+
 func fillServers(w *rocktable.World, _ *rocktable.Request) {
 	for _, s := range w.Servers.All() {
 		s.PeerReservedMemory = 1e12
--- a/core/rockroute/graph.go
+++ b/core/rockroute/graph.go
@@ -44,12 +44,13 @@
 	cost       float64
 }
 
-// holdsModel reports whether a backend server holds layers of the pipeline's model.
+// holdsModel reports whether a backend server holds layers of the pipeline's model. Another writer may have left an entry
+// with layers that the model does not have.
 func holdsModel(s *rocktable.BackendServer, p *rocktable.Pipeline) bool {
 	if s.ListedService != "" && s.ListedService != p.Config.Name {
 		return false
 	}
-	return s.Status.Model == p.Config.Model && s.Status.Version == p.Config.Version
+	return s.Status.Model == p.Config.Model && s.Status.Version == p.Config.Version && s.Status.IsWithin(p.Config.Layers)
 }
 
 // newGraphs returns, for each pipeline, a graph of its live backend servers. The graph leaves out
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -115,6 +115,11 @@
 	Sequence        uint64  `json:"sequence"`  // orders accepted since its start; an order may state the expected one
 }
 
+// IsWithin reports whether the range of layers is not empty and lies within a model with the given number of layers.
+func (s *EngineStatus) IsWithin(layers int) bool {
+	return 0 <= s.FirstLayer && s.FirstLayer <= s.LastLayer && s.LastLayer < layers
+}
+
 // Pipeline is a model whose layers are spread over backend servers.
 type Pipeline struct {
 	ID               PipelineID
