--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -5,7 +5,10 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
@@ -17,8 +20,13 @@
 	// uncountedEventBytes is the size up to which an event does not count towards Relay.MaxHeldBytes. Usual events have
 	// some hundred bytes.
 	uncountedEventBytes = 16 << 10
+	// streamType is the content type of a stream of events.
+	streamType = "text/event-stream"
 )
 
+// fieldNames are the names of fields that may stand in a line without a colon.
+var fieldNames = []string{"data", "event", "id", "retry"}
+
 // forwardEvents sends the events of an answer to the caller as they arrive. It drops events that
 // the caller already has.
 func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
@@ -26,16 +34,23 @@
 	if resp.Status < 200 || resp.Status > 299 {
 		return StatusError(resp.Status)
 	}
+	if x.stream.headerSent && isOtherType(mediaType(resp.Header), x.stream.mediaType) {
+		return errNotStream
+	}
 	lines := bufio.NewReaderSize(resp.Body, 4096)
 	var held []byte // events without data before the first one with data
+	begun := false  // an event with data arrived
 	for {
 		event, err := x.readEvent(lines)
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, held, event)
+			return x.finishStream(resp, begun, held, event)
 		}
 		if err != nil {
 			return err
 		}
+		if !isEvent(event) {
+			return errNotStream
+		}
 		id, hasID := eventID(event)
 		if hasID && !isAfter(id, x.stream.lastEventID) {
 			x.relay.Count(rockreason.RepeatedIndex)
@@ -43,9 +58,13 @@
 		}
 		switch {
 		case carriesData(event):
+			if !begun && !continues(id, x.stream.lastEventID) {
+				return errNotStream
+			}
+			begun = true
 			watch.progressMade()
 			x.recordEvent(start)
-		case !x.stream.headerSent:
+		case !begun:
 			if held = append(held, event...); len(held) > maxEventBytes {
 				return errTooLarge
 			}
@@ -71,11 +90,16 @@
 	return nil
 }
 
-// finishStream handles the end of an answer. held has events that were not forwarded yet, and rest the bytes after the
-// last complete event.
-func (x *exchange) finishStream(resp *Response, held, rest []byte) error {
-	if len(rest) > 0 {
+// finishStream handles the end of an answer. begun tells whether it had an event with data, held has events that were not
+// forwarded yet, and rest the bytes after the last complete event.
+func (x *exchange) finishStream(resp *Response, begun bool, held, rest []byte) error {
+	switch {
+	case len(rest) > 0:
 		return errPartialEvent
+	case !begun && x.resumeAfter() == "":
+		return errNoEvents
+	case !begun && (mediaType(resp.Header) == "" || !isComment(held)):
+		return errNotStream // a resumed stream may have nothing left to send, but then it says that it is a stream
 	}
 	if len(held) > 0 {
 		return x.forward(resp, held)
@@ -84,6 +108,51 @@
 	return nil
 }
 
+// mediaType returns the content type of an answer without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// isOtherType reports whether an answer of a media type cannot go on with a stream whose first answer has another one.
+func isOtherType(name, first string) bool { return name != "" && name != streamType && name != first }
+
+// isEvent reports whether each line of an event is a comment or has the name of a field, which is in lower case. Texts of
+// errors and heads of answers are none.
+func isEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, hasColon := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch {
+		case len(name) == 0:
+		case hasColon && len(bytes.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-_")) == 0:
+		case !hasColon && slices.Contains(fieldNames, string(name)):
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// isComment reports whether events consist of comments and empty lines.
+func isComment(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// continues reports whether the first event with data of an answer can follow an event that the caller has. The ids of a
+// stream are numbers where its last one is.
+func continues(id, last string) bool {
+	if _, err := strconv.ParseUint(last, 10, 64); err != nil {
+		return last == "" || id != ""
+	}
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
+}
+
 // carriesData reports whether an event brings the caller something. Comments, empty lines and empty events do not: a
 // backend server that waits for another one may send them.
 func carriesData(event []byte) bool {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -27,11 +27,14 @@
 	errHostFull     = errors.New("answers and events that this host holds exceed their limit")
 	errCallerWrite  = errors.New("write of the answer to the caller failed")
 	errPartialEvent = errors.New("answer ended inside an event")
+	errNoEvents     = errors.New("answer ended without an event")
+	errNotStream    = errors.New("answer is not a stream of events, or does not go on after the last one")
 )
 
 // stream is the state of a streamed answer over all attempts.
 type stream struct {
 	headerSent      bool
+	mediaType       string // of the headers sent to the caller
 	lastEventID     string // of the last event sent to the caller
 	events          int
 	eventsBefore    int // events of earlier attempts
@@ -144,7 +147,8 @@
 	case resp != nil && resp.NotRun:
 		e.Reason, e.FailedServer = rockreason.StageRefused, serverAt(start.Path, resp.FailedAddress)
 	default:
-		e.Reason, e.FailedServer, e.Crashed = rockreason.StageDied, start.Path[0].Server, resp == nil || resp.Status < 300
+		e.Reason, e.FailedServer = rockreason.StageDied, start.Path[0].Server
+		e.Crashed = resp == nil || resp.Status < 300 && !errors.Is(err, errNotStream)
 		if resp != nil && resp.FailedAddress != "" {
 			e.FailedServer = serverAt(start.Path, resp.FailedAddress)
 		}
@@ -206,7 +210,7 @@
 	if x.stream.headerSent {
 		return
 	}
-	x.stream.headerSent = true
+	x.stream.headerSent, x.stream.mediaType = true, mediaType(resp.Header)
 	x.sink.WriteHeader(resp.Status, maps.Clone(resp.Header))
 }
 
