Drop events that a caller has when it resumes a stream itself

Callers would see: events once more that they have already, if they resume a stream with Last-Event-Id and the backend server sends it whole.

Cause: forwardEvents compared ids with that of the last event sent in this exchange, which is none at first, and not with the caller's.

Evidence: TestStreamResumedByTheCallerRepeatsNothing, before:

got end "" after 4 events, want a complete answer after 2 caller got "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3..."

It passes now.

Why it works: an event is compared with the one after which the attempt was asked to go on, which is the caller's until one was sent.

--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -28,7 +28,7 @@
 var fieldNames = []string{"data", "event", "id", "retry"}
 
 // forwardEvents sends the events of an answer to the caller as they arrive. It drops events that
-// the caller already has.
+// the caller already has, also those from before the caller resumed the stream itself.
 func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
 	defer resp.Body.Close()
 	if resp.Status < 200 || resp.Status > 299 {
@@ -52,13 +52,13 @@
 			return errNotStream
 		}
 		id, hasID := eventID(event)
-		if hasID && !isAfter(id, x.stream.lastEventID) {
+		if hasID && !isAfter(id, x.resumeAfter()) {
 			x.relay.Count(rockreason.RepeatedIndex)
 			continue
 		}
 		switch {
 		case carriesData(event):
-			if !begun && !continues(id, x.stream.lastEventID) {
+			if !begun && !continues(id, x.resumeAfter()) {
 				return errNotStream
 			}
 			begun = true
--- a/io/rockrelay/resumed_test.go
+++ b/io/rockrelay/resumed_test.go
@@ -154,3 +154,23 @@
 		})
 	}
 }
+
+// Guards against events that the caller has already when it resumes a stream itself and the backend server begins anew.
+func TestStreamResumedByTheCallerRepeatsNothing(t *testing.T) {
+	b := newFixture(t, streaming)
+	c := b.send(t.Context(), Request{ID: "a", LastEventID: "2"})
+	waitFor(t, b, arrivals)
+	b.answers <- answer(200, "text/event-stream", event(1)+event(2)+event(3)+event(4))
+	b.startAttempt(1)
+	if a := <-b.attempts; a.LastEventID != "2" {
+		t.Errorf("first attempt resumes after event %q, want 2", a.LastEventID)
+	}
+	if e := waitFor(t, b, endings); e.Reason != "" || e.Tokens != 2 {
+		t.Errorf("got end %q after %d events, want a complete answer after 2", e.Reason, e.Tokens)
+	}
+	b.sendAnswer(rocktable.Answer{})
+	<-c.done
+	if want := event(3) + event(4); c.body.String() != want {
+		t.Errorf("caller got %q, want %q", c.body.String(), want)
+	}
+}
