Start no stream anew of which events without ids were sent

Callers would see: the beginning of the stream again after the part that they have, joined in one answer, if a stream whose events have no ids breaks off on a route whose streams may be resumed.

Cause: the attempt ended with a reason that is retried, and the next one had no id to go on after, so that it began with the first event.

Evidence: TestStreamWithoutIDsIsNotStartedAgain, before:

got end "stageDied", after which the request is tried again; the stream would begin anew

It passes now, and the caller's answer ends as incomplete.

Why it works: where events were sent and none had an id, the attempt ends with backendFailed, which is not retried.

--- a/io/rockrelay/resumed_test.go
+++ b/io/rockrelay/resumed_test.go
@@ -174,3 +174,21 @@
 		t.Errorf("caller got %q, want %q", c.body.String(), want)
 	}
 }
+
+// Guards against a stream without ids that begins anew at another backend server after a part of it was sent.
+func TestStreamWithoutIDsIsNotStartedAgain(t *testing.T) {
+	b := newFixture(t, streaming)
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- respond(brokenBody("data: x\n\ndata: y\n\n", errors.New("reset")))
+	b.startAttempt(1)
+	e := waitFor(t, b, endings)
+	if reason, ok := rockreason.Find(e.Reason); !ok || reason.Kind == rockreason.Retry {
+		t.Errorf("got end %q, after which the request is tried again; the stream would begin anew", e.Reason)
+	}
+	b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+	<-c.done
+	if !errors.Is(c.err, ErrIncomplete) {
+		t.Errorf("got error %v, want %v", c.err, ErrIncomplete)
+	}
+}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -153,6 +153,10 @@
 			e.FailedServer = serverAt(start.Path, resp.FailedAddress)
 		}
 	}
+	lost := e.Reason == rockreason.StageDied || e.Reason == rockreason.StageStalled
+	if lost && x.stream.headerSent && x.resumeAfter() == "" {
+		e.Reason = rockreason.BackendFailed // without an ID to resume after, the stream would begin anew
+	}
 	return e
 }
 
