Let an entry make a backend server one of models again

Callers would see: refusals for lack of a path, because a model's backend server stays out of use for good after one entry under its name without its kind, although its own entry has replaced that one.

Cause: applyListedServer gave the role of an application to a backend server whose entry says so, and never took it back.

Evidence: TestServerIsUsedAfterAnOddEntry, before:

no_kind: no attempt started within 2 s at the only backend server, which is {ID:1 Name:i-1 ... Role:1 ListedService:pool Kind:fast ...}

It passes now, as do the cases that passed before: no JSON, draining with an earlier start, another service, layers after the model, no slots.

Why it works: an entry of a model's backend server sets the role too, as soon as no call is in flight there: calls are counted by the role under which they began.

--- a/core/rockmember/member.go
+++ b/core/rockmember/member.go
@@ -143,8 +143,11 @@
 		w.Gossip.ReassignProbers = true
 	}
 	s.Listed = true
-	if e.Role == "application" {
+	switch {
+	case e.Role == "application":
 		s.Role = rocktable.RoleApplication
+	case e.Role == "model" && s.InFlight == 0: // calls in flight are counted by the role under which they began
+		s.Role = rocktable.RoleModel
 	}
 	s.ListedService = e.Service
 	if e.Status != nil {
