Keep a complete answer whose attempt was ended meanwhile

Callers that had received a whole stream could see it go on or be cut off: the control thread ended its attempt for silence in the moment in which the last events arrived.

Cause: the end of an attempt was reported as stalled whenever a cancel had arrived, also if the answer had been read to its end before the cancel took effect. The control thread, which had granted a retry, ran the request again after its last event.

An answer that was read to its end is now reported as complete. A retry that was granted for it is not used, because the request ends.

The tests' backend server now breaks off its answer when the attempt is canceled, as the client does. Before, it went on to a regular end, which TestBytesWithoutProgressDoNotHideAStall can't tell from a complete answer; what that test asks is unchanged.

--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -47,7 +47,11 @@
 			b.attempts <- a
 			select {
 			case answer := <-b.answers:
-				return answer()
+				resp, err := answer()
+				if err == nil {
+					context.AfterFunc(ctx, func() { _ = resp.Body.Close() }) // as the client of backend servers does
+				}
+				return resp, err
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
@@ -275,6 +279,29 @@
 	})
 }
 
+// Guards against a complete answer that is reported as stalled because the control thread ended its attempt meanwhile:
+// the request would run again, and its caller be cut off.
+func TestAnswerThatCompletesAsItsAttemptEnds(t *testing.T) {
+	b := newFixture(t, streaming)
+	b.Post = func(fill func(in *rocktable.Inbox)) {
+		var in rocktable.Inbox
+		fill(&in)
+		if len(in.Progress) > 0 {
+			b.Dispatch(rocktable.Outbox{Cancels: []rocktable.Cancel{{Request: 1, Attempt: 1, StalledServer: 1}}})
+		}
+		b.post(fill)
+	}
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- respond(io.NopCloser(strings.NewReader(event(1))))
+	b.startAttempt(1)
+	if e := waitFor(t, b, endings); e.Reason != "" {
+		t.Errorf("got end %q of a complete answer, want none", e.Reason)
+	}
+	b.sendAnswer(rocktable.Answer{})
+	<-c.done
+}
+
 // Guards against a stream that is cut because the backend server of its last attempt is silent for a while, and against
 // a control thread that hears of the silence only once, when it cannot continue the request yet.
 func TestSilentLastAttemptGoesOn(t *testing.T) {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -74,6 +74,7 @@
 	watch.stop()
 	stalledServer := x.stalledServer()
 	switch {
+	case err == nil: // the answer was complete before a cancel took effect
 	case stalledServer != 0:
 		err = errStalled
 	case ctx.Err() != nil:
