Use a granted retry only while its request can run

Callers of a stream whose silent server was given up could wait in vain until their deadline, if a change of the configuration removed the pipeline in the milliseconds before the attempt had ended.

Cause: a granted retry skipped all reasons against a retry, not only the attempts and budgets that it had settled. The request was queued for a pipeline that no longer exists, where nothing starts or refuses it; and one whose caller had left meanwhile was queued again.

The reasons that hold whatever the attempts and budgets allow (an end that is no failure, a removed pipeline, quarantine) are now a function of their own, which is asked at each failure. Only attempts and budgets are settled by the grant.

TestGrantedRetryIsNotUsed before: pipeline removed: got answers [], queued: true; want one with reason "backendFailed" caller left: got answers [], queued: true; want one with reason "callerLeft" After: passes; core/rockretry, rocktick, rockroute and rockcheck pass with -race.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -42,11 +42,13 @@
 	if s != nil && (e.Reason == rockreason.StageRefused || e.Reason == rockreason.StageStalled) {
 		lowerLimit(now, s)
 	}
-	if !r.RetryGranted {
-		if code := finalReason(now, w, r, e, s); code != "" {
-			w.Answer(r.ID, code)
-			return
-		}
+	code := endReason(now, w, r, e)
+	if code == "" && !r.RetryGranted {
+		code = finalReason(now, w, r, e, s)
+	}
+	if code != "" {
+		w.Answer(r.ID, code)
+		return
 	}
 	r.Requeued, r.RetryGranted = true, false
 	delayAfterRefusal(now, w, r, e)
@@ -66,7 +68,7 @@
 	after.EarlierMayHaveRun, after.MayHaveRun = true, true
 	after.MaybeRanAttempts++
 	e := rocktable.AttemptEnded{Attempt: a.ID, Reason: rockreason.StageStalled, FailedServer: s.ID, Crashed: true, Tokens: a.Tokens}
-	r.RetryGranted = finalReason(now, w, &after, e, s) == ""
+	r.RetryGranted = endReason(now, w, &after, e) == "" && finalReason(now, w, &after, e, s) == ""
 	return r.RetryGranted
 }
 
@@ -99,18 +101,26 @@
 	return r.Attempts
 }
 
-// finalReason returns the reason for which the request is not retried, or an empty code if it is
-// retried.
-func finalReason(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded, s *rocktable.BackendServer) rockreason.Code {
+// endReason returns the reason for which a request ends whatever its attempts and budgets allow, or an
+// empty code. A retry that was granted earlier does not change it.
+func endReason(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded) rockreason.Code {
 	reason, ok := rockreason.Find(e.Reason)
-	unconfigured := rockadmit.UnconfiguredReason(w, r)
-	switch {
-	case ok && reason.Kind != rockreason.Retry:
+	if ok && reason.Kind != rockreason.Retry {
 		return e.Reason
-	case unconfigured != "":
-		return unconfigured
-	case rockcrash.IsQuarantined(now, w, r):
+	}
+	if code := rockadmit.UnconfiguredReason(w, r); code != "" {
+		return code
+	}
+	if rockcrash.IsQuarantined(now, w, r) {
 		return rockreason.BackendFailed
+	}
+	return ""
+}
+
+// finalReason returns the reason for which the attempts or the budgets allow no retry, or an empty code
+// if the request is retried.
+func finalReason(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded, s *rocktable.BackendServer) rockreason.Code {
+	switch {
 	case r.AtMostOnce && r.EarlierMayHaveRun, r.MaxAttempts > 0 && r.MaybeRanAttempts >= r.MaxAttempts:
 		return rockreason.BackendFailed
 	case countedAttempts(r) >= maxAttempts, isFirstTokenOverdue(now, w, r):
