Count queued requests anew after a change of the configuration

A caller whose request waited for a free server got a refusal only when its target had passed, though servers became free: a pipeline went with one version of the configuration and was back with the next, and both arrived in one tick.

Cause: the row of the pipeline was deleted and added again, with no queued request counted, before rockadmit looked for queued requests without a pipeline. rockroute starts nothing in a pipeline with a count of 0.

rockadmit now counts the queued requests of each pipeline after each change. The invariant of the queues compares the counts of pipelines with the lanes, as it did those of ranks.

TestQueuedRequestOfAPipelineThatComesBackStarts before: got starts [] and answers [], want the request to start After: passes; core/rocktick and core/rockinvariant pass.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -33,6 +33,7 @@
 	if w.QueuesConfigVersion != w.ConfigVersion {
 		w.QueuesConfigVersion = w.ConfigVersion
 		removeUnconfigured(w)
+		recountWaiting(w)
 	}
 	hosts := 0
 	if len(w.Inbox.Arrivals) > 0 {
@@ -59,6 +60,19 @@
 	}
 }
 
+// recountWaiting counts the queued requests of each pipeline. The row of a pipeline that was removed and came back within
+// the tick is a new one.
+func recountWaiting(w *rocktable.World) {
+	for _, p := range w.Pipelines.All() {
+		p.Waiting = 0
+	}
+	for key, lane := range w.Lanes.All() {
+		if p := w.Pipelines.Get(key.Pipeline); p != nil {
+			p.Waiting += lane.Waiting
+		}
+	}
+}
+
 // UnconfiguredReason returns the reason with which a request ends that cannot be started because its pipeline was
 // removed from the configuration, or an empty code.
 func UnconfiguredReason(w *rocktable.World, r *rocktable.Request) rockreason.Code {
--- a/core/rockinvariant/model.go
+++ b/core/rockinvariant/model.go
@@ -83,8 +83,10 @@
 
 func checkQueues(_ time.Time, w *rocktable.World) error {
 	waiting := make(map[rocktable.RankID]int, w.Ranks.Len())
+	waitingIn := make(map[rocktable.PipelineID]int, w.Pipelines.Len())
 	for key, lane := range w.Lanes.All() {
 		waiting[key.Rank] += lane.Waiting
+		waitingIn[key.Pipeline] += lane.Waiting
 		if (lane.Waiting > 0) != (len(lane.Callers)+len(lane.FrontQueue) > 0) {
 			return fmt.Errorf("lane of rank %d and pipeline %d: %d requests queued, with %d callers and %d requeued requests to start", key.Rank, key.Pipeline, lane.Waiting, len(lane.Callers), len(lane.FrontQueue))
 		}
@@ -94,5 +96,10 @@
 			return fmt.Errorf("rank %s: %d requests counted as queued, %d in lanes", rank.Config.Name, rank.Waiting, waiting[id])
 		}
 	}
+	for id, p := range w.Pipelines.All() {
+		if p.Waiting != waitingIn[id] {
+			return fmt.Errorf("pipeline %s: %d requests counted as queued, %d in lanes", p.Config.Name, p.Waiting, waitingIn[id])
+		}
+	}
 	return nil
 }
--- a/core/rocktick/removed_test.go
+++ b/core/rocktick/removed_test.go
@@ -44,3 +44,33 @@
 		t.Errorf("got %d requests counted as queued in the pipeline that came back, want none", got)
 	}
 }
+
+// Guards against a queued request that is never started because its pipeline goes and comes back within one tick.
+func TestQueuedRequestOfAPipelineThatComesBackStarts(t *testing.T) {
+	w := newWorld()
+	setUpPipeline(t, w)
+	for _, s := range w.Servers.All() {
+		s.PeerInFlight = s.Status.Slots
+	}
+	w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
+		ID: 1, Caller: w.CallerNamed("guild").ID, Pipeline: w.InternPipeline("captions").ID, ArrivedAt: start, PromptTokens: 10, MaxTokens: 5,
+	}})
+	if out := run(t, start, w).Outbox; len(out.Starts)+len(out.Answers) != 0 {
+		t.Fatalf("got starts %+v and answers %+v, want a queued request", out.Starts, out.Answers)
+	}
+	for _, s := range w.Servers.All() {
+		s.PeerInFlight = 0
+	}
+	row := w.Config
+	without := row
+	without.Configuration.Pipelines = nil
+	for i, next := range []rocktable.ConfigRow{without, row} {
+		w.Inbox.ConfigResults = append(w.Inbox.ConfigResults, rocktable.TableResult[rocktable.ConfigRow]{
+			Status: rocktable.TableOK, Found: true, Version: w.ConfigVersion + 1 + uint64(i), Row: next,
+		})
+	}
+	now := start.Add(100 * time.Millisecond)
+	if out := run(t, now, w).Outbox; len(out.Starts) != 1 {
+		t.Errorf("got starts %+v and answers %+v, want the request to start", out.Starts, out.Answers)
+	}
+}
