Close a data centre once for each silence of its servers

Callers were kept from sound servers of another data centre for as long as three others there stayed silent: a stream that cannot go on elsewhere reports the silence of its server again and again.

Cause: each report counted as a new failure in the data centre, and three servers within 2 s close it. The breaker of a single server ignores attempts from before its last trip; the one of the data centre did not. Since silent attempts may wait until their deadline, this lasted for seconds.

Attempts that began before the last trip of the data centre no longer count.

--- a/core/rockretry/centre.go
+++ b/core/rockretry/centre.go
@@ -19,10 +19,11 @@
 
 // recordCentreFailure records that a backend server could not be used, and opens the circuit
 // breaker of its data centre when enough of its backend servers failed. Only data centres other
-// than this host's have a breaker, and only where the platform pushes its list.
-func recordCentreFailure(now time.Time, w *rocktable.World, s *rocktable.BackendServer) {
+// than this host's have a breaker, and only where the platform pushes its list. Attempts that began
+// before the last trip add no information.
+func recordCentreFailure(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt) {
 	dc := w.DataCentres.Get(s.DataCentre)
-	if dc == nil || dc.ID == w.SelfHost().DataCentre || !w.Limits.PlatformPushes {
+	if dc == nil || dc.ID == w.SelfHost().DataCentre || !w.Limits.PlatformPushes || a.StartedAt.Before(dc.BreakerTrippedAt) {
 		return
 	}
 	dc.RecentFailures = slices.DeleteFunc(dc.RecentFailures, func(f rocktable.ServerFailure) bool {
--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -47,7 +47,7 @@
 // Probes and gossip take seconds to mark it as down. Until then its slots look free, and under load
 // all queued work would go there.
 func tripBreaker(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt) {
-	recordCentreFailure(now, w, s)
+	recordCentreFailure(now, w, s, a)
 	trip(now, s, a, minBreakerOpen, maxBreakerOpen)
 }
 
