Let callers retry when a pipeline goes under their request

Callers got a 404, which they do not repeat, though every configuration allowed their request: a change moved its route to another pipeline and removed the old one while the request waited there or was on its way to the control thread.

Cause: the refusal of a request whose pipeline or service is gone was the one for a name that the configuration does not know.

A name that the lookup itself does not find still gets 404.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -82,7 +82,7 @@
 	case r.MayHaveRun:
 		return rockreason.BackendFailed
 	}
-	return rockreason.UnknownModel
+	return rockreason.PipelineRemoved
 }
 
 func admit(now time.Time, w *rocktable.World, r *rocktable.Request, hosts int) {
@@ -140,7 +140,7 @@
 	case w.Ranks.Get(r.Rank) == nil:
 		return rockreason.UnknownRank
 	case w.Pipelines.Get(r.Pipeline) == nil:
-		return rockreason.UnknownModel
+		return rockreason.PipelineRemoved
 	case rockcrash.IsQuarantined(now, w, r):
 		return rockreason.Quarantined
 	}
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -10,6 +10,7 @@
 	BadJSON           Code = "badJSON"
 	BadField          Code = "badField"
 	UnknownModel      Code = "unknownModel"
+	PipelineRemoved   Code = "pipelineRemoved"
 	UnknownRank       Code = "unknownRank"
 	UnknownService    Code = "unknownService"
 	UnknownPath       Code = "unknownPath"
@@ -113,6 +114,12 @@
 		Text:           "No pipeline carries this model.",
 		OperatorAction: "Check that a pipeline with this model is in force.",
 	},
+	{
+		Code: PipelineRemoved, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
+		Title:          "Pipeline removed",
+		Text:           "A change of the configuration removed the pipeline while the request waited for it. Another one may serve it now.",
+		OperatorAction: "None.",
+	},
 	{
 		Code: UnknownRank, Kind: BadInput, Status: 400, Ran: NotRun, Retryable: false,
 		Title:          "Unknown rank",
--- a/core/rocktick/removed_test.go
+++ b/core/rocktick/removed_test.go
@@ -74,3 +74,43 @@
 		t.Errorf("got starts %+v and answers %+v, want the request to start", out.Starts, out.Answers)
 	}
 }
+
+// Guards against a 404, which callers do not repeat, for a request that was looked up before the configuration moved its
+// route to another pipeline or service.
+func TestRequestWhosePipelineGoesMayComeBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		removedAfter time.Duration // since the arrival
+		call         bool
+	}{
+		"queued": {removedAfter: time.Millisecond}, "on its way": {}, "call on its way": {call: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			setUpPipeline(t, w)
+			for _, s := range w.Servers.All() {
+				s.PeerInFlight = s.Status.Slots
+			}
+			r := rocktable.Request{ID: 1, Caller: w.CallerNamed("guild").ID, Pipeline: w.InternPipeline("captions").ID, ArrivedAt: start, PromptTokens: 10, MaxTokens: 5}
+			if c.call {
+				r.Pipeline, r.Call = 0, &rocktable.Call{Service: w.InternService("desk").ID, Idempotent: true, NeedsNoClaim: true}
+				w.Services.Delete(r.Call.Service)
+			}
+			w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: r})
+			if c.removedAfter > 0 {
+				run(t, start, w)
+			}
+			cfg := w.Config.Configuration
+			cfg.Pipelines = nil
+			w.Inbox.ConfigResults = append(w.Inbox.ConfigResults, rocktable.TableResult[rocktable.ConfigRow]{
+				Status: rocktable.TableOK, Found: true, Version: w.ConfigVersion + 1, Row: rocktable.ConfigRow{Configuration: cfg},
+			})
+			out := run(t, start.Add(c.removedAfter), w).Outbox
+			if len(out.Answers) != 1 {
+				t.Fatalf("got answers %+v, want one", out.Answers)
+			}
+			if reason, _ := rockreason.Find(out.Answers[0].Reason); reason.Status != 503 || !reason.Retryable {
+				t.Errorf("got reason %q with status %d, want one with status 503 that may be retried", reason.Code, reason.Status)
+			}
+		})
+	}
+}
