End as many silent attempts as have room elsewhere

Callers of streams whose sound server fell silent were cut off together when one place was free at another server.

Cause: an attempt is ended for silence if another path has room for its request, but each stalled attempt of a tick was compared with the same free room. A silent server stalls all its streams at once, so one free place ended all of them, and all but one waited in the queue until their limit.

The path found for an ended attempt stays reserved for the rest of the pass over the stalled attempts.

--- a/core/rockroute/fullpath_test.go
+++ b/core/rockroute/fullpath_test.go
@@ -284,6 +284,24 @@
 	}
 }
 
+// Guards against one free place elsewhere for which all attempts of a silent backend server are ended: all but one request
+// would wait without a server until they are cut off.
+func TestSilenceEndsAsManyAttemptsAsCanGoOn(t *testing.T) {
+	w, _ := newFullPathWorld("a")
+	silent, other := w.ServerNamed("a-0-0"), w.ServerNamed("a-0-1")
+	other.FirstStageInFlight = other.Status.Slots
+	for id := range rocktable.RequestID(silent.Status.Slots) {
+		a := startRequest(w, id+1, 500, 100)
+		w.Requests.Get(id + 1).Caller = w.InternCaller("guild").ID
+		w.Inbox.Stalls = append(w.Inbox.Stalls, rocktable.Stall{Attempt: a.ID, Server: silent.ID, Unmovable: true})
+	}
+	other.FirstStageInFlight--
+	continueStalledAttempts(fullPathEpoch, w)
+	if len(w.Outbox.Cancels) != 1 || other.FirstStageInFlight != other.Status.Slots-1 {
+		t.Errorf("%d attempts ended and %d places elsewhere in use, want 1 and %d", len(w.Outbox.Cancels), other.FirstStageInFlight, other.Status.Slots-1)
+	}
+}
+
 func fillServers(w *rocktable.World, _ *rocktable.Request) {
 	for _, s := range w.Servers.All() {
 		s.PeerReservedMemory = 1e12
--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -25,6 +25,12 @@
 // continueStalledAttempts lets each request whose attempt waits for a stalled backend server go on without it: on
 // another path, or with another attempt.
 func continueStalledAttempts(now time.Time, w *rocktable.World) {
+	var reserved []reservedPath
+	defer func() {
+		for _, res := range reserved {
+			rockadmit.AdjustLoad(w, res.path, res.memory, -1)
+		}
+	}()
 	for _, stall := range w.Inbox.Stalls {
 		a := w.Attempts.Get(stall.Attempt)
 		if a == nil || a.Canceled || a.Abandoned {
@@ -38,8 +44,14 @@
 		if p == nil {
 			continue
 		}
-		if stall.Unmovable && abandonAttempt(now, w, r, a, stall.Server) {
-			continue
+		if stall.Unmovable {
+			if path, abandoned := abandonAttempt(now, w, r, a, stall.Server); abandoned {
+				// The next stalled attempts of this tick need room besides this one.
+				res := reservedPath{path, memoryPerLayer(p, r)}
+				rockadmit.AdjustLoad(w, res.path, res.memory, 1)
+				reserved = append(reserved, res)
+				continue
+			}
 		}
 		if a.Repaths >= maxRepaths || a.Alone {
 			continue
@@ -50,29 +62,34 @@
 	}
 }
 
-// abandonAttempt ends an attempt that waits for a backend server if the request can go on with another one, and reports
-// whether it did. Silence does not show that a backend server has failed, so that an attempt whose request cannot go on
-// elsewhere keeps waiting.
-func abandonAttempt(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) bool {
+// reservedPath is a path with room for a request that is about to start.
+type reservedPath struct {
+	path   []rocktable.Stage
+	memory float64 // for each layer, in tokens
+}
+
+// abandonAttempt ends an attempt that waits for a backend server if the request can go on with another one. It reports
+// whether it did, with the path that has room for the request, which is nil after soundSilence. Silence does
+// not show that a backend server has failed, so that an attempt whose request cannot go on elsewhere keeps waiting.
+func abandonAttempt(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) (path []rocktable.Stage, abandoned bool) {
 	s := w.Servers.Get(server)
 	if s == nil {
-		return false
+		return nil, false
 	}
 	if a.StuckSince.IsZero() {
 		a.StuckSince = now
 	}
-	if now.Sub(a.StuckSince) < soundSilence && !hasPathWithout(now, w, r, server) || !rockretry.GrantRetry(now, w, r, a, s) {
-		return false
+	if now.Sub(a.StuckSince) < soundSilence {
+		if path = FindPath(now, w, r); path == nil || uses(path, server) {
+			return nil, false
+		}
+	}
+	if !rockretry.GrantRetry(now, w, r, a, s) {
+		return nil, false
 	}
 	a.Abandoned = true
 	w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Request: r.ID, Attempt: a.ID, StalledServer: server})
-	return true
-}
-
-// hasPathWithout reports whether a path without a backend server has room for a request.
-func hasPathWithout(now time.Time, w *rocktable.World, r *rocktable.Request, without rocktable.BackendServerID) bool {
-	path := FindPath(now, w, r)
-	return path != nil && !uses(path, without)
+	return path, true
 }
 
 // pathWithout returns a path that keeps the first stage of an attempt and excludes a backend
