Search no path for silent attempts whose request cannot go on

Cause: whether another path has room was asked before whether the route has an attempt left, and for each stream with a graph of its own.

The attempts of the route are now asked first, and the streams of a pipeline share the graph of the pass.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -61,6 +61,22 @@
 	rockadmit.Requeue(now, w, r)
 }
 
+// mayRunAgain reports whether a request may be sent to another backend server after the attempts that may have run.
+func mayRunAgain(r *rocktable.Request) bool {
+	if r.AtMostOnce && r.EarlierMayHaveRun {
+		return false
+	}
+	return r.MaxAttempts == 0 || r.MaybeRanAttempts < r.MaxAttempts
+}
+
+// IsLastRun reports whether a request must not be sent to another backend server if its present attempt has run.
+func IsLastRun(r *rocktable.Request) bool {
+	after := *r
+	after.EarlierMayHaveRun = true
+	after.MaybeRanAttempts++
+	return !mayRunAgain(&after)
+}
+
 // GrantRetry reports whether a request may go on with another attempt if its present one is ended because a backend
 // server does not answer, and takes the cost of that attempt from the budgets.
 func GrantRetry(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, s *rocktable.BackendServer) bool {
@@ -121,7 +137,7 @@
 // if the request is retried.
 func finalReason(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.AttemptEnded, s *rocktable.BackendServer) rockreason.Code {
 	switch {
-	case r.AtMostOnce && r.EarlierMayHaveRun, r.MaxAttempts > 0 && r.MaybeRanAttempts >= r.MaxAttempts:
+	case !mayRunAgain(r):
 		return rockreason.BackendFailed
 	case countedAttempts(r) >= maxAttempts, isFirstTokenOverdue(now, w, r):
 		if e.Reason == rockreason.StageStalled {
--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -25,6 +25,7 @@
 // continueStalledAttempts lets each request whose attempt waits for a stalled backend server go on without it: on
 // another path, or with another attempt.
 func continueStalledAttempts(now time.Time, w *rocktable.World) {
+	graphs := make(map[rocktable.PipelineID]*Graph) // a silent server stalls many attempts of a pipeline at once
 	var reserved []reservedPath
 	defer func() {
 		for _, res := range reserved {
@@ -45,7 +46,12 @@
 			continue
 		}
 		if stall.Unmovable {
-			if path, abandoned := abandonAttempt(now, w, r, a, stall.Server); abandoned {
+			g := graphs[p.ID]
+			if g == nil {
+				g = newGraphs(now, w, []*rocktable.Pipeline{p})[0]
+				graphs[p.ID] = g
+			}
+			if path, abandoned := abandonAttempt(now, w, g, r, a, stall.Server); abandoned {
 				// The next stalled attempts of this tick need room besides this one.
 				res := reservedPath{path, memoryPerLayer(p, r)}
 				rockadmit.AdjustLoad(w, res.path, res.memory, 1)
@@ -71,16 +77,16 @@
 // abandonAttempt ends an attempt that waits for a backend server if the request can go on with another one. It reports
 // whether it did, with the path that has room for the request, which is nil after soundSilence. Silence does
 // not show that a backend server has failed, so that an attempt whose request cannot go on elsewhere keeps waiting.
-func abandonAttempt(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) (path []rocktable.Stage, abandoned bool) {
+func abandonAttempt(now time.Time, w *rocktable.World, g *Graph, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) (path []rocktable.Stage, abandoned bool) {
 	s := w.Servers.Get(server)
-	if s == nil {
+	if s == nil || rockretry.IsLastRun(r) {
 		return nil, false
 	}
 	if a.StuckSince.IsZero() {
 		a.StuckSince = now
 	}
 	if now.Sub(a.StuckSince) < soundSilence {
-		if path = FindPath(now, w, r); path == nil || uses(path, server) {
+		if path = findPath(now, w, g, w.Pipelines.Get(r.Pipeline), r, cheapestPath); path == nil || uses(path, server) {
 			return nil, false
 		}
 	}
