Keep the reservations of a suspect whose server falls silent

Callers could lose a request that started beside a suspect: the suspect, which must run alone because it may crash its servers, had lost its reservations while it ran.

Cause: whether a silent attempt can go on elsewhere is found by a path search, and for a suspect this search also changes reservations. With the circuit breaker of the silent server open, it gave up the servers on which the suspect was running and reserved others.

No path is searched for a suspect while it runs. Its attempt is ended once the silence has lasted longer than that of a sound server.

TestSilenceKeepsReservationsOfSuspect before: backend server a-0-0 is reserved for request 0, want the one that runs there backend server a-1-1 is reserved for request 0, want the one that runs there After: passes.

--- a/core/rockroute/fullpath_test.go
+++ b/core/rockroute/fullpath_test.go
@@ -302,6 +302,27 @@
 	}
 }
 
+// Guards against a suspect that loses its reservations while it runs, because a path for its next attempt is searched:
+// other requests would start beside it and be lost if it crashes the backend servers.
+func TestSilenceKeepsReservationsOfSuspect(t *testing.T) {
+	w, _ := newFullPathWorld("a")
+	r := w.Requests.Put(1, rocktable.Request{ID: 1, Pipeline: 1, PromptTokens: 500, MaxTokens: 100, ArrivedAt: fullPathEpoch, Alone: true})
+	r.Caller = w.InternCaller("guild").ID
+	FindPath(fullPathEpoch, w, r) // reserves the backend servers
+	now := fullPathEpoch.Add(reservationDelay)
+	startAttempt(now, w, r, FindPath(now, w, r))
+	a := w.Attempts.Get(r.Attempt)
+	silent := w.Servers.Get(a.Path[0].Server)
+	silent.BreakerTrips, silent.BreakerOpenUntil = 1, now.Add(time.Second)
+	w.Inbox.Stalls = []rocktable.Stall{{Attempt: a.ID, Server: silent.ID, Unmovable: true}}
+	continueStalledAttempts(now, w)
+	for _, stage := range a.Path {
+		if s := w.Servers.Get(stage.Server); s.ExclusiveRequest != r.ID {
+			t.Errorf("backend server %s is reserved for request %d, want the one that runs there", s.Name, s.ExclusiveRequest)
+		}
+	}
+}
+
 func fillServers(w *rocktable.World, _ *rocktable.Request) {
 	for _, s := range w.Servers.All() {
 		s.PeerReservedMemory = 1e12
--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -86,6 +86,9 @@
 		a.StuckSince = now
 	}
 	if now.Sub(a.StuckSince) < soundSilence {
+		if r.Alone {
+			return nil, false // the search would change the reservations under the running attempt
+		}
 		if path = findPath(now, w, g, w.Pipelines.Get(r.Pipeline), r, cheapestPath); path == nil || uses(path, server) {
 			return nil, false
 		}
