Take the table service's lower era for the lease after a wrong one

A data centre had no holder of the lease, and so no orders, from one answer with a wrong high era on, or from the moment at which the table service counted its eras from the start again.

Cause: the lease kept the highest era of all answers. Answers with a lower one counted as late for good. rockfollow, in contrast, gives the store the last word.

Why this works: one operation is pending at a time, and its number is checked, so the answer to it was sent after the one that told the known era. A lower era is therefore not that of a late answer. The row proves nothing for one TTL then, and a holder stops, because a holder of any era may exist. Answers below the era that rockfollow knows, which may come from peers, still count as late.

--- a/core/rocklease/era.go
+++ b/core/rocklease/era.go
@@ -24,24 +24,30 @@
 }
 
 // isOfOtherEra reports whether the answer to an operation says nothing about the row as it is: it is a late one of an
-// older era, or a write took effect in a later one, where its expected version was given out again to another row.
+// older era, or a write took effect in another one, where its expected version was given out again to another row.
+//
+// Each operation is sent after the answer from which this host has Era. A lower one is not a late answer then: Era was
+// wrong, or the service counts from the start again.
 func isOfOtherEra(w *rocktable.World, r rocktable.TableResult[rocktable.LeaseRow], wrote bool) bool {
 	if r.Era == 0 {
 		return false
 	}
-	return r.Era < max(w.Lease.Era, w.Follow.Era) || wrote && r.Status == rocktable.TableOK && r.Era != w.Lease.Era
+	return r.Era < w.Follow.Era || wrote && r.Status == rocktable.TableOK && r.Era != w.Lease.Era
 }
 
-// recordEra records the era of an answer.
-func recordEra(now time.Time, w *rocktable.World, era uint64) {
+// recordEra records the era of an answer that is not late, and reports whether it went back. Then a holder of any era may
+// exist, and the row proves nothing for a TTL.
+func recordEra(now time.Time, w *rocktable.World, era uint64) (wentBack bool) {
 	l := &w.Lease
-	if era <= l.Era {
-		return
+	if era == 0 || era == l.Era {
+		return false
 	}
+	wentBack = era < l.Era
 	if l.Era > 0 {
 		w.LogChange("leaseEra", ownDataCentre(w), strconv.FormatUint(l.Era, 10), strconv.FormatUint(era, 10))
 	}
 	l.Era, l.EraSince = era, now
+	return wentBack
 }
 
 // mayReacquire reports whether this host may acquire the lease at once, because the table service was restored and its
--- a/core/rocklease/lease.go
+++ b/core/rocklease/lease.go
@@ -219,6 +219,10 @@
 		}
 		l.NextOp = now.Add(opRetryDelay) // a service that resets connections fails a read within a millisecond
 	case rocktable.TableConflict:
+		if r.Era > 0 && r.Era < l.Era {
+			handleRow(now, w, r)
+			return
+		}
 		recordEra(now, w, r.Era)
 		if r.Found || r.Era > 0 {
 			recordRow(now, w, r.Version, r.Row)
@@ -253,13 +257,20 @@
 // lease, or wait.
 func handleRow(now time.Time, w *rocktable.World, r rocktable.TableResult[rocktable.LeaseRow]) {
 	l := &w.Lease
-	recordEra(now, w, r.Era)
+	wentBack := recordEra(now, w, r.Era)
 	if !r.Found {
 		recordRow(now, w, 0, rocktable.LeaseRow{})
 		l.Version = 0
 	} else {
 		recordRow(now, w, r.Version, r.Row)
 	}
+	if wentBack {
+		if l.Held {
+			loseLease(w, "taken")
+		}
+		l.NextOp = now.Add(w.Limits.LeaseTTL)
+		return
+	}
 	if mayReacquire(now, w) {
 		acquire(now, w)
 		return
--- a/core/rocklease/restored_test.go
+++ b/core/rocklease/restored_test.go
@@ -210,3 +210,25 @@
 		t.Error("the host took the lease of a live holder")
 	}
 }
+
+// Guards against a data centre without orders for good, because one answer had an era that the table service has not
+// reached, or because the service began to count its eras again.
+func TestLeaseAfterEraThatWentBack(t *testing.T) {
+	for _, copied := range []service{{}, {version: 2, found: true, row: rocktable.LeaseRow{Holder: "entry-1#1", Fencing: 1 << eraShift, Era: 1, TTLMs: 5000}}} {
+		tr := newTrial(t, "entry-1", "entry-2")
+		tr.s.era = 3
+		tr.run(20 * time.Second)
+		for _, era := range []uint64{900, 2, 1} {
+			if era == 1 {
+				*tr.s = copied
+			}
+			tr.s.era = era
+			before := *tr.s
+			tr.run(20 * time.Second)
+			w := tr.holder()
+			if w == nil {
+				t.Fatalf("era %d after the row %+v: nobody holds the lease 20 s later", era, before.row)
+			}
+		}
+	}
+}
