Take the table service's lower era for stored parts after a wrong one

After one answer with a wrong high era a host repeated an operation on the row of parts every 500 ms for good, and no longer took what the row had.

Cause: the highest era of all answers was kept, so that each later answer counted as late.

Evidence: TestStoredPartsAfterEraThatWentBack failed before ("5 operations although nothing changed, want none") and passes now.

Why this works: one operation is pending at a time and its number is checked, so the answer to it was sent after the one that told the known era. The era of the last answer is the store's. A restoration is noticed by an era that differs from it, not only by a higher one.

--- a/core/rockpart/stored.go
+++ b/core/rockpart/stored.go
@@ -68,7 +68,7 @@
 // crashes and excuses that they know.
 func scheduleRestored(now time.Time, w *rocktable.World) {
 	st := &w.StoredParts
-	if !st.Read || st.Era == 0 || w.Follow.Era <= st.Era || !w.Follow.Follows || st.PendingOp != 0 || !st.DueAt.IsZero() {
+	if !st.Read || st.Era == 0 || w.Follow.Era == 0 || w.Follow.Era == st.Era || !w.Follow.Follows || st.PendingOp != 0 || !st.DueAt.IsZero() {
 		return
 	}
 	st.Current = false
@@ -85,8 +85,8 @@
 	if isOfOtherEra(w, r) {
 		r.Status = rocktable.TableOutcomeUnknown
 	}
-	if r.Status == rocktable.TableOK || r.Status == rocktable.TableConflict {
-		st.Era = max(st.Era, r.Era)
+	if r.Era > 0 && (r.Status == rocktable.TableOK || r.Status == rocktable.TableConflict) {
+		st.Era = r.Era
 	}
 	switch {
 	case r.Status == rocktable.TableOK && r.Write:
@@ -106,13 +106,14 @@
 }
 
 // isOfOtherEra reports whether the answer to an operation says nothing about the row as it is: it is a late one of an
-// older era, or a write took effect in a later one, where its expected version was given out again.
+// older era, or a write took effect in another one, where its expected version was given out again. Each operation is sent
+// after the answer from which this host has Era, so a lower one is not that of a late answer.
 func isOfOtherEra(w *rocktable.World, r rocktable.TableResult[rocktable.PartsRow]) bool {
 	st := &w.StoredParts
 	if r.Era == 0 {
 		return false
 	}
-	return r.Era < max(st.Era, w.Follow.Era) || r.Write && r.Status == rocktable.TableOK && r.Era != st.Era
+	return r.Era < w.Follow.Era || r.Write && r.Status == rocktable.TableOK && r.Era != st.Era
 }
 
 // mergeStored takes the crashes of a row that was read, and writes it if it lacks some that this host knows.
--- a/core/rockpart/stored_test.go
+++ b/core/rockpart/stored_test.go
@@ -253,3 +253,22 @@
 		t.Error("a part with three stored crashes is not refused")
 	}
 }
+
+// Guards against a host that reads the row for good, because one answer had an era that the table service has not
+// reached, or because the service began to count its eras again.
+func TestStoredPartsAfterEraThatWentBack(t *testing.T) {
+	s := &service{era: 900}
+	w := newStoringWorld()
+	tick(start, w, nil)
+	s.settle(start, w)
+	s.era = 2
+	s.crash(w, 1, 2)
+	if !s.has(1) {
+		t.Errorf("the row has %v, want part 1", s.row.Parts)
+	}
+	ops := s.ops
+	s.settle(start.Add(time.Minute), w)
+	if s.ops != ops {
+		t.Errorf("%d operations although nothing changed, want none", s.ops-ops)
+	}
+}
