Notice a restoration in the list of backend servers after a wrong era

After one list with a wrong high era, backend servers whose entries a restored store lacked were marked as leaving at once instead of 2 s later.

Cause: the era of the list was only raised. A later restoration had a lower era than the wrong one and was not noticed.

Evidence: TestEntriesAfterEraThatWentBack failed before ("a missing in the copy: state leaving, want live") and passes now.

Why this works: rockfollow decides which era is the store's, and a list comes from its copy. Each change of the era starts the 2 s.

--- a/core/rockmember/push.go
+++ b/core/rockmember/push.go
@@ -26,10 +26,10 @@
 }
 
 // recordListEra records the era of the store from which a list was pushed. Entries that a restored store lacks are
-// written again, as after an outage.
+// written again, as after an outage. The copy of the list decides which era is the store's, also when it goes back.
 func recordListEra(now time.Time, w *rocktable.World, era uint64) {
 	st := &w.ListState
-	if era <= st.Era {
+	if era == 0 || era == st.Era {
 		return
 	}
 	if st.Era > 0 {
--- a/core/rockmember/restored_test.go
+++ b/core/rockmember/restored_test.go
@@ -97,3 +97,18 @@
 	pushEra(startTime.Add(time.Second), w, 1, entry("a", "leaving", 100, 5, 12))
 	expectState(t, w, "a", "in the same era", rocktable.StateLeaving)
 }
+
+// Guards against backend servers that are marked as leaving at once by a restored store that lacks their entries,
+// because one list before it had an era that the store has not reached.
+func TestEntriesAfterEraThatWentBack(t *testing.T) {
+	w := pushedWorld()
+	a, b := entry("a", "live", 100, 4, 11), entry("b", "live", 100, 1, 3)
+	pushEra(startTime, w, 1, a, b)
+	pushEra(startTime.Add(time.Second), w, 900, a, b)
+	pushEra(startTime.Add(2*time.Second), w, 1, a, b)
+	restored := startTime.Add(10 * time.Second)
+	pushEra(restored, w, 2, b)
+	expectState(t, w, "a", "missing in the copy", rocktable.StateLive)
+	run(restored.Add(returnGrace), w)
+	expectState(t, w, "a", "after the limit", rocktable.StateLeaving)
+}
