Doubt an era only while peers that reach the store still have a lower one

About 2 s after a restoration, hosts that do not follow the store read complete tables from it, because one follower learned of the restoration a moment later than another. With hundreds of hosts these reads come together.

Cause: one report of a lower era started the doubt, and nothing ended it when that peer caught up. The rule says that a peer must have the lower era for 2 s.

Evidence: TestFollowerThatLearnsOfRestorationLater failed before ("4 of 40 hosts read the store although they do not follow it") and passes now. TestEraThatTheStoreHasNotReached passes as before.

Why this works: the read now needs a report of a lower era readAfter or more after the first one. Followers repeat their notices every 800 ms, so that a wrong era is left within 2.8 s instead of 2 s.

--- a/core/rockfollow/era.go
+++ b/core/rockfollow/era.go
@@ -79,13 +79,19 @@
 	return era
 }
 
-// doubtEra notes that a peer which reaches the store has a lower era than this host, or that of this host.
+// doubtEra notes that a peer which reaches the store has a lower era than this host. If one still has after readAfter,
+// the store shows which era is right. A single report does not suffice, because hosts that follow the store learn of a
+// restoration at different moments, and all others would read the complete tables.
 func doubtEra(now time.Time, t *rocktable.FollowedTable, era uint64) {
 	if era == 0 || t.EraConfirmed {
 		return
 	}
-	if era < t.Era && t.DoubtSince.IsZero() {
+	switch {
+	case era >= t.Era:
+	case t.DoubtSince.IsZero():
 		t.DoubtSince = now
+	case now.Sub(t.DoubtSince) >= readAfter:
+		t.ReadOnce, t.ReadAll, t.DoubtSince = true, true, time.Time{}
 	}
 }
 
--- a/core/rockfollow/messages.go
+++ b/core/rockfollow/messages.go
@@ -99,9 +99,6 @@
 func requestMissing(now time.Time, w *rocktable.World) {
 	for _, f := range followedTables {
 		t := w.FollowedTables.Get(f.id)
-		if !t.DoubtSince.IsZero() && now.Sub(t.DoubtSince) >= readAfter {
-			t.ReadOnce, t.ReadAll, t.DoubtSince = true, true, time.Time{} // the store shows which era is right
-		}
 		if t.GapVersion == 0 {
 			continue
 		}
--- a/core/rockfollow/restored_test.go
+++ b/core/rockfollow/restored_test.go
@@ -212,3 +212,30 @@
 		t.Errorf("a peer without an era changed a copy after the restoration: %s", late)
 	}
 }
+
+// Guards against hosts that all read the complete tables 2 s after a restoration, because one peer that follows the store
+// learned of it a moment later than another.
+func TestFollowerThatLearnsOfRestorationLater(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 40)
+	f.run(settlingTime)
+	f.store.copyRows()
+	f.writeSome(50)
+	f.run(4 * time.Second)
+	late := f.followers()[1]
+	f.store.restore()
+	read := make(map[string]bool)
+	for i := range 60 {
+		late.cut = i < 15
+		f.run(step)
+		for _, h := range f.hosts {
+			if n := len(h.reads); !h.w.Follow.Follows && n > 0 && h.reads[n-1].sentAt.Equal(f.now) {
+				read[h.w.SelfHost().Name] = true
+			}
+		}
+	}
+	if len(read) > 0 {
+		t.Errorf("%d of %d hosts read the store although they do not follow it", len(read), len(f.hosts))
+	}
+	f.expectCurrent(contactLimit, "restored")
+}
