Do not report a forgotten copy as one of an unknown era

A host that reached the store again in the moment in which it left a wrong era gave its entries of backend servers out as those of era 0. Rules for entries across eras do not hold for era 0, so that an ignored older entry counts again.

Cause: the report of the connection took the era of a copy that had just been forgotten.

Evidence: TestReconnectionWhileCopyIsForgotten failed before ("table backendServers goes back from era 5 to 0") and passes now.

Why this works: a forgotten copy is replaced by the next complete table, whose change reports the connection with the right era.

--- a/core/rockfollow/restored_test.go
+++ b/core/rockfollow/restored_test.go
@@ -239,3 +239,30 @@
 	}
 	f.expectCurrent(contactLimit, "restored")
 }
+
+// Guards against entries that count as those of an unknown era, which takes departures back, because a host reaches the
+// store again in the moment in which it leaves an era that the store has not reached.
+func TestReconnectionWhileCopyIsForgotten(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3)
+	f.run(settlingTime)
+	h := f.followers()[0]
+	h.cut, h.alone = true, true
+	f.run(6 * time.Second)
+	f.tellBogus(f.hosts[2], h, 5)
+	f.run(step)
+	if h.eras[rocktable.BackendServersTable] != 5 || !h.w.Follow.Disconnected {
+		t.Fatal("want a host without the store that has a wrong era")
+	}
+	h.cut, h.alone = false, false
+	for range 30 {
+		f.run(step) // fails if decoded rows go from era 5 to 0
+		if h.w.Follow.Era == 1 && h.eras[rocktable.BackendServersTable] == 5 {
+			delete(h.eras, rocktable.BackendServersTable) // the wrong era is left for a lower one
+		}
+	}
+	if h.w.Follow.Disconnected {
+		t.Error("the host has not reached the store again")
+	}
+	f.expectCurrent(contactLimit, "reached again")
+}
--- a/core/rockfollow/store.go
+++ b/core/rockfollow/store.go
@@ -63,7 +63,10 @@
 	case reached || st.StoreReached:
 		if st.Disconnected {
 			st.Disconnected = false
-			w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: rocktable.BackendServersTable, Era: w.FollowedTables.Get(rocktable.BackendServersTable).Era})
+			// A copy without a version has no era. The complete table that replaces it reports the connection.
+			if t := w.FollowedTables.Get(rocktable.BackendServersTable); t.Version > 0 {
+				w.Outbox.TableChanges = append(w.Outbox.TableChanges, rocktable.TableChange{Table: t.ID, Era: t.Era})
+			}
 		}
 	case lost || st.StoreLost:
 		if !st.Disconnected {
