Ignore a removed entry that is back in an era that went back

A backend server whose entry had been removed was used again, if a restored store that counts its eras from the start again still had the entry.

Cause: the era without the entry was compared by order with that of the list, while the rule asks whether it is the same one.

Evidence: TestRemovedEntryInEraThatWentBack failed before ("a in the copy: state live, want leaving") and passes now.

Why this works: only an era that itself was without the entry shows that the entry was written again.

--- a/core/rockmember/push.go
+++ b/core/rockmember/push.go
@@ -69,7 +69,7 @@
 		return true
 	case 0:
 		// The entry that was removed before the restoration, unless this era has been without it too.
-		return s.RemovedFromList && s.UnlistedEra < era
+		return s.RemovedFromList && s.UnlistedEra != era
 	}
 	return false
 }
--- a/core/rockmember/restored_test.go
+++ b/core/rockmember/restored_test.go
@@ -112,3 +112,15 @@
 	run(restored.Add(returnGrace), w)
 	expectState(t, w, "a", "after the limit", rocktable.StateLeaving)
 }
+
+// Guards against new work for a backend server whose entry was removed, because a restored store that counts its eras
+// from the start again still has it.
+func TestRemovedEntryInEraThatWentBack(t *testing.T) {
+	w := pushedWorld()
+	other := entry("b", "live", 100, 1, 3)
+	pushEra(startTime, w, 3, entry("a", "live", 100, 4, 11), other)
+	pushEra(startTime.Add(time.Second), w, 3, other)
+	expectState(t, w, "a", "removed", rocktable.StateLeaving)
+	pushEra(startTime.Add(2*time.Second), w, 1, entry("a", "live", 100, 4, 11), other)
+	expectState(t, w, "a", "in the copy", rocktable.StateLeaving)
+}
