Let a refused stream wait for the budget of retries

Callers of a begun stream were cut off when another backend server refused the next attempt at a moment at which the shared budget of retries was used up.

Cause: giving up a silent attempt pays for one more attempt, but a refusal needs another one, and without it the request ended. The class of fault is that of the silent attempts: a stream that could go on is ended, because one step towards it is not possible at that moment.

A begun stream that was refused or not reached stays queued now, and its next attempt starts when the budget has room for it. Its deadline, the limit of requeued requests and the caller's patience bound the wait.

TestRefusedStreamWaitsForBudget before: got answers [{Request:1 Reason:retryBudget ...}] and 1 starts without a budget, want none and the first start. After: passes, as do core, io/rockrelay and io/rockcommand.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -147,8 +147,13 @@
 	case e.Reason == rockreason.StageUnreachable && w.Limits.RetryWindow > 0 && didNotRun(e):
 		return "" // the next attempt is the first that reaches a backend server
 	case !SpendSharedBudget(now, w, r):
-		if !r.MayHaveRun {
+		switch {
+		case !r.MayHaveRun:
 			return rockreason.Shed
+		case r.Tokens > 0 && didNotRun(e):
+			// Other backend servers are full for a moment. The budget has room again before the caller gives up.
+			r.AwaitsBudget = true
+			return ""
 		}
 		return rockreason.RetryBudget
 	case e.Reason == rockreason.StageRefused && didNotRun(e):
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -165,6 +165,13 @@
 	if rockpart.MustWait(now, w, r) {
 		return nil
 	}
+	if r.AwaitsBudget {
+		if !rockretry.SpendSharedBudget(now, w, r) {
+			w.WakeAt(now.Add(searchInterval))
+			return nil
+		}
+		r.AwaitsBudget = false
+	}
 	if r.Alone {
 		if rockcrash.MustWait(w, r.Fingerprint) {
 			return nil
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -51,6 +51,7 @@
 	MaxAttempts         int       // backend servers to which it may be sent; 0 means the limit of rockretry
 	Deadline            time.Time // for the end of its answer; zero means none
 	RetryGranted        bool      // the attempt after the present one is decided and paid for
+	AwaitsBudget        bool      // its next attempt has not been taken from the shared budget yet
 
 	EstimatedTokens float64 // taken from the caller's bucket at admission; corrected at the end
 	InQueue         bool
