Split the continuation of stalled attempts, and name the silent server as such

No behaviour changes: the lookup of a stall's request and the wait for the budget are functions of their own, and the server for whose silence an attempt ends has one name in io/rockrelay.

--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -27,31 +27,16 @@
 func continueStalledAttempts(now time.Time, w *rocktable.World) {
 	graphs := make(map[rocktable.PipelineID]*Graph) // a silent server stalls many attempts of a pipeline at once
 	var reserved []reservedPath
-	defer func() {
-		for _, res := range reserved {
-			rockadmit.AdjustLoad(w, res.path, res.memory, -1)
-		}
-	}()
 	for _, stall := range w.Inbox.Stalls {
-		a := w.Attempts.Get(stall.Attempt)
-		if a == nil || a.Canceled || a.Abandoned {
-			continue
-		}
-		r := w.Requests.Get(a.Request)
-		if r == nil || r.State != rocktable.RequestRunning {
-			continue
-		}
-		p := w.FullPathPipeline(r)
-		if p == nil {
+		r, a, p := stalledRequest(w, stall)
+		if r == nil {
 			continue
 		}
 		if stall.Unmovable {
-			g := graphs[p.ID]
-			if g == nil {
-				g = newGraphs(now, w, []*rocktable.Pipeline{p})[0]
-				graphs[p.ID] = g
+			if graphs[p.ID] == nil {
+				graphs[p.ID] = newGraphs(now, w, []*rocktable.Pipeline{p})[0]
 			}
-			if path, abandoned := abandonAttempt(now, w, g, r, a, stall.Server); abandoned {
+			if path, abandoned := abandonAttempt(now, w, graphs[p.ID], r, a, stall.Server); abandoned {
 				// The next stalled attempts of this tick need room besides this one.
 				res := reservedPath{path, memoryPerLayer(p, r)}
 				rockadmit.AdjustLoad(w, res.path, res.memory, 1)
@@ -66,6 +51,27 @@
 			moveAttempt(now, w, p, r, a, path)
 		}
 	}
+	for _, res := range reserved {
+		rockadmit.AdjustLoad(w, res.path, res.memory, -1)
+	}
+}
+
+// stalledRequest returns the running request on a full path whose attempt a stall reports, the attempt and the pipeline,
+// or nil if there is none any more.
+func stalledRequest(w *rocktable.World, stall rocktable.Stall) (*rocktable.Request, *rocktable.Attempt, *rocktable.Pipeline) {
+	a := w.Attempts.Get(stall.Attempt)
+	if a == nil || a.Canceled || a.Abandoned {
+		return nil, nil, nil
+	}
+	r := w.Requests.Get(a.Request)
+	if r == nil || r.State != rocktable.RequestRunning {
+		return nil, nil, nil
+	}
+	p := w.FullPathPipeline(r)
+	if p == nil {
+		return nil, nil, nil
+	}
+	return r, a, p
 }
 
 // reservedPath is a path with room for a request that is about to start.
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -157,21 +157,26 @@
 	}
 }
 
+// awaitsBudget reports whether a request waits for the shared budget of retries, and takes its next attempt from the
+// budget if that has room.
+func awaitsBudget(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
+	if r.AwaitsBudget && rockretry.SpendSharedBudget(now, w, r) {
+		r.AwaitsBudget = false
+	}
+	if r.AwaitsBudget {
+		w.WakeAt(now.Add(searchInterval))
+	}
+	return r.AwaitsBudget
+}
+
 func findPath(now time.Time, w *rocktable.World, g *Graph, p *rocktable.Pipeline, r *rocktable.Request, choose PathFunc) []rocktable.Stage {
 	if now.Before(r.NotBefore) {
 		w.WakeAt(r.NotBefore)
 		return nil
 	}
-	if rockpart.MustWait(now, w, r) {
+	if rockpart.MustWait(now, w, r) || awaitsBudget(now, w, r) {
 		return nil
 	}
-	if r.AwaitsBudget {
-		if !rockretry.SpendSharedBudget(now, w, r) {
-			w.WakeAt(now.Add(searchInterval))
-			return nil
-		}
-		r.AwaitsBudget = false
-	}
 	if r.Alone {
 		if rockcrash.MustWait(w, r.Fingerprint) {
 			return nil
--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -26,12 +26,12 @@
 	callStarts chan rocktable.CallStart
 	answer     chan rocktable.Answer
 
-	mu        sync.Mutex
-	attemptID rocktable.AttemptID
-	attempt   Attempt                   // the current one
-	cancel    context.CancelFunc        // of the current attempt
-	stalledAt rocktable.BackendServerID // for whose silence the control thread ended the current attempt; 0 for none
-	stopped   bool                      // no attempt or call may run any more
+	mu           sync.Mutex
+	attemptID    rocktable.AttemptID
+	attempt      Attempt                   // the current one
+	cancel       context.CancelFunc        // of the current attempt
+	silentServer rocktable.BackendServerID // for whose silence the control thread ended the current attempt; 0 for none
+	stopped      bool                      // no attempt or call may run any more
 
 	calledServer rocktable.BackendServerID // of the call that is running, or 0
 
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.attemptID, x.attempt, x.cancel, x.stalledAt = id, a, cancel, 0
+	x.attemptID, x.attempt, x.cancel, x.silentServer = id, a, cancel, 0
 	if x.stopped {
 		cancel()
 	}
@@ -189,20 +189,20 @@
 	x.log("attempt moved", "attempt", to.Attempt, "path", formatPath(to.Path), "ok", err == nil, "error", err)
 }
 
-// noteStall records the silent backend server for which the current attempt is canceled.
-func (x *exchange) noteStall(c rocktable.Cancel) {
+// setSilentServer records the silent backend server for which the current attempt is canceled.
+func (x *exchange) setSilentServer(c rocktable.Cancel) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.attemptID == c.Attempt {
-		x.stalledAt = c.StalledServer
+		x.silentServer = c.StalledServer
 	}
 }
 
-// stalledServer returns the silent backend server for which the current attempt was canceled, or 0.
-func (x *exchange) stalledServer() rocktable.BackendServerID {
+// currentSilentServer returns the silent backend server for which the current attempt was canceled, or 0.
+func (x *exchange) currentSilentServer() rocktable.BackendServerID {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.stalledAt
+	return x.silentServer
 }
 
 // cancelAttempt cancels the attempt if it is the current one.
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -172,7 +172,7 @@
 	}
 	for _, cancel := range out.Cancels {
 		if x := t.exchanges[cancel.Request]; x != nil {
-			x.noteStall(cancel)
+			x.setSilentServer(cancel)
 			x.cancelAttempt(cancel.Attempt)
 		}
 	}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -72,17 +72,17 @@
 		x.releaseHeld()
 	}
 	watch.stop()
-	stalledServer := x.stalledServer()
+	silentServer := x.currentSilentServer()
 	switch {
 	case err == nil: // the answer was complete before a cancel took effect
-	case stalledServer != 0:
+	case silentServer != 0:
 		err = errStalled
 	case ctx.Err() != nil:
 		err = ctx.Err() // canceled by the control thread or the caller
 	}
 	e := x.endReport(start, resp, err)
 	if errors.Is(err, errStalled) {
-		e.FailedServer = stalledServer
+		e.FailedServer = silentServer
 	}
 	e.Tokens = x.stream.events - x.stream.eventsBefore
 	if err != nil {
