--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -151,7 +151,8 @@
 		case !r.MayHaveRun:
 			return rockreason.Shed
 		case r.Tokens > 0 && didNotRun(e):
-			// Other backend servers are full for a moment. The budget has room again before the caller gives up.
+			// The caller has a part of the stream, and a backend server that is full would cut it off. It stays queued
+			// until the budget has room.
 			r.AwaitsBudget = true
 			return ""
 		}
