--- a/review/_harness/consumer.go
+++ b/review/_harness/consumer.go
@@ -14,7 +14,7 @@
 type answer struct {
 	id, signature string
 	status        int // 0 if no answer came
-	body          int // bytes
+	data          []byte
 	err           error
 }
 
@@ -48,7 +48,8 @@
 type consumer struct {
 	host           *entry
 	client         *http.Client
-	bytesPerSecond int // of a body that it sends; 0 for no limit
+	bytesPerSecond int               // of a body that it sends; 0 for no limit
+	header         map[string]string // sent with each request
 }
 
 func newConsumer(e *entry) *consumer {
@@ -70,18 +71,21 @@
 	req.Header.Set("X-Attempt-Id", a.id)
 	req.Header.Set("X-Credential", "key-1")
 	req.Header.Set("X-Deadline-Ms", strconv.Itoa(deadlineMs))
+	for name, value := range c.header {
+		req.Header.Set(name, value)
+	}
 	note("consumer of %s sends %s: %s %s, %d bytes", c.host.name, a.id, method, path, len(body))
 	resp, err := c.client.Do(req)
 	if err == nil {
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
-		a.status, a.body, a.signature = resp.StatusCode, len(data), resp.Header.Get("X-Runner-Signature")
+		a.status, a.data, a.signature = resp.StatusCode, data, resp.Header.Get("X-Runner-Signature")
 	}
 	if err != nil {
 		a.err, a.status = err, 0
 	}
-	note("consumer gets %s: status %d, %d bytes, signature %q, error %v", a.id, a.status, a.body, a.signature, a.err)
+	note("consumer gets %s: status %d, %d bytes, signature %q, error %v", a.id, a.status, len(a.data), a.signature, a.err)
 	return a
 }
 
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -33,13 +33,18 @@
 	begun   = time.Now()
 	folder  string // temporary files
 	entries []*entry
-	ending  atomic.Bool // the case ends: no process is started any more
+	// children are the processes of runners.
+	children []*os.Process
+	ending   atomic.Bool // the case ends: no process is started any more
 )
 
 // cases are the cases by name. A case returns whether the rule held.
 var cases = map[string]func() bool{}
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "runner" {
+		runnerProcess(os.Args[2], os.Args[3], os.Args[4])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
 		os.Exit(exitNotRun)
@@ -71,6 +76,10 @@
 		<-e.done
 		e.mu.Unlock()
 	}
+	for _, p := range children {
+		_ = p.Kill()
+		_, _ = p.Wait()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(folder)
 	}
