Forward the request target byte by byte

A path that begins with two slashes reached the backend server as "POST http://ledger/...": net/url puts the scheme before an opaque value that begins with two slashes. Routes were selected by the decoded path, although the backend server gets the path as sent.

--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -9,6 +9,7 @@
 	BrokenBody        Code = "brokenBody"
 	BadJSON           Code = "badJSON"
 	BadField          Code = "badField"
+	BadTarget         Code = "badTarget"
 	UnknownModel      Code = "unknownModel"
 	PipelineRemoved   Code = "pipelineRemoved"
 	UnknownRank       Code = "unknownRank"
@@ -108,6 +109,12 @@
 		Text:           "A field of the request has a value that is not allowed.",
 		OperatorAction: "None.",
 	},
+	{
+		Code: BadTarget, Kind: BadInput, Status: 400, Ran: NotRun, Retryable: false,
+		Title:          "Bad request target",
+		Text:           "The target of the request line is neither a path nor an http URI, or has a number sign, or the method opens a tunnel.",
+		OperatorAction: "None.",
+	},
 	{
 		Code: UnknownModel, Kind: BadInput, Status: 404, Ran: NotRun, Retryable: false,
 		Title:          "Unknown model",
--- a/io/rockhttp/server.go
+++ b/io/rockhttp/server.go
@@ -49,6 +49,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    2 * maxHeadBytes,
+		// net/http answers OPTIONS * with 200 before any handler sees it.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -34,7 +34,7 @@
 	ID           string // chosen by the caller; a retry by the caller has a new one
 	Method       string
 	Host         string
-	Path         string // without the query
+	Path         string // as sent, still escaped, without the query
 	RequestURI   string // unmodified, with the query
 	Header       http.Header
 	Body         []byte
