Pass calls of the product's own interface on byte by byte

The handler of /v1/services took the path from the decoded URL, so that a question mark without a query was lost and bytes that RFC 3986 does not allow were escaped; the client parsed the path again, escaped once more and would have dropped what follows a number sign.

Both use io/rocktarget now, as the platform's front end does. FuzzSplitPath splits the path as sent and keeps its checks.

--- a/io/rockhttp/message_test.go
+++ b/io/rockhttp/message_test.go
@@ -1,11 +1,12 @@
 package rockhttp
 
 import (
-	"net/url"
+	"net/http"
 	"strings"
 	"testing"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/io/rocktarget"
 )
 
 // Guards against panics of the decoder, against accepting values out of range, and against prompts
@@ -42,17 +43,16 @@
 	f.Add("/v1/services/orders/a%2Fb?c=d")
 	f.Add("/v1/services/%zz")
 	f.Fuzz(func(t *testing.T, text string) {
-		u, err := url.ParseRequestURI(text)
-		if err != nil || !strings.HasPrefix(u.EscapedPath(), servicePrefix) {
+		path, _, err := rocktarget.Split(&http.Request{Method: http.MethodGet, RequestURI: text})
+		if err != nil || !strings.HasPrefix(path, servicePrefix) {
 			return
 		}
-		service, path := splitPath(u)
-		if !strings.HasPrefix(path, "/") {
-			t.Errorf("got path %q of service %q, want a leading slash", path, service)
+		service, rest := splitPath(path)
+		if !strings.HasPrefix(rest, "/") {
+			t.Errorf("got path %q of service %q, want a leading slash", rest, service)
 		}
-		rest, _, _ := strings.Cut(path, "?")
-		if !strings.HasSuffix(u.EscapedPath()+"/", strings.TrimPrefix(rest, "/")) && !strings.HasSuffix(u.EscapedPath(), rest) {
-			t.Errorf("got path %q, want a suffix of %q", rest, u.EscapedPath())
+		if !strings.HasSuffix(path+"/", strings.TrimPrefix(rest, "/")) && !strings.HasSuffix(path, rest) {
+			t.Errorf("got path %q, want a suffix of %q", rest, path)
 		}
 	})
 }
--- a/io/rockhttp/server_test.go
+++ b/io/rockhttp/server_test.go
@@ -1,6 +1,7 @@
 package rockhttp_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -331,6 +332,52 @@
 	}
 }
 
+// Guards against a call whose path or query differs from what the caller sent, and against a target that is neither
+// passed on nor refused as bad input.
+func TestCallKeepsItsTarget(t *testing.T) {
+	f := newFixture()
+	var got string
+	f.Call = func(_ context.Context, r rocktraffic.CallRequest) (rocktable.Answer, error) {
+		got = r.Path
+		return rocktable.Answer{Recorded: &rocktable.ClaimRow{Status: 200}}, nil
+	}
+	server := f.start(t)
+	for target, want := range map[string]string{
+		"/v1/services/squares":                       "/",
+		"/v1/services/squares?":                      "/?",
+		"/v1/services/squares?a=/b":                  "/?a=/b",
+		"/v1/services/squares//a?":                   "//a?",
+		"/v1/services/sq%75ares/./..//b%2F?c?d":      "/./..//b%2F?c?d",
+		"/v1/services/squares/a|{}\xff?\xfe":         "/a|{}\xff?\xfe",
+		"http://a.example/v1/services/squares/a%20b": "/a%20b",
+		"/v1/services/squares/a#b":                   "",
+		"/v1/services/squares/?a#b":                  "",
+	} {
+		got = ""
+		status := sendTarget(t, server.Listener.Addr().String(), target)
+		if got != want || (status == http.StatusOK) != (want != "") || (status != http.StatusOK && status != http.StatusBadRequest) {
+			t.Errorf("target %q: got status %d and path %q, want %q", target, status, got, want)
+		}
+	}
+}
+
+// sendTarget sends a call over a plain connection, which keeps its target, and returns the status.
+func sendTarget(t *testing.T, address, target string) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer open\r\nConnection: close\r\n\r\n", target)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
 // Guards against showing a caller the totals of another one.
 func TestOutcomesOfCallerOnly(t *testing.T) {
 	f := newFixture()
--- a/io/rockhttp/service.go
+++ b/io/rockhttp/service.go
@@ -9,6 +9,7 @@
 
 	"sassafrasrock/core/rocklookup"
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/io/rocktarget"
 	"sassafrasrock/io/rocktraffic"
 )
 
@@ -25,7 +26,12 @@
 		s.refuse(c, rockreason.BadField, badField("Idempotency-Key", "the value", "up to 255 printable ASCII characters").detail)
 		return
 	}
-	service, path := splitPath(r.URL)
+	path, query, err := rocktarget.Split(r)
+	if err != nil {
+		s.refuse(c, rockreason.BadTarget, "")
+		return
+	}
+	service, path := splitPath(path)
 	target, code := rocklookup.Service(v.snapshot, service, isReadOnly(r.Method), key)
 	if code != "" {
 		s.refuse(c, code, nameDetail("service", service))
@@ -41,7 +47,7 @@
 		Idempotent:     target.Idempotent,
 		IdempotencyKey: key,
 		Method:         r.Method,
-		Path:           path,
+		Path:           path + query,
 		ContentType:    r.Header.Get("Content-Type"),
 		Body:           body,
 	})
@@ -74,16 +80,12 @@
 	return len(key) <= maxKeyBytes && !strings.ContainsFunc(key, isUnprintable)
 }
 
-// splitPath returns the service named in a URL and the rest of the path, still escaped and with the query.
-func splitPath(u *url.URL) (service, path string) {
-	segment, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), servicePrefix), "/")
+// splitPath returns the service named in a path and the rest of the path, both as sent but for the escapes of the service.
+func splitPath(path string) (service, rest string) {
+	segment, rest, _ := strings.Cut(strings.TrimPrefix(path, servicePrefix), "/")
 	service, err := url.PathUnescape(segment)
 	if err != nil {
 		return "", "/"
 	}
-	path = "/" + rest
-	if u.RawQuery != "" {
-		path += "?" + u.RawQuery
-	}
-	return service, path
+	return service, "/" + rest
 }
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"sassafrasrock/io/rocktarget"
 )
 
 // The headers that carry Call.IdempotencyKey and Call.AttemptID.
@@ -52,7 +54,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c := &client{options: o, transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		DialContext: rocktarget.DialContext((&net.Dialer{Timeout: o.DialTimeout}).DialContext),
 		Protocols:   protocols,
 		// net/http retries a request with an Idempotency-Key header when a reused connection breaks, so
 		// connections are not reused.
@@ -95,10 +97,13 @@
 }
 
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
 	}
+	if req, err = rocktarget.Set(req, call.Path); err != nil {
+		return nil, err
+	}
 	// Without GetBody the transport cannot send the body a second time.
 	req.GetBody = nil
 	for header, value := range map[string]string{"Content-Type": call.ContentType, HeaderIdempotencyKey: call.IdempotencyKey, HeaderAttempt: call.AttemptID} {
--- a/io/rockservice/service.go
+++ b/io/rockservice/service.go
@@ -17,7 +17,7 @@
 // Call is a call to an application or a plain service.
 type Call struct {
 	Method         string
-	Path           string // begins with a slash; includes the query
+	Path           string // sent unchanged; begins with a slash and includes the query
 	ContentType    string
 	IdempotencyKey string // sent as HeaderIdempotencyKey unless empty
 	AttemptID      string // sent as HeaderAttempt unless empty
--- a/io/rocktraffic/request.go
+++ b/io/rocktraffic/request.go
@@ -24,7 +24,7 @@
 	Idempotent     bool
 	IdempotencyKey string
 	Method         string
-	Path           string // begins with a slash and includes the query
+	Path           string // as sent; begins with a slash and includes the query
 	ContentType    string
 	Body           []byte
 }
