Send no status that says "not run" for a call that ran

A backend server may answer 503, 429, 408 or 421 after it has begun a call, without its own word that it did not.

core/rockpromise has the one table from the kind of a request and what is known of its runs to the statuses that may be sent. The reasons stoppedNow and configUnsettled had the status 503 although the request or change may have run; they have 502 now.

--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -265,7 +265,7 @@
 		OperatorAction: "None.",
 	},
 	{
-		Code: StoppedNow, Kind: Failure, Status: 503, Ran: MayHaveRun, Retryable: true,
+		Code: StoppedNow, Kind: Failure, Status: 502, Ran: MayHaveRun, Retryable: true,
 		Title:          "Host stopped",
 		Text:           "The host was told twice to stop and ended before the answer was whole.",
 		OperatorAction: "Give hosts time to finish: send the signal once.",
@@ -403,7 +403,7 @@
 		OperatorAction: "Correct the fields that the answer lists.",
 	},
 	{
-		Code: ConfigUnsettled, Kind: Failure, Status: 503, Ran: MayHaveRun, Retryable: true,
+		Code: ConfigUnsettled, Kind: Failure, Status: 502, Ran: MayHaveRun, Retryable: true,
 		Title:          "Configuration change unsettled",
 		Text:           "The platform went out while the change was written; it may or may not be in force later.",
 		OperatorAction: "When the platform is back: sassafrasrock get, then apply again if need be.",
--- a/io/rockhttp/refusal.go
+++ b/io/rockhttp/refusal.go
@@ -7,6 +7,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"sassafrasrock/core/rockpromise"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -52,7 +53,7 @@
 		Ran:          reason.Ran,
 		Retryable:    reason.Retryable,
 		RetryAfterMs: retryAfter.Milliseconds(),
-	}}, reason.Status
+	}}, rockpromise.Status(rockpromise.AtMostOnce, reason.Ran, reason.Status)
 }
 
 // refuse counts a refusal by the front end and answers with it.
--- a/io/rockhttp/server_test.go
+++ b/io/rockhttp/server_test.go
@@ -331,6 +331,26 @@
 	}
 }
 
+// Guards against the status of a service that ran a call, and that has the caller send a call again which must not run
+// twice.
+func TestStatusOfARunIsNoPromise(t *testing.T) {
+	f := newFixture()
+	var recorded rocktable.ClaimRow
+	f.Call = func(context.Context, rocktraffic.CallRequest) (rocktable.Answer, error) {
+		return rocktable.Answer{Recorded: &recorded}, nil
+	}
+	server := f.start(t)
+	for _, status := range []int{408, 421, 429, 503} {
+		recorded = rocktable.ClaimRow{Status: status, ContentType: "text/plain", Body: []byte("later")}
+		if response, data := send(t, server, "POST", "/v1/services/orders/x", "open", "", "Idempotency-Key", "k"); response.StatusCode != 502 || !strings.Contains(data, "outcomeUnknown") || response.Header.Get("Retry-After") != "" {
+			t.Errorf("status %d: got %d %v %s, want 502 with outcomeUnknown", status, response.StatusCode, response.Header, data)
+		}
+		if response, data := send(t, server, "GET", "/v1/services/orders/x", "open", ""); response.StatusCode != status || data != "later" {
+			t.Errorf("status %d of a call that may run again: got %d %s, want it unchanged", status, response.StatusCode, data)
+		}
+	}
+}
+
 // Guards against showing a caller the totals of another one.
 func TestOutcomesOfCallerOnly(t *testing.T) {
 	f := newFixture()
--- a/io/rockhttp/service.go
+++ b/io/rockhttp/service.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v5"
 
 	"sassafrasrock/core/rocklookup"
+	"sassafrasrock/core/rockpromise"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/io/rocktraffic"
 )
@@ -55,6 +56,11 @@
 		answer.Reason = rockreason.OutcomeUnknown
 		s.Count(answer.Reason)
 	}
+	if answer.Reason == "" && !rockpromise.MaySend(rockpromise.KindOf(target.Idempotent), rockreason.DidRun, row.Status) {
+		// The service has no way to say that it did not run the call.
+		answer.Reason = rockreason.OutcomeUnknown
+		s.Count(answer.Reason)
+	}
 	if answer.Reason != "" {
 		s.fail(c, answer, nil)
 		return
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -60,6 +60,7 @@
 		x.log("call failed", "reason", e.Reason, "server", a.ServerName, "sent", e.Sent, "status", answer.status, "error", err)
 	}
 	x.calledServer = 0
+	x.recordRun(e.Sent)
 	x.relay.Post(func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) })
 }
 
--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sassafrasrock/core/rocklookup"
+	"sassafrasrock/core/rockpromise"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -34,6 +35,7 @@
 	stopped      bool                      // no attempt or call may run any more
 
 	calledServer rocktable.BackendServerID // of the call that is running, or 0
+	ran          rockreason.Ran            // what is known of the attempts and calls that have ended
 
 	held       int64 // bytes of answers and events that count towards Relay.MaxHeldBytes
 	stream     stream
@@ -139,6 +141,7 @@
 
 // finish sends the rest of the answer, or an error response if nothing was sent yet.
 func (x *exchange) finish(answer rocktable.Answer) error {
+	answer = x.keepPromises(answer)
 	x.relay.ObserveRequest(x.dest.Route.Name, answer.Reason, x.relay.Now().Sub(x.req.ReceivedAt))
 	x.log("request ended", "reason", answer.Reason, "attempts", answer.Outcome.Attempts, "events", x.stream.events,
 		"firstMs", x.stream.firstEventMs(x.req.ReceivedAt), "gapMs", x.stream.longestGap.Milliseconds(), "gapAt", x.stream.eventsBeforeGap)
@@ -158,6 +161,34 @@
 	return nil
 }
 
+// kind tells whether the request may run more than once. Only streams of a pipeline can be resumed.
+func (x *exchange) kind() rockpromise.Kind {
+	return rockpromise.KindOf(x.dest.Route.Repeatable || x.dest.Route.Resumable && x.dest.Pipeline != 0)
+}
+
+// recordRun records whether an attempt or call that has ended may have run.
+func (x *exchange) recordRun(mayHaveRun bool) {
+	if mayHaveRun {
+		x.ran = rockreason.MayHaveRun
+	}
+}
+
+// keepPromises returns the answer that may be sent, given what is known of the request's runs. The answer of a backend
+// server whose status may not be sent is dropped as a whole: with another status, its headers would bear a proof for what
+// the backend server did not say.
+func (x *exchange) keepPromises(answer rocktable.Answer) rocktable.Answer {
+	code := rockpromise.Reason(x.kind(), x.ran, answer.Reason)
+	if x.callAnswer != nil && !rockpromise.MaySend(x.kind(), x.ran, x.callAnswer.status) {
+		x.log("answer of a backend server dropped", "status", x.callAnswer.status)
+		x.callAnswer, code = nil, rockreason.OutcomeUnknown
+	}
+	if code != answer.Reason {
+		x.relay.Count(code)
+		answer.Reason, answer.RetryAfter = code, 0
+	}
+	return answer
+}
+
 // beginAttempt makes an attempt the current one, which cancelAttempt and move act on.
 func (x *exchange) beginAttempt(ctx context.Context, id rocktable.AttemptID, a Attempt) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -123,7 +123,7 @@
 		return nil
 	}
 	x := &exchange{
-		relay: t, id: t.NextRequestID(), req: req, dest: dest, sink: sink,
+		relay: t, id: t.NextRequestID(), req: req, dest: dest, sink: sink, ran: rockreason.NotRun,
 		// While an attempt runs, at most one value per channel is pending.
 		starts: make(chan rocktable.Start, 1), callStarts: make(chan rocktable.CallStart, 1), answer: make(chan rocktable.Answer, 1),
 	}
