Let the work of TestSilentConnections outlast the wait for it

The test waits until 8 streams and 6 calls are seen at the same time. The calls took 500 ms and the streams about 2 s, so that a first count that came late never saw all of them.

The calls take 2 s now, their timeout is longer by the same 1.5 s, and the streams have 500 tokens.

--- a/io/rockprocess/silent_test.go
+++ b/io/rockprocess/silent_test.go
@@ -13,13 +13,13 @@
 func TestSilentConnections(t *testing.T) {
 	p := newPlan(2)
 	for i := range p.standin.Applications {
-		p.standin.Applications[i].CallMs = 500
+		p.standin.Applications[i].CallMs = 2000
 	}
 	// The timeout of a call allows for one operation that fails on a silent connection to the
 	// platform, not for several in a row.
-	p.config.Services[0].TimeoutMs = 4000
+	p.config.Services[0].TimeoutMs = 5500
 	f := p.start(t)
-	const streams, calls, tokens = 8, 6, 250
+	const streams, calls, tokens = 8, 6, 500
 	before := make([]answer, calls)
 	group := f.startStreams(f.hosts, streams, tokens, 40, "retryBudget")
 	for k := range calls {
