Take fractions in the durations of the settings

A budgetWindowS of 7.5 became "retryWindowMs": 7.5000 in the template of the settings, and the program ended at once with exit code 4.

Durations are numbers with or without a fraction now. Settings files of before stay valid.

--- a/io/rockdaemon/reload_test.go
+++ b/io/rockdaemon/reload_test.go
@@ -44,7 +44,7 @@
 		}
 	}
 	if r.current.Limits.DrainNoticeMs != 1500 {
-		t.Errorf("active drainNoticeMs is %d, want 1500", r.current.Limits.DrainNoticeMs)
+		t.Errorf("active drainNoticeMs is %v, want 1500", r.current.Limits.DrainNoticeMs)
 	}
 }
 
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -49,25 +49,27 @@
 // Limits holds the settings from which WithDefaults makes rocktable.Limits. A zero field means the default
 // of rocktable.DefaultLimits.
 type Limits struct {
-	MaxRequests     int `json:"maxRequests,omitempty" validate:"min=0,max=1000000"`
-	HostListEveryMs int `json:"hostListEveryMs,omitempty" validate:"min=0,max=60000"`
-	ConfigEveryMs   int `json:"configEveryMs,omitempty" validate:"min=0,max=10000"`
-	ProbeEveryMs    int `json:"probeEveryMs,omitempty" validate:"min=0,max=3000"`
-	GossipEveryMs   int `json:"gossipEveryMs,omitempty" validate:"min=0,max=10000"`
-	HostTimeoutMs   int `json:"hostTimeoutMs,omitempty" validate:"min=0,max=120000"`
+	MaxRequests     int          `json:"maxRequests,omitempty" validate:"min=0,max=1000000"`
+	HostListEveryMs Milliseconds `json:"hostListEveryMs,omitempty" validate:"milliseconds=60000"`
+	ConfigEveryMs   Milliseconds `json:"configEveryMs,omitempty" validate:"milliseconds=10000"`
+	ProbeEveryMs    Milliseconds `json:"probeEveryMs,omitempty" validate:"milliseconds=3000"`
+	GossipEveryMs   Milliseconds `json:"gossipEveryMs,omitempty" validate:"milliseconds=10000"`
+	HostTimeoutMs   Milliseconds `json:"hostTimeoutMs,omitempty" validate:"milliseconds=120000"`
 	// At most 3 s, the bound of the invariant "leaving".
-	LeaveLimitMs   int `json:"leaveLimitMs,omitempty" validate:"min=0,max=3000"`
-	LeaseTTLMs     int `json:"leaseTtlMs,omitempty" validate:"min=0,max=300000"`
-	OrderTimeoutMs int `json:"orderTimeoutMs,omitempty" validate:"min=0,max=120000"`
+	LeaveLimitMs   Milliseconds `json:"leaveLimitMs,omitempty" validate:"milliseconds=3000"`
+	LeaseTTLMs     Milliseconds `json:"leaseTtlMs,omitempty" validate:"milliseconds=300000"`
+	OrderTimeoutMs Milliseconds `json:"orderTimeoutMs,omitempty" validate:"milliseconds=120000"`
 	// The retry budget that all hosts share: each window allows RetryRatio retries per request and
 	// RetryBurst retries in addition.
-	RetryWindowMs int     `json:"retryWindowMs,omitempty" validate:"min=0,max=600000"`
-	RetryRatio    float64 `json:"retryRatio,omitempty" validate:"min=0,max=10"`
-	RetryBurst    float64 `json:"retryBurst,omitempty" validate:"min=0,max=1000000"`
+	RetryWindowMs Milliseconds `json:"retryWindowMs,omitempty" validate:"milliseconds=600000"`
+	// The same in seconds; at most one of the two may be set.
+	RetryWindowS Seconds `json:"retryWindowS,omitempty" validate:"seconds=600"`
+	RetryRatio   float64 `json:"retryRatio,omitempty" validate:"min=0,max=10"`
+	RetryBurst   float64 `json:"retryBurst,omitempty" validate:"min=0,max=1000000"`
 	// Retry delay that is sent to callers whose requests are rejected under overload.
-	OverloadRetryMs int `json:"overloadRetryMs,omitempty" validate:"min=0,max=600000"`
+	OverloadRetryMs Milliseconds `json:"overloadRetryMs,omitempty" validate:"milliseconds=600000"`
 	// Time between the stop signal and the first rejection of new requests.
-	DrainNoticeMs int `json:"drainNoticeMs,omitempty" validate:"min=0,max=60000"`
+	DrainNoticeMs Milliseconds `json:"drainNoticeMs,omitempty" validate:"milliseconds=60000"`
 	// The platform pushes its host list and the configuration; the daemon reads neither.
 	PlatformPushes bool `json:"platformPushes,omitempty"`
 }
@@ -78,25 +80,27 @@
 	if l.MaxRequests > 0 {
 		limits.MaxRequests = l.MaxRequests
 	}
-	overrideMs(&limits.HostListEvery, l.HostListEveryMs)
-	overrideMs(&limits.ConfigEvery, l.ConfigEveryMs)
-	overrideMs(&limits.ProbeEvery, l.ProbeEveryMs)
-	overrideMs(&limits.GossipEvery, l.GossipEveryMs)
-	overrideMs(&limits.HostTimeout, l.HostTimeoutMs)
-	overrideMs(&limits.LeaveLimit, l.LeaveLimitMs)
-	overrideMs(&limits.LeaseTTL, l.LeaseTTLMs)
-	overrideMs(&limits.OrderTimeout, l.OrderTimeoutMs)
-	overrideMs(&limits.DrainNotice, l.DrainNoticeMs)
-	overrideMs(&limits.RetryWindow, l.RetryWindowMs)
-	overrideMs(&limits.OverloadRetry, l.OverloadRetryMs)
+	override(&limits.HostListEvery, l.HostListEveryMs.Duration())
+	override(&limits.ConfigEvery, l.ConfigEveryMs.Duration())
+	override(&limits.ProbeEvery, l.ProbeEveryMs.Duration())
+	override(&limits.GossipEvery, l.GossipEveryMs.Duration())
+	override(&limits.HostTimeout, l.HostTimeoutMs.Duration())
+	override(&limits.LeaveLimit, l.LeaveLimitMs.Duration())
+	override(&limits.LeaseTTL, l.LeaseTTLMs.Duration())
+	override(&limits.OrderTimeout, l.OrderTimeoutMs.Duration())
+	override(&limits.DrainNotice, l.DrainNoticeMs.Duration())
+	override(&limits.RetryWindow, l.RetryWindowMs.Duration())
+	override(&limits.RetryWindow, l.RetryWindowS.Duration())
+	override(&limits.OverloadRetry, l.OverloadRetryMs.Duration())
+	limits.LeaseTTL = limits.LeaseTTL.Truncate(time.Millisecond) // the row of the lease holds whole milliseconds
 	limits.RetryRatio, limits.RetryBurst, limits.PlatformPushes = l.RetryRatio, l.RetryBurst, l.PlatformPushes
 	return limits
 }
 
-// overrideMs sets d to ms milliseconds, or leaves its default if ms is 0.
-func overrideMs(d *time.Duration, ms int) {
-	if ms > 0 {
-		*d = time.Duration(ms) * time.Millisecond
+// override sets d to a setting, or leaves its default if the setting is 0.
+func override(d *time.Duration, setting time.Duration) {
+	if setting > 0 {
+		*d = setting
 	}
 }
 
@@ -131,6 +135,9 @@
 	c.checkMinimum("limits.leaveLimitMs", limits.LeaveLimit, limits.ProbeEvery, "probeEveryMs")
 	// The lease holder stops sending orders one order timeout before the lease expires.
 	c.checkMinimum("limits.leaseTtlMs", limits.LeaseTTL, 2*limits.OrderTimeout, "twice orderTimeoutMs")
+	if d.Limits.RetryWindowMs != 0 && d.Limits.RetryWindowS != 0 {
+		c.reject("limits.retryWindowS", formatNumber(float64(d.Limits.RetryWindowS)), "only one of retryWindowMs and retryWindowS")
+	}
 	c.checkUnique("seedPeers", "", d.SeedPeers)
 	return c.problems
 }
@@ -139,10 +146,15 @@
 // and, as bound, the expression that it comes from.
 func (c *checker) checkMinimum(field string, value, minimum time.Duration, bound string) {
 	if value < minimum {
-		c.reject(field, strconv.FormatInt(value.Milliseconds(), 10), fmt.Sprintf("at least %d (%s)", minimum.Milliseconds(), bound))
+		c.reject(field, formatMs(value), fmt.Sprintf("at least %s (%s)", formatMs(minimum), bound))
 	}
 }
 
+// formatMs returns a duration as a number of milliseconds.
+func formatMs(d time.Duration) string {
+	return formatNumber(float64(d) / float64(time.Millisecond))
+}
+
 func isLoopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
--- a/io/rocksettings/decoder.go
+++ b/io/rocksettings/decoder.go
@@ -167,10 +167,19 @@
 	literal, ok := v.Value.(hujson.Literal)
 	// encoding/json ignores null without an error, which would hide a missing value.
 	if !ok || literal.Kind() == 'n' || json.Unmarshal(literal, dst.Addr().Interface()) != nil {
-		d.reject(path, describeKind(dst.Kind()))
+		d.reject(path, d.describeLiteral(path, dst))
 	}
 }
 
+// describeLiteral returns what a value of the file may be that was decoded into dst.
+func (d *decoder) describeLiteral(path string, dst reflect.Value) string {
+	if isDuration(dst.Type()) {
+		name, param, _ := strings.Cut(d.ruleByPath[path].tag, "=")
+		return describeDurationRule(name, param)
+	}
+	return describeKind(dst.Kind())
+}
+
 // addRules records the rules of all fields of a struct, including fields that the file omits. The
 // problem of a missing field quotes its rule.
 func (d *decoder) addRules(path string, t reflect.Type) {
--- a/io/rocksettings/validate.go
+++ b/io/rocksettings/validate.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-playground/validator/v10"
 )
@@ -18,6 +19,8 @@
 	v.RegisterTagNameFunc(jsonName)
 	registerAddressRule(v, "listen", 0)
 	registerAddressRule(v, "address", 1)
+	registerDurationRule(v, millisecondsTag, time.Millisecond)
+	registerDurationRule(v, secondsTag, time.Second)
 	return v
 }
 
@@ -112,6 +115,8 @@
 		return "an address host:port to listen on"
 	case "address":
 		return "an address host:port"
+	case millisecondsTag, secondsTag:
+		return describeDurationRule(name, param)
 	case "omitempty", "":
 		return ""
 	default:
