Let a begun stream wait for room until its deadline

expireRequeued ended a request that had begun and waited for room after the limit of its rank for the first token, about 5 s, whatever its route and its caller allowed. It now waits until its deadline. The limit of the rank holds where a request has no deadline, and for one that never ran, which is refused as not run.

TestBegunStreamWaitsForRoom and TestBegunStreamEndsWithItsTime (deadline) failed before.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -173,7 +173,7 @@
 }
 
 // expireRequeued ends requeued requests that waited for free capacity for longer than the limit for
-// the first token.
+// the first token. A request that has begun and has a deadline waits until then.
 func expireRequeued(now time.Time, w *rocktable.World, key rocktable.LaneKey, lane *rocktable.Lane) {
 	limit := FirstTokenLimit(w.Ranks.Get(key.Rank).Config)
 	for i := len(lane.FrontQueue) - 1; i >= 0; i-- {
@@ -181,6 +181,9 @@
 		if !r.Requeued {
 			continue // a suspect that never ran; rockadmit sheds it
 		}
+		if r.MayHaveRun && !r.Deadline.IsZero() {
+			continue
+		}
 		if end := r.QueuedAt.Add(limit); now.Before(end) {
 			w.WakeAt(end)
 			continue
--- a/core/rockretry/limit.go
+++ b/core/rockretry/limit.go
@@ -28,8 +28,8 @@
 // StepLimit returns the longest wait for one step of one stage in a rank.
 func StepLimit(c rocktable.RankConfig) time.Duration { return max(10*c.GapTarget(), minStepLimit) }
 
-// FirstTokenLimit returns the longest wait for the first token in a rank, and the longest wait of a
-// requeued request for free capacity.
+// FirstTokenLimit returns the longest wait for the first token in a rank, and the longest wait for free capacity of a
+// requeued request that has not begun or has no deadline.
 func FirstTokenLimit(c rocktable.RankConfig) time.Duration {
 	return max(4*c.FirstTokenTarget(), minFirstTokenLimit)
 }
--- /dev/null
+++ b/core/rocktick/begun_test.go
@@ -0,0 +1,84 @@
+package rocktick_test
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// fillServers sets whether other hosts use all slots of the backend servers.
+func fillServers(w *rocktable.World, full bool) {
+	for _, s := range w.Servers.All() {
+		s.PeerInFlight = 0
+		if full {
+			s.PeerInFlight = s.Status.Slots
+		}
+	}
+}
+
+// report adds a report of each backend server, which otherwise counts as down after a while.
+func report(w *rocktable.World) {
+	for _, s := range w.Servers.All() {
+		w.Inbox.Probes = append(w.Inbox.Probes, rocktable.ProbeResult{Server: s.ID, OK: true, RoundTrip: time.Millisecond, Status: s.Status})
+	}
+}
+
+// breakBegunStream starts a stream, breaks it after two tokens and returns a world in which it waits for room.
+func breakBegunStream(t *testing.T, deadline time.Time) *rocktable.World {
+	t.Helper()
+	w := newWorld()
+	setUpPipeline(t, w)
+	w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
+		ID: 1, Caller: w.CallerNamed("guild").ID, Pipeline: w.InternPipeline("captions").ID, ArrivedAt: start, PromptTokens: 10, MaxTokens: 5, Deadline: deadline,
+	}})
+	attempt := run(t, start, w).Outbox.Starts[0]
+	fillServers(w, true)
+	w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{
+		Attempt: attempt.Attempt, Reason: rockreason.StageStalled, FailedServer: attempt.Path[0].Server, Tokens: 2, FirstTokenAt: start,
+	})
+	if out := run(t, start, w).Outbox; len(out.Starts)+len(out.Answers) != 0 {
+		t.Fatalf("got starts %+v and answers %+v, want a stream that waits for room", out.Starts, out.Answers)
+	}
+	return w
+}
+
+// Guards against a begun stream that ends while it waits for room, although it has time left.
+func TestBegunStreamWaitsForRoom(t *testing.T) {
+	w := breakBegunStream(t, start.Add(time.Minute))
+	for at := time.Second; at <= 50*time.Second; at += time.Second {
+		report(w)
+		if out := run(t, start.Add(at), w).Outbox; len(out.Answers) != 0 {
+			t.Fatalf("got answers %+v after %s of a minute, want a stream that waits for room", out.Answers, at)
+		}
+	}
+	fillServers(w, false)
+	report(w)
+	if out := run(t, start.Add(51*time.Second), w).Outbox; len(out.Starts) != 1 || out.Starts[0].Epoch != 2 {
+		t.Errorf("got starts %+v and answers %+v, want a second attempt once there is room", out.Starts, out.Answers)
+	}
+}
+
+// Guards against a begun stream that waits for room for ever: its deadline ends it, or the limit of its rank if it has
+// none.
+func TestBegunStreamEndsWithItsTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline time.Time
+		end      time.Duration
+		reason   rockreason.Code
+	}{
+		"deadline":    {start.Add(20 * time.Second), 20 * time.Second, rockreason.TimedOut},
+		"no deadline": {time.Time{}, 5 * time.Second, rockreason.Stalled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := breakBegunStream(t, c.deadline)
+			if out := run(t, start.Add(c.end-time.Millisecond), w).Outbox; len(out.Answers) != 0 {
+				t.Fatalf("got answers %+v before the time was used up, want none", out.Answers)
+			}
+			if out := run(t, start.Add(c.end), w).Outbox; len(out.Answers) != 1 || out.Answers[0].Reason != c.reason {
+				t.Errorf("got answers %+v when the time was used up, want one with reason %q", out.Answers, c.reason)
+			}
+		})
+	}
+}
