Retry a request without a first token until its deadline

isFirstTokenOverdue ended a request whose attempt failed more than the rank's limit for the first token, 5 s or more, after its arrival, however much time its route and its caller left. The limit holds only for a request without a deadline now. One that never ran and whose target is out of reach is refused as not run; before it was said to have failed.

TestSlowFirstAttemptIsRetriedWithinTheDeadline failed before.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -166,10 +166,10 @@
 	return ""
 }
 
-// isFirstTokenOverdue reports whether a request has waited for its first token for longer than its
+// isFirstTokenOverdue reports whether a request without a deadline has waited for its first token for longer than its
 // rank allows.
 func isFirstTokenOverdue(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
-	return r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(w.Ranks.Get(r.Rank).Config)
+	return r.Deadline.IsZero() && r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(w.Ranks.Get(r.Rank).Config)
 }
 
 // expireRequeued ends requeued requests that waited for free capacity for longer than the limit for
--- a/core/rocktick/begun_test.go
+++ b/core/rocktick/begun_test.go
@@ -82,3 +82,38 @@
 		})
 	}
 }
+
+// Guards against a request that ends with its first attempt because that took long, although the request has time left,
+// and against one that is said to have failed although it never ran.
+func TestSlowFirstAttemptIsRetriedWithinTheDeadline(t *testing.T) {
+	deadline := start.Add(time.Minute)
+	for _, c := range []struct {
+		ended    rockreason.Code
+		deadline time.Time
+		answer   rockreason.Code // empty for a retry
+	}{
+		{rockreason.StageStalled, deadline, ""},
+		{rockreason.StageDied, deadline, ""},
+		{rockreason.StageRefused, deadline, rockreason.Shed}, // its target is out of reach
+		{rockreason.StageStalled, time.Time{}, rockreason.Stalled},
+		{rockreason.StageDied, time.Time{}, rockreason.BackendFailed},
+	} {
+		w := newWorld()
+		setUpPipeline(t, w)
+		w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
+			ID: 1, Caller: w.CallerNamed("guild").ID, Pipeline: w.InternPipeline("captions").ID, ArrivedAt: start, PromptTokens: 10, MaxTokens: 5, Deadline: c.deadline,
+		}})
+		attempt := run(t, start, w).Outbox.Starts[0]
+		now := start.Add(5*time.Second + time.Millisecond) // beyond the limit of the rank for the first token
+		report(w)
+		w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{Attempt: attempt.Attempt, Reason: c.ended, FailedServer: attempt.Path[0].Server})
+		out := run(t, now, w).Outbox
+		var answer rockreason.Code
+		if len(out.Answers) == 1 {
+			answer = out.Answers[0].Reason
+		}
+		if answer != c.answer || len(out.Starts)+len(out.Answers) != 1 {
+			t.Errorf("%s, deadline %v: got starts %+v and answers %+v, want answer %q, or a retry", c.ended, c.deadline, out.Starts, out.Answers, c.answer)
+		}
+	}
+}
