--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -166,14 +166,14 @@
 	return ""
 }
 
-// isFirstTokenOverdue reports whether a request has waited for its first token for longer than its
+// isFirstTokenOverdue reports whether a request without a deadline has waited for its first token for longer than its
 // rank allows.
 func isFirstTokenOverdue(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
-	return r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(w.Ranks.Get(r.Rank).Config)
+	return r.Deadline.IsZero() && r.FirstTokenAt.IsZero() && now.Sub(r.ArrivedAt) > FirstTokenLimit(w.Ranks.Get(r.Rank).Config)
 }
 
 // expireRequeued ends requeued requests that waited for free capacity for longer than the limit for
-// the first token.
+// the first token. A request that has begun and has a deadline waits until then.
 func expireRequeued(now time.Time, w *rocktable.World, key rocktable.LaneKey, lane *rocktable.Lane) {
 	limit := FirstTokenLimit(w.Ranks.Get(key.Rank).Config)
 	for i := len(lane.FrontQueue) - 1; i >= 0; i-- {
@@ -181,6 +181,9 @@
 		if !r.Requeued {
 			continue // a suspect that never ran; rockadmit sheds it
 		}
+		if r.MayHaveRun && !r.Deadline.IsZero() {
+			continue
+		}
 		if end := r.QueuedAt.Add(limit); now.Before(end) {
 			w.WakeAt(end)
 			continue
