Ask whether the process still runs before a stream without a length ends

Cause: the kernel closes the connections of a killed process like those of a process that has sent all, and finishStream took each end between two events for the last one.

Change: after such an end the host asks the server of the first stage for its report. A refused connection or another incarnation shows that the process has ended: the attempt counts as a crash, and the stream is resumed elsewhere.

--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -85,7 +85,7 @@
 func WithService(s *rockservice.Client) Option { return func(d *Daemon) { d.service = s } }
 
 // WithRelay makes the daemon serve requests over engines that run the full path, which means all
-// stages. The function fields Open, FetchWaiting and Move have to be set; the daemon sets the others.
+// stages. The function fields Open, FetchWaiting, FetchProcess and Move have to be set; the daemon sets the others.
 func WithRelay(r *rockrelay.Relay) Option { return func(d *Daemon) { d.relay = r } }
 
 // WithCallersHandler replaces the handler of callers' requests.
--- a/io/rockrelay/doc.go
+++ b/io/rockrelay/doc.go
@@ -5,5 +5,5 @@
 // One goroutine serves each request. It reports the arrival to the control thread, opens the
 // attempts that the control thread starts, forwards the events of a stream as they arrive, and
 // reports the first event, a stall and the end of each attempt. Message encodings stay behind the
-// function fields Open, FetchWaiting and Move, and behind Sink.
+// function fields Open, FetchWaiting, FetchProcess and Move, and behind Sink.
 package rockrelay
--- /dev/null
+++ b/io/rockrelay/end_test.go
@@ -0,0 +1,106 @@
+package rockrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockstream"
+	"sassafrasrock/core/rocktable"
+)
+
+// unframed returns an answer that ends with its connection.
+func unframed(text string) func() (*Response, error) {
+	return func() (*Response, error) {
+		h := http.Header{"Content-Type": {streamType}}
+		return &Response{Status: 200, Header: h, Body: io.NopCloser(strings.NewReader(text)), EndsWithConnection: true}, nil
+	}
+}
+
+// process is an answer to the question for the process of a backend server.
+type process struct {
+	rockstream.Process
+	err error
+}
+
+// Guards against a stream that ends as complete because its backend server crashed between two events, and against one of
+// a sound backend server that is silent, or does not tell its incarnation, and counts as cut off.
+func TestCrashEndsNoStreamAsComplete(t *testing.T) {
+	silent := process{err: context.DeadlineExceeded}
+	broken := process{err: io.ErrUnexpectedEOF}
+	gone := process{Process: rockstream.Process{Gone: true}}
+	same, other := process{Process: rockstream.Process{Incarnation: serverIncarnation}}, process{Process: rockstream.Process{Incarnation: serverIncarnation + 1}}
+	for name, c := range map[string]struct {
+		answer func() (*Response, error)
+		told   []process
+		cutOff bool
+	}{
+		"same process":             {unframed(event(1)), []process{same}, false},
+		"gone":                     {unframed(event(1)), []process{gone}, true},
+		"started again":            {unframed(event(1)), []process{other}, true},
+		"gone while it is asked":   {unframed(event(1)), []process{broken, gone}, true},
+		"gone after a silence":     {unframed(event(1)), []process{silent, silent, gone}, true},
+		"silent":                   {unframed(event(1)), []process{silent, silent, silent}, false},
+		"refuses more connections": {unframed(event(1)), []process{broken, broken, same}, false},
+		"framed":                   {respond(io.NopCloser(strings.NewReader(event(1)))), nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(t, streaming)
+				asked := 0
+				b.FetchProcess = func(context.Context, Attempt) (rockstream.Process, error) {
+					asked++
+					p := c.told[min(asked, len(c.told))-1]
+					return p.Process, p.err
+				}
+				caller := b.send(t.Context(), Request{ID: "a"})
+				waitFor(t, b, arrivals)
+				b.answers <- c.answer
+				b.startAttempt(1)
+				e := waitFor(t, b, endings)
+				if asked != len(c.told) {
+					t.Errorf("the backend server was asked %d times, want %d", asked, len(c.told))
+				}
+				if c.cutOff {
+					if e.Reason != rockreason.StageDied || !e.Crashed || e.FailedServer != 1 {
+						t.Errorf("got end %+v, want a crash of backend server 1", e)
+					}
+					b.answers <- answer(200, streamType, event(2))
+					b.startAttempt(2)
+					e = waitFor(t, b, endings)
+				}
+				if e.Reason != "" {
+					t.Errorf("got end %q, want a complete answer", e.Reason)
+				}
+				b.sendAnswer(rocktable.Answer{})
+				<-caller.done
+			})
+		})
+	}
+}
+
+// Guards against an answer that counts as complete while its end is being checked and its caller leaves.
+func TestCallerLeavesWhileTheEndIsChecked(t *testing.T) {
+	b := newFixture(t, streaming)
+	ctx, cancel := context.WithCancel(t.Context())
+	b.FetchProcess = func(ctx context.Context, _ Attempt) (rockstream.Process, error) {
+		cancel()
+		<-ctx.Done()
+		return rockstream.Process{}, ctx.Err()
+	}
+	caller := b.send(ctx, Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- unframed(event(1))
+	b.startAttempt(1)
+	if e := waitFor(t, b, endings); e.Reason != rockreason.CallerLeft {
+		t.Fatalf("got end %q, want %q", e.Reason, rockreason.CallerLeft)
+	}
+	if <-caller.done; !errors.Is(caller.err, context.Canceled) {
+		t.Errorf("got error %v, want that of the caller's context", caller.err)
+	}
+}
--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -29,7 +30,7 @@
 
 // forwardEvents sends the events of an answer to the caller as they arrive. It drops events that
 // the caller already has, also those from before the caller resumed the stream itself.
-func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
+func (x *exchange) forwardEvents(ctx context.Context, a Attempt, start rocktable.Start, resp *Response, watch *stallWatch) error {
 	defer resp.Body.Close()
 	if resp.Status < 200 || resp.Status > 299 {
 		return StatusError(resp.Status)
@@ -43,7 +44,8 @@
 	for {
 		event, err := x.readEvent(lines)
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, begun, held, event)
+			watch.stop()
+			return x.finishStream(ctx, a, resp, begun, held, event)
 		}
 		if err != nil {
 			return err
@@ -92,7 +94,7 @@
 
 // finishStream handles the end of an answer. begun tells whether it had an event with data, held has events that were not
 // forwarded yet, and rest the bytes after the last complete event.
-func (x *exchange) finishStream(resp *Response, begun bool, held, rest []byte) error {
+func (x *exchange) finishStream(ctx context.Context, a Attempt, resp *Response, begun bool, held, rest []byte) error {
 	switch {
 	case len(rest) > 0:
 		return errPartialEvent
@@ -101,6 +103,9 @@
 	case !begun && (mediaType(resp.Header) == "" || !isComment(held)):
 		return errNotStream // a resumed stream may have nothing left to send, but then it says that it is a stream
 	}
+	if err := x.confirmEnd(ctx, a, resp); err != nil {
+		return err
+	}
 	if len(held) > 0 {
 		return x.forward(resp, held)
 	}
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -14,6 +14,7 @@
 
 	"sassafrasrock/core/rocklookup"
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockstream"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockguard"
 )
@@ -58,6 +59,7 @@
 	Priority    int               // 0 is the most urgent
 	Deadline    time.Time         // zero if there is none
 	LastEventID string            // the stream resumes after this event; empty to start at the first event
+	Incarnation uint64            // of the backend server at the address; 0 if it is not known
 }
 
 // Response is the beginning of a backend server's answer.
@@ -67,6 +69,9 @@
 	Body          io.ReadCloser
 	NotRun        bool   // the backend server reported that it did not run the request
 	FailedAddress string // of the failed backend server, if the answer names one
+	// EndsWithConnection is set if the answer has neither a length nor chunks, so that its end does not show whether it is
+	// complete.
+	EndsWithConnection bool
 }
 
 // Sink writes the answer to a caller. Only one goroutine uses it.
@@ -87,6 +92,9 @@
 	// first stage runs there and which is waiting for another backend server, the result maps the
 	// request's ID to the address of that other one.
 	FetchWaiting func(ctx context.Context, address string) (map[string]string, error)
+	// FetchProcess asks the backend server of an attempt for its process. The error means that it is not known whether
+	// the process still runs.
+	FetchProcess func(ctx context.Context, a Attempt) (rockstream.Process, error)
 	// Move moves a running request to another path with the same first stage. After an error it
 	// stays on its present path.
 	Move func(ctx context.Context, a Attempt) error
--- a/io/rockrelay/relay_test.go
+++ b/io/rockrelay/relay_test.go
@@ -17,6 +17,9 @@
 	"sassafrasrock/core/rocktable"
 )
 
+// serverIncarnation is the incarnation of the first backend server of the attempts.
+const serverIncarnation = 7
+
 // fixture is a relay for tests that act as the control thread.
 type fixture struct {
 	*Relay
@@ -132,7 +135,7 @@
 func (b *fixture) startAttempt(attempt rocktable.AttemptID) {
 	b.Dispatch(rocktable.Outbox{Starts: []rocktable.Start{{
 		Request: 1, Attempt: attempt, FirstTokenLimit: time.Second, StepLimit: time.Second, SilenceLimit: 150 * time.Millisecond,
-		Path: []rocktable.Stage{{Server: 1, Name: "r1", Address: "r1:80", LastLayer: 1}, {Server: 2, Name: "r2", Address: "r2:80", FirstLayer: 2, LastLayer: 3}},
+		Path: []rocktable.Stage{{Server: 1, Name: "r1", Address: "r1:80", LastLayer: 1, Incarnation: serverIncarnation}, {Server: 2, Name: "r2", Address: "r2:80", FirstLayer: 2, LastLayer: 3}},
 	}}})
 }
 
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -28,6 +28,7 @@
 	errCallerWrite  = errors.New("write of the answer to the caller failed")
 	errPartialEvent = errors.New("answer ended inside an event")
 	errNoEvents     = errors.New("answer ended without an event")
+	errServerEnded  = errors.New("answer ended with the process of its backend server")
 	errNotStream    = errors.New("answer is not a stream of events, or does not go on after the last one")
 )
 
@@ -57,6 +58,7 @@
 	a := Attempt{
 		Request: x.req, ServerName: start.Path[0].Name, Address: start.Path[0].Address, Path: start.Path,
 		CallerName: x.dest.CallerName, Priority: start.Priority, Deadline: start.Deadline, LastEventID: x.resumeAfter(),
+		Incarnation: start.Path[0].Incarnation,
 	}
 	ctx, cancel := x.beginAttempt(ctx, start.Attempt, a)
 	defer cancel()
@@ -68,7 +70,7 @@
 	watch.start(max(start.SilenceLimit, start.FirstTokenLimit/firstCheckDivisor))
 	resp, err := x.relay.Open(ctx, a)
 	if err == nil {
-		err = x.forwardEvents(start, resp, watch)
+		err = x.forwardEvents(ctx, a, start, resp, watch)
 		x.releaseHeld()
 	}
 	watch.stop()
