End no resumed stream that has an event left by an empty answer

What callers could see: a stream breaks off inside an event, the server that should go on with it ends its answer after the head, and the stream ends as complete without the rest.

Cause: an answer without an event counted as nothing left to send, although the beginning of a further event had arrived before.

Change: an attempt that breaks off inside an event that the caller does not have is remembered until an event is sent; until then an answer without an event is a failed attempt. A cut comment, or a cut event that the caller has, leaves it as it was.

TestEmptyAnswerEndsNoStreamWithAnEventLeft fails in two of five cases before.

--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -43,6 +43,9 @@
 	begun := false  // an event with data arrived
 	for {
 		event, err := x.readEvent(lines)
+		if err != nil && isNewEvent(event, begun, x.resumeAfter()) {
+			x.stream.eventLeft = true
+		}
 		if errors.Is(err, io.EOF) {
 			watch.stop()
 			return x.finishStream(ctx, a, resp, begun, held, event)
@@ -75,7 +78,7 @@
 		if err := x.forward(resp, append(held, event...)); err != nil {
 			return err
 		}
-		held = nil
+		held, x.stream.eventLeft = nil, false
 		x.releaseHeld()
 		if hasID {
 			x.stream.lastEventID = id
@@ -98,7 +101,7 @@
 	switch {
 	case len(rest) > 0:
 		return errPartialEvent
-	case !begun && x.resumeAfter() == "":
+	case !begun && (x.resumeAfter() == "" || x.stream.eventLeft):
 		return errNoEvents
 	case !begun && (mediaType(resp.Header) == "" || !isComment(held)):
 		return errNotStream // a resumed stream may have nothing left to send, but then it says that it is a stream
@@ -138,6 +141,18 @@
 	return true
 }
 
+// isNewEvent reports whether the beginning of an event belongs to one that the caller does not have. begun tells whether
+// the same answer had such events before.
+func isNewEvent(beginning []byte, begun bool, last string) bool {
+	if isComment(beginning) {
+		return false
+	}
+	if id, ok := eventID(beginning); ok {
+		return isAfter(id, last)
+	}
+	return begun
+}
+
 // isComment reports whether events consist of comments and empty lines.
 func isComment(events []byte) bool {
 	for line := range bytes.Lines(events) {
--- a/io/rockrelay/resumed_test.go
+++ b/io/rockrelay/resumed_test.go
@@ -192,3 +192,45 @@
 		t.Errorf("got error %v, want %v", c.err, ErrIncomplete)
 	}
 }
+
+// Guards against an answer without an event that ends a resumed stream as complete although the attempt before broke off
+// inside an event: at least that one is left.
+func TestEmptyAnswerEndsNoStreamWithAnEventLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		before string
+		want   rockreason.Code
+	}{
+		"inside the next event":   {event(1) + event(2) + "id: 3\nda", rockreason.StageDied},
+		"inside a line":           {event(1) + event(2) + "i", rockreason.StageDied},
+		"behind the last event":   {event(1) + event(2), ""},
+		"inside a comment":        {event(1) + event(2) + ": still he", ""},
+		"inside a repeated event": {event(1) + event(2) + "id: 2\nda", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, streaming)
+			caller := b.send(t.Context(), Request{ID: "a"})
+			waitFor(t, b, arrivals)
+			b.answers <- respond(brokenBody(c.before, errors.New("reset")))
+			b.startAttempt(1)
+			waitFor(t, b, endings)
+			b.answers <- answer(200, streamType, "")
+			b.startAttempt(2)
+			if e := waitFor(t, b, endings); e.Reason != c.want {
+				t.Errorf("got end %q, want %q", e.Reason, c.want)
+			}
+			want := event(1) + event(2)
+			if c.want != "" {
+				b.answers <- answer(200, streamType, event(3))
+				b.startAttempt(3)
+				if e := waitFor(t, b, endings); e.Reason != "" {
+					t.Errorf("got end %q of the third attempt, want a complete answer", e.Reason)
+				}
+				want += event(3)
+			}
+			b.sendAnswer(rocktable.Answer{})
+			if <-caller.done; caller.body.String() != want {
+				t.Errorf("caller got %q, want %q", caller.body.String(), want)
+			}
+		})
+	}
+}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -37,6 +37,7 @@
 	headerSent      bool
 	mediaType       string // of the headers sent to the caller
 	lastEventID     string // of the last event sent to the caller
+	eventLeft       bool   // an attempt broke off inside an event that the caller does not have
 	events          int
 	eventsBefore    int // events of earlier attempts
 	firstEventAt    time.Time
