Ask whether the process still runs before a call without a length ends

Cause: the same as of streams: the end of the connection counted as the end of the answer.

Change: after such an answer the host opens a connection to the server, because plain services have no report and their health path takes a slot. A refused connection ends the call with outcomeUnknown. Refusals are believed as before.

--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -40,6 +40,9 @@
 	if err == nil {
 		answer, err = x.readAnswer(resp)
 	}
+	if err == nil && !resp.NotRun {
+		err = x.confirmEnd(ctx, a, resp)
+	}
 	switch {
 	case err != nil && ctx.Err() != nil: // canceled by the control thread or the caller
 		e.Reason, e.Sent = rockreason.CallerLeft, !errors.Is(err, ErrNotSent)
--- a/io/rockrelay/end_test.go
+++ b/io/rockrelay/end_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rockstream"
@@ -84,6 +85,36 @@
 	}
 }
 
+// Guards against the answer to a call that counts as complete although its backend server crashed before its end, and
+// against a refusal that is no longer believed for this reason.
+func TestCrashEndsNoCallAsComplete(t *testing.T) {
+	route := rocktable.RouteConfig{Name: "pay", Host: "a.example", Prefix: "/", Targets: []rocktable.RouteTarget{{Name: "desk", Weight: 1}}, Attempts: 1}
+	for name, c := range map[string]struct {
+		notRun, gone bool
+		want         rockreason.Code
+	}{
+		"runs": {false, false, ""}, "gone": {false, true, rockreason.OutcomeUnknown}, "refused, then gone": {true, true, rockreason.StageRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, route)
+			b.FetchProcess = func(context.Context, Attempt) (rockstream.Process, error) {
+				return rockstream.Process{Gone: c.gone}, nil
+			}
+			caller := b.send(t.Context(), Request{ID: "a"})
+			waitFor(t, b, arrivals)
+			b.answers <- func() (*Response, error) {
+				return &Response{Status: 200, Body: io.NopCloser(strings.NewReader("a part")), NotRun: c.notRun, EndsWithConnection: true}, nil
+			}
+			b.Dispatch(rocktable.Outbox{CallStarts: []rocktable.CallStart{{Request: 1, Server: 1, Name: "d1", Address: "d1:80", Timeout: time.Minute}}})
+			if e := waitFor(t, b, callEndings); e.Reason != c.want || e.Sent == c.notRun {
+				t.Errorf("got end %q, sent %v; want %q", e.Reason, e.Sent, c.want)
+			}
+			b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+			<-caller.done
+		})
+	}
+}
+
 // Guards against an answer that counts as complete while its end is being checked and its caller leaves.
 func TestCallerLeavesWhileTheEndIsChecked(t *testing.T) {
 	b := newFixture(t, streaming)
