--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -92,8 +92,8 @@
 	// first stage runs there and which is waiting for another backend server, the result maps the
 	// request's ID to the address of that other one.
 	FetchWaiting func(ctx context.Context, address string) (map[string]string, error)
-	// FetchProcess asks the backend server of an attempt for its process. The error means that it is not known whether
-	// the process still runs.
+	// FetchProcess asks the backend server of an attempt for its process. The error wraps syscall.ECONNREFUSED if nothing
+	// listens at its address; after any other one it is not known whether the process still runs.
 	FetchProcess func(ctx context.Context, a Attempt) (rockstream.Process, error)
 	// Move moves a running request to another path with the same first stage. After an error it
 	// stays on its present path.
