Lose an answer of a plain service that a crash may have cut off

What callers of the product's own interface could see: a server that crashes after the head of an answer without a length or chunks leaves a short success, which is recorded as the outcome of the call.

Change: after such an answer the client asks whether the process still runs; a refused connection makes it ErrLost.

TestCrashOfAServiceLosesTheAnswer got the body 'a part' and no error before.

--- a/io/rockdaemon/cut_test.go
+++ b/io/rockdaemon/cut_test.go
@@ -1,6 +1,7 @@
 package rockdaemon
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -91,6 +92,42 @@
 	}
 }
 
+// Guards against a crash that ends an answer without a length or chunks as complete: a part of it would be recorded as the
+// outcome of a call.
+func TestCrashOfAServiceLosesTheAnswer(t *testing.T) {
+	for name, crash := range map[string]bool{"runs on": false, "crashes": true} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+						if crash {
+							_ = l.Close()
+						}
+					}()
+				}
+			}()
+			reply, err := rockservice.New().Do(t.Context(), l.Addr().String(), rockservice.Call{Method: http.MethodPost, Path: "/x"})
+			if crash != errors.Is(err, rockservice.ErrLost) || !crash && string(reply.Body) != "a part" {
+				t.Errorf("got body %q and error %v", reply.Body, err)
+			}
+		})
+	}
+}
+
 // Guards against an answer of an engine whose connection is cut at any byte and that is taken for a whole one.
 func TestCutAnswerOfAnEngineIsLost(t *testing.T) {
 	want := rocktable.EngineStatus{Name: "r1", Model: "m", LastLayer: 3, Slots: 8, Incarnation: 17}
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -11,8 +11,15 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasrock/core/rockstream"
+	"sassafrasrock/io/rockliveness"
 )
 
+var errServerEnded = eris.New("answer ended with the process of its backend server")
+
 // The headers that carry Call.IdempotencyKey and Call.AttemptID.
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
@@ -91,9 +98,29 @@
 	if len(body) > c.options.MaxBodyBytes {
 		return Reply{}, fail(fmt.Errorf("answer is longer than %d bytes", c.options.MaxBodyBytes))
 	}
+	if rockliveness.EndsWithConnection(resp) {
+		if err := confirmEnd(ctx, address); err != nil {
+			return Reply{}, fail(err)
+		}
+	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// confirmEnd returns an error if the process at an address has ended, so that an answer that ended with its connection may
+// be cut off.
+func confirmEnd(ctx context.Context, address string) error {
+	process, err := rockliveness.Find(ctx, func(ctx context.Context) (rockstream.Process, error) {
+		return rockliveness.Connect(ctx, address)
+	})
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case err == nil && rockstream.IsCutOff(0, process):
+		return errServerEnded
+	}
+	return nil // a backend server that is silent may be sound
+}
+
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
