End no stream as complete that waits for a dead server of its path

What callers could see: a stream without a length or chunks whose path has a dead server is cut off by the first server, which still runs, and ends as complete.

Cause: the end of the connection counted as the end of the stream, although the last report said that the stream waits for another server.

Change: such an end, with no event since the report, is a stall of that other server; the stream is resumed elsewhere.

TestStreamThatWaitedForAServerIsNotComplete got a complete answer before.

--- a/io/rockrelay/end_test.go
+++ b/io/rockrelay/end_test.go
@@ -135,3 +135,44 @@
 		t.Errorf("got error %v, want that of the caller's context", caller.err)
 	}
 }
+
+// Guards against a stream that ends as complete because its first backend server closed the connection while it waited for
+// a dead one further on the path.
+func TestStreamThatWaitedForAServerIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		waits bool
+		want  rockreason.Code
+	}{"waits": {true, rockreason.StageStalled}, "waits for none": {false, ""}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(t, streaming)
+				b.canContinue = false
+				b.FetchWaiting = func(context.Context, string) (map[string]string, error) {
+					if !c.waits {
+						return nil, nil
+					}
+					return map[string]string{"a": "r2:80"}, nil
+				}
+				b.FetchProcess = func(context.Context, Attempt) (rockstream.Process, error) {
+					return rockstream.Process{Incarnation: serverIncarnation}, nil
+				}
+				caller := b.send(t.Context(), Request{ID: "a"})
+				waitFor(t, b, arrivals)
+				r, w := io.Pipe()
+				b.answers <- func() (*Response, error) {
+					return &Response{Status: 200, Header: http.Header{}, Body: r, EndsWithConnection: true}, nil
+				}
+				b.startAttempt(1)
+				_, _ = io.WriteString(w, event(1))
+				time.Sleep(900 * time.Millisecond)
+				_ = w.Close()
+				e := waitFor(t, b, endings)
+				if e.Reason != c.want || c.waits && e.FailedServer != 2 {
+					t.Errorf("got end %q by backend server %d, want %q by 2", e.Reason, e.FailedServer, c.want)
+				}
+				b.sendAnswer(rocktable.Answer{Reason: e.Reason})
+				<-caller.done
+			})
+		})
+	}
+}
--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -48,6 +48,9 @@
 		}
 		if errors.Is(err, io.EOF) {
 			watch.stop()
+			if resp.EndsWithConnection && watch.awaitedServer() != 0 {
+				return errStalled
+			}
 			return x.finishStream(ctx, a, resp, begun, held, event)
 		}
 		if err != nil {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -1,6 +1,7 @@
 package rockrelay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -85,7 +86,7 @@
 	}
 	e := x.endReport(start, resp, err)
 	if errors.Is(err, errStalled) {
-		e.FailedServer = silentServer
+		e.FailedServer = cmp.Or(silentServer, watch.awaitedServer())
 	}
 	e.Tokens = x.stream.events - x.stream.eventsBefore
 	if err != nil {
--- a/io/rockrelay/watch.go
+++ b/io/rockrelay/watch.go
@@ -31,6 +31,7 @@
 	events   int
 	reported bool
 	stopped  bool
+	awaited  rocktable.BackendServerID // for which the first backend server of the path waits; 0 for none
 }
 
 // start begins the watch. The time to the first check is a parameter, since the first event may
@@ -51,6 +52,12 @@
 	found := w.findCause()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.events == events && !w.stopped {
+		w.awaited = 0
+		if !found.atFirstStage {
+			w.awaited = found.failedServer
+		}
+	}
 	switch {
 	case w.stopped:
 	case found.failedServer == 0 || w.events != events:
@@ -73,12 +80,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.events++
-	w.reported = false
+	w.reported, w.awaited = false, 0
 	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.silenceLimit)
 	}
 }
 
+// awaitedServer returns the backend server for which the attempt waited when it was checked last, unless an event followed.
+func (w *stallWatch) awaitedServer() rocktable.BackendServerID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.awaited
+}
+
 // stop ends the watch.
 func (w *stallWatch) stop() {
 	w.mu.Lock()
