--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -29,7 +30,7 @@
 
 // forwardEvents sends the events of an answer to the caller as they arrive. It drops events that
 // the caller already has, also those from before the caller resumed the stream itself.
-func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
+func (x *exchange) forwardEvents(ctx context.Context, a Attempt, start rocktable.Start, resp *Response, watch *stallWatch) error {
 	defer resp.Body.Close()
 	if resp.Status < 200 || resp.Status > 299 {
 		return StatusError(resp.Status)
@@ -42,8 +43,15 @@
 	begun := false  // an event with data arrived
 	for {
 		event, err := x.readEvent(lines)
+		if err != nil && isNewEvent(event, begun, x.resumeAfter()) {
+			x.stream.eventLeft = true
+		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(resp, begun, held, event)
+			watch.stop()
+			if resp.EndsWithConnection && watch.awaitedServer() != 0 {
+				return errStalled
+			}
+			return x.finishStream(ctx, a, resp, begun, held, event)
 		}
 		if err != nil {
 			return err
@@ -73,7 +81,7 @@
 		if err := x.forward(resp, append(held, event...)); err != nil {
 			return err
 		}
-		held = nil
+		held, x.stream.eventLeft = nil, false
 		x.releaseHeld()
 		if hasID {
 			x.stream.lastEventID = id
@@ -92,15 +100,18 @@
 
 // finishStream handles the end of an answer. begun tells whether it had an event with data, held has events that were not
 // forwarded yet, and rest the bytes after the last complete event.
-func (x *exchange) finishStream(resp *Response, begun bool, held, rest []byte) error {
+func (x *exchange) finishStream(ctx context.Context, a Attempt, resp *Response, begun bool, held, rest []byte) error {
 	switch {
 	case len(rest) > 0:
 		return errPartialEvent
-	case !begun && x.resumeAfter() == "":
+	case !begun && (x.resumeAfter() == "" || x.stream.eventLeft):
 		return errNoEvents
 	case !begun && (mediaType(resp.Header) == "" || !isComment(held)):
 		return errNotStream // a resumed stream may have nothing left to send, but then it says that it is a stream
 	}
+	if err := x.confirmEnd(ctx, a, resp); err != nil {
+		return err
+	}
 	if len(held) > 0 {
 		return x.forward(resp, held)
 	}
@@ -133,6 +144,18 @@
 	return true
 }
 
+// isNewEvent reports whether the beginning of an event belongs to one that the caller does not have. begun tells whether
+// the same answer had such events before.
+func isNewEvent(beginning []byte, begun bool, last string) bool {
+	if isComment(beginning) {
+		return false
+	}
+	if id, ok := eventID(beginning); ok {
+		return isAfter(id, last)
+	}
+	return begun
+}
+
 // isComment reports whether events consist of comments and empty lines.
 func isComment(events []byte) bool {
 	for line := range bytes.Lines(events) {
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -1,6 +1,7 @@
 package rockrelay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,6 +29,7 @@
 	errCallerWrite  = errors.New("write of the answer to the caller failed")
 	errPartialEvent = errors.New("answer ended inside an event")
 	errNoEvents     = errors.New("answer ended without an event")
+	errServerEnded  = errors.New("answer ended with the process of its backend server")
 	errNotStream    = errors.New("answer is not a stream of events, or does not go on after the last one")
 )
 
@@ -36,6 +38,7 @@
 	headerSent      bool
 	mediaType       string // of the headers sent to the caller
 	lastEventID     string // of the last event sent to the caller
+	eventLeft       bool   // an attempt broke off inside an event that the caller does not have
 	events          int
 	eventsBefore    int // events of earlier attempts
 	firstEventAt    time.Time
@@ -57,6 +60,7 @@
 	a := Attempt{
 		Request: x.req, ServerName: start.Path[0].Name, Address: start.Path[0].Address, Path: start.Path,
 		CallerName: x.dest.CallerName, Priority: start.Priority, Deadline: start.Deadline, LastEventID: x.resumeAfter(),
+		Incarnation: start.Path[0].Incarnation,
 	}
 	ctx, cancel := x.beginAttempt(ctx, start.Attempt, a)
 	defer cancel()
@@ -68,7 +72,7 @@
 	watch.start(max(start.SilenceLimit, start.FirstTokenLimit/firstCheckDivisor))
 	resp, err := x.relay.Open(ctx, a)
 	if err == nil {
-		err = x.forwardEvents(start, resp, watch)
+		err = x.forwardEvents(ctx, a, start, resp, watch)
 		x.releaseHeld()
 	}
 	watch.stop()
@@ -82,7 +86,7 @@
 	}
 	e := x.endReport(start, resp, err)
 	if errors.Is(err, errStalled) {
-		e.FailedServer = silentServer
+		e.FailedServer = cmp.Or(silentServer, watch.awaitedServer())
 	}
 	e.Tokens = x.stream.events - x.stream.eventsBefore
 	x.recordRun(e.Tokens > 0 || e.Reason != rockreason.StageRefused && e.Reason != rockreason.StageUnreachable)
