Refuse a body that has not ended when the host stops

Cause: a body is read for up to 30 s, whether or not the host has begun to refuse new requests. The server waits for the connection, so that the process stays until it is killed.

What callers saw: a request whose body never ends was cut at the kill without an answer, and the stop took the whole grace.

The request is refused as not run, which it would be at the end of its body in any case.

--- a/core/rockdrain/drain.go
+++ b/core/rockdrain/drain.go
@@ -36,7 +36,7 @@
 		if end := w.StopSignalAt.Add(w.Limits.DrainNotice); now.Before(end) {
 			w.WakeAt(end)
 		} else {
-			w.Draining = true
+			w.Draining, w.Outbox.Closing = true, true
 		}
 	}
 	rockmember.SendUrgent(now, w)
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -27,6 +27,7 @@
 	Orders       []OrderSend
 	Changes      []StateChange
 	Counts       []rockreason.Code // counted in this tick
+	Closing      bool              // new requests are refused from this tick on
 	ShutdownDone bool
 }
 
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -67,6 +67,8 @@
 
 	drained     chan struct{} // closed when a graceful shutdown has no request left
 	drainedOnce sync.Once
+	closing     context.Context // ends when new requests are refused
+	close       context.CancelFunc
 }
 
 // Option configures a Daemon in New.
@@ -104,6 +106,9 @@
 // Relay returns the relay that WithRelay set, or nil.
 func (d *Daemon) Relay() *rockrelay.Relay { return d.relay }
 
+// Closing returns a context that ends when the host refuses new requests.
+func (d *Daemon) Closing() context.Context { return d.closing }
+
 // Snapshot returns the latest snapshot of the control state.
 func (d *Daemon) Snapshot() *rocktable.Snapshot { return d.control.Snapshot() }
 
@@ -145,6 +150,7 @@
 
 		tableChanges: newTableChanges(),
 	}
+	d.closing, d.close = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(d)
 	}
@@ -217,7 +223,7 @@
 	}
 	server := &rockhttp.Server{
 		Snapshot: d.control.Snapshot, Chat: d.traffic.Chat, Call: d.traffic.Call,
-		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(),
+		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(), Closing: d.closing,
 	}
 	d.callersServer = server.HTTPServer()
 	if d.callersHandler != nil {
--- a/io/rockdaemon/dispatch.go
+++ b/io/rockdaemon/dispatch.go
@@ -76,6 +76,9 @@
 	for _, op := range out.PartOps {
 		go runTableOp(d, partsTable, op, func(in *rocktable.Inbox) *[]rocktable.TableResult[rocktable.PartsRow] { return &in.PartResults })
 	}
+	if out.Closing {
+		d.close()
+	}
 	if out.ShutdownDone {
 		d.drainedOnce.Do(func() { close(d.drained) })
 	}
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -1,10 +1,12 @@
 package rockhttp
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"sassafrasrock/core/rockreason"
@@ -19,25 +21,29 @@
 )
 
 // ReadBody reads the body of a request, up to limit bytes. It returns a code if the head or the body is too long or the
-// encoding of the body is invalid. It returns an error if the connection is broken or too slow, in which case an answer
+// encoding of the body is invalid, or if the host refuses new requests before the body has ended, which the context closing
+// tells. It returns an error if the connection is broken or too slow, in which case an answer
 // would not reach the caller.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, rockreason.Code, error) {
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, closing context.Context) ([]byte, rockreason.Code, error) {
 	if headLength(r) > maxHeadBytes {
 		return nil, rockreason.HeadTooLong, nil
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // not every ResponseWriter has deadlines
+	deadline := newBodyDeadline(w, closing)
+	defer deadline.stop()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
 		return nil, rockreason.BodyTooLong, nil
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && deadline.isClosing() {
+		return nil, rockreason.ShuttingDown, nil
+	}
 	if netErr := net.Error(nil); errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || r.Context().Err() != nil {
 		return nil, "", errors.Join(err, r.Context().Err())
 	}
 	if err != nil {
 		return nil, rockreason.BrokenBody, nil
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	deadline.clear()
 	return body, "", nil
 }
 
--- a/io/rockhttp/server.go
+++ b/io/rockhttp/server.go
@@ -40,6 +40,9 @@
 
 	BodyLimitBytes int64         // bytes; 0 means DefaultBodyLimitBytes
 	WriteTimeout   time.Duration // 0 means DefaultWriteTimeout
+
+	// Closing ends when the host refuses new requests; nil means never.
+	Closing context.Context
 }
 
 // HTTPServer returns an HTTP server for Handler that limits slow and oversized requests.
@@ -100,7 +103,7 @@
 	if limit == 0 {
 		limit = DefaultBodyLimitBytes
 	}
-	body, code, err := ReadBody(c.Response(), c.Request(), limit)
+	body, code, err := ReadBody(c.Response(), c.Request(), limit, s.Closing)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
