Answer every request before the grace of a planned stop ends

Cause: the host did not know its grace and waited for whatever it had taken, without a limit. What lasted longer, waited in a queue or hung at a silent server was cut by the kill at the end of the grace, whatever the timeout of its route.

What callers saw: calls that had run, among them calls that must not run twice, ended with a closed connection at the end of the grace.

A stream that has begun is broken off then, not sooner. Without the setting the host waits as before. The notice takes at most half of the grace. stoppedNow has the status 502 now on both interfaces, because 503 promises that a request has not run.

--- a/core/rockclaim/row.go
+++ b/core/rockclaim/row.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -51,8 +52,14 @@
 			c.PendingOp, c.NextOp, c.OutcomeUnknown = 0, now, c.OutcomeUnknown || c.State != rocktable.ClaimReading
 			readBackIfWriting(c)
 		}
+		if r != nil && rockadmit.IsStopOver(now, w) {
+			endForStop(now, w, r, c)
+			if w.Claims.Get(id) == nil {
+				continue
+			}
+		}
 		if isClaiming(c) && (r == nil || !now.Before(c.Deadline)) {
-			abandonClaim(now, w, c)
+			abandonClaim(now, w, c, rockreason.PlatformOut)
 			if w.Claims.Get(id) == nil {
 				continue
 			}
@@ -78,9 +85,9 @@
 
 // abandonClaim refuses a call whose claim could not be written in time. It releases the claim if a write may still
 // take effect.
-func abandonClaim(now time.Time, w *rocktable.World, c *rocktable.Claim) {
+func abandonClaim(now time.Time, w *rocktable.World, c *rocktable.Claim, code rockreason.Code) {
 	if w.Requests.Get(c.Request) != nil {
-		w.Answer(c.Request, rockreason.PlatformOut)
+		w.Answer(c.Request, code)
 	}
 	if c.OutcomeUnknown || c.PendingOp != 0 {
 		releaseClaim(now, c)
@@ -132,7 +139,7 @@
 	case rocktable.TableUnavailable:
 		c.NextOp = now.Add(opRetryDelay)
 		if isClaiming(c) && !c.OutcomeUnknown {
-			abandonClaim(now, w, c)
+			abandonClaim(now, w, c, rockreason.PlatformOut)
 		}
 	case rocktable.TableOutcomeUnknown:
 		w.Count(rockreason.ClaimReadBack)
--- /dev/null
+++ b/core/rockclaim/stop.go
@@ -0,0 +1,22 @@
+package rockclaim
+
+import (
+	"time"
+
+	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+)
+
+// endForStop answers a call with a claim, shortly before the process is ended, with what is known of it.
+func endForStop(now time.Time, w *rocktable.World, r *rocktable.Request, c *rocktable.Claim) {
+	switch c.State {
+	case rocktable.ClaimWriting, rocktable.ClaimReading:
+		abandonClaim(now, w, c, rockreason.ShuttingDown)
+	case rocktable.ClaimHeld:
+		r.MayHaveRun = true
+		c.State, c.Row.State, c.NextOp = rocktable.ClaimRecording, rocktable.ClaimRowUnknown, now
+		w.Answer(r.ID, rockreason.StoppedNow)
+	case rocktable.ClaimRecording:
+		answerOutcome(w, r.ID, c.Row)
+	}
+}
--- a/core/rockdrain/drain.go
+++ b/core/rockdrain/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rocktable"
 )
@@ -33,7 +34,7 @@
 		rockmember.MarkSelfLeaving(w)
 	}
 	if !w.StopSignalAt.IsZero() && !w.Draining {
-		if end := w.StopSignalAt.Add(w.Limits.DrainNotice); now.Before(end) {
+		if end := w.StopSignalAt.Add(rockadmit.DrainNotice(w)); now.Before(end) {
 			w.WakeAt(end)
 		} else {
 			w.Draining, w.Outbox.Closing = true, true
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -265,10 +265,10 @@
 		OperatorAction: "None.",
 	},
 	{
-		Code: StoppedNow, Kind: Failure, Status: 503, Ran: MayHaveRun, Retryable: true,
+		Code: StoppedNow, Kind: Failure, Status: 502, Ran: MayHaveRun, Retryable: true,
 		Title:          "Host stopped",
-		Text:           "The host was told twice to stop and ended before the answer was whole.",
-		OperatorAction: "Give hosts time to finish: send the signal once.",
+		Text:           "The host had to end before the answer was whole: its grace was over, or it was told twice to stop.",
+		OperatorAction: "Give hosts time to finish: a longer grace, and the signal only once.",
 	},
 	{
 		Code: StageDied, Kind: Retry, Status: 0, Ran: NotReported, Retryable: true,
--- a/core/rockretry/deadline.go
+++ b/core/rockretry/deadline.go
@@ -26,7 +26,7 @@
 		case now.Before(r.Deadline):
 			updateEarliestDeadline(w, r.Deadline)
 		default:
-			expireRequest(w, r)
+			endRequest(w, r, rockreason.TimedOut, rockreason.Shed)
 		}
 	}
 	if !w.EarliestDeadline.IsZero() {
@@ -40,13 +40,13 @@
 	}
 }
 
-// expireRequest ends a request whose deadline has passed.
-func expireRequest(w *rocktable.World, r *rocktable.Request) {
+// endRequest cancels a request and answers it with the one of two reasons that holds: it may have run, or it has not.
+func endRequest(w *rocktable.World, r *rocktable.Request, mayHaveRun, notRun rockreason.Code) {
 	cancelRequest(w, r)
 	if r.MayHaveRun || r.Call != nil && r.Call.Runs > 0 {
 		r.MayHaveRun = true
-		w.Answer(r.ID, rockreason.TimedOut)
+		w.Answer(r.ID, mayHaveRun)
 		return
 	}
-	w.Answer(r.ID, rockreason.Shed)
+	w.Answer(r.ID, notRun)
 }
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -35,6 +35,7 @@
 		}
 	}
 	expireDeadlines(now, w)
+	endForStop(now, w)
 }
 
 func handleCallerDisconnect(w *rocktable.World, id rocktable.RequestID) {
--- a/core/rocktable/limits.go
+++ b/core/rocktable/limits.go
@@ -18,6 +18,7 @@
 	RetryBurst     float64       // additional retries in the window, over all hosts
 	OverloadRetry  time.Duration // least Retry-After of refusals due to load; 0 leaves the default of rockoutcome
 	DrainNotice    time.Duration // from the signal to stop until requests are refused, for slow load balancers
+	StopGrace      time.Duration // from the signal to stop until the process is ended from outside; 0 if it never is
 	PlatformPushes bool          // the platform pushes its list and the configuration, so neither is read
 }
 
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -202,5 +202,13 @@
 	return nil
 }
 
+// GraceEnd returns when the process is ended from outside. It is zero unless the host stops and knows its grace.
+func (w *World) GraceEnd() time.Time {
+	if w.StopSignalAt.IsZero() || w.Limits.StopGrace == 0 {
+		return time.Time{}
+	}
+	return w.StopSignalAt.Add(w.Limits.StopGrace)
+}
+
 // SelfHost returns this host's row.
 func (w *World) SelfHost() *Host { return w.Hosts.Get(w.Self) }
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -68,6 +68,9 @@
 	OverloadRetryMs int `json:"overloadRetryMs,omitempty" validate:"min=0,max=600000"`
 	// Time between the stop signal and the first rejection of new requests.
 	DrainNoticeMs int `json:"drainNoticeMs,omitempty" validate:"min=0,max=60000"`
+	// Time between the stop signal and the end of the process from outside, in seconds; 0 means that
+	// nothing ends it and it waits for its last request.
+	StopGraceS float64 `json:"stopGraceS,omitempty" validate:"min=0,max=3600"`
 	// The platform pushes its host list and the configuration; the daemon reads neither.
 	PlatformPushes bool `json:"platformPushes,omitempty"`
 }
@@ -87,6 +90,7 @@
 	overrideMs(&limits.LeaseTTL, l.LeaseTTLMs)
 	overrideMs(&limits.OrderTimeout, l.OrderTimeoutMs)
 	overrideMs(&limits.DrainNotice, l.DrainNoticeMs)
+	limits.StopGrace = time.Duration(l.StopGraceS * float64(time.Second))
 	overrideMs(&limits.RetryWindow, l.RetryWindowMs)
 	overrideMs(&limits.OverloadRetry, l.OverloadRetryMs)
 	limits.RetryRatio, limits.RetryBurst, limits.PlatformPushes = l.RetryRatio, l.RetryBurst, l.PlatformPushes
--- a/io/rocksettings/decode_test.go
+++ b/io/rocksettings/decode_test.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// Guards against a grace of a fraction of a second that is lost or rejected: platforms may state whole seconds or fractions.
+func TestStopGraceInSeconds(t *testing.T) {
+	for text, want := range map[string]time.Duration{"8": 8 * time.Second, "7.5": 7500 * time.Millisecond, "0": 0} {
+		file := strings.Replace(string(readExample(t, "sassafrasrockd.json")), `"orderTimeoutMs": 5000,`, `"orderTimeoutMs": 5000, "stopGraceS": `+text, 1)
+		d, err := rocksettings.Decode[rocksettings.Daemon]([]byte(file))
+		if got := d.Limits.WithDefaults().StopGrace; err != nil || got != want {
+			t.Errorf("stopGraceS %s: got %s and error %v, want %s", text, got, err, want)
+		}
+	}
+}
+
 // Guards against accepting limits that contradict each other, or an operators' address without token
 // or TLS that other hosts can reach.
 func TestDaemonRulesOverSeveralFields(t *testing.T) {
