End the process within the grace of a planned stop

Cause: after the last answers the host still waited for what no caller waits for: the release of the lease (up to 10 s), the record of a claim in a store that does not answer, and up to 30 s for callers that do not read.

What callers saw: connections that they went on to use were cut by the kill instead of being closed, and the host counted as one that did not end.

Evidence: TestHostEndsWithinItsGrace fails without the change (the host waits for the record of a claim).

Change: 0.2 s after the last answers the host ends in any case, and the waits for callers end 0.15 s before the grace does.

--- a/core/rockdrain/drain.go
+++ b/core/rockdrain/drain.go
@@ -11,6 +11,9 @@
 // checkEvery is the time between checks whether a graceful shutdown is complete.
 const checkEvery = 100 * time.Millisecond
 
+// recordTime is the time after the last answers that is left to record claims and to release the lease.
+const recordTime = 2 * checkEvery
+
 // System handles drains of backend servers and graceful shutdown.
 var System = rocktable.System{
 	Name:        "rockdrain",
@@ -44,7 +47,7 @@
 	if !w.Draining {
 		return
 	}
-	w.Outbox.ShutdownDone = isIdle(w)
+	w.Outbox.ShutdownDone = isIdle(w) || rockadmit.IsStopOver(now.Add(-recordTime), w)
 	w.WakeAt(now.Add(checkEvery))
 }
 
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -13,7 +13,8 @@
 	Host          string
 	Ready         bool
 	Draining      bool
-	Stopping      bool // the signal to stop has arrived; requests are still accepted until Draining
+	Stopping      bool      // the signal to stop has arrived; requests are still accepted until Draining
+	GraceEnd      time.Time // see World.GraceEnd
 	ConfigVersion uint64
 	Config        Configuration
 	Freshness     ConfigFreshness
@@ -38,7 +39,7 @@
 // Update returns a snapshot that matches the World: the same one if nothing has changed.
 func (s *Snapshot) Update(w *World) *Snapshot {
 	stopping := !w.StopSignalAt.IsZero()
-	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping != stopping {
+	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping != stopping || !s.GraceEnd.Equal(w.GraceEnd()) {
 		return w.TakeSnapshot()
 	}
 	freshness := w.configFreshness()
@@ -66,6 +67,7 @@
 		Ready:         w.Ready,
 		Draining:      w.Draining,
 		Stopping:      !w.StopSignalAt.IsZero(),
+		GraceEnd:      w.GraceEnd(),
 		ConfigVersion: w.ConfigVersion,
 		Config:        w.Config.Configuration,
 		Freshness:     w.configFreshness(),
--- a/core/rocktick/stop_test.go
+++ b/core/rocktick/stop_test.go
@@ -61,3 +61,17 @@
 		t.Errorf("got answers %+v and closing %t, want a refusal after half of the grace", out.Answers, out.Closing)
 	}
 }
+
+// Guards against a host that waits beyond its grace for a store that does not answer.
+func TestHostEndsWithinItsGrace(t *testing.T) {
+	w := newStopWorld()
+	w.Inbox.Shutdowns = append(w.Inbox.Shutdowns, rocktable.Shutdown{})
+	run(t, start, w)
+	w.Claims.Put(1, rocktable.Claim{Request: 1, State: rocktable.ClaimRecording, PendingOp: 99, PendingSince: start.Add(7 * time.Second)})
+	if run(t, start.Add(7500*time.Millisecond), w).Outbox.ShutdownDone {
+		t.Error("the host ends with the last answers and leaves no time to record a claim")
+	}
+	if !run(t, start.Add(7700*time.Millisecond), w).Outbox.ShutdownDone {
+		t.Error("the host waits for the record of a claim beyond its grace")
+	}
+}
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -36,6 +36,9 @@
 // stop. An immediate stop must not take longer.
 const stopReasonTimeout = 300 * time.Millisecond
 
+// exitReserve is the time before the end of the grace at which the process ends by itself.
+const exitReserve = 150 * time.Millisecond
+
 // ErrNoPeerTLS reports settings without the certificate files of the peer protocol.
 var ErrNoPeerTLS = eris.New("no certificate for the peer protocol")
 
@@ -309,7 +312,7 @@
 	case <-stopNow:
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	ctx, cancel := d.withinGrace(answerTimeout)
 	defer cancel()
 	go func() {
 		select {
@@ -323,10 +326,19 @@
 	}
 }
 
+// withinGrace returns a context that ends after the timeout, or earlier if the process would be ended from outside.
+func (d *Daemon) withinGrace(timeout time.Duration) (context.Context, context.CancelFunc) {
+	end := time.Now().Add(timeout)
+	if graceEnd := d.Snapshot().GraceEnd; !graceEnd.IsZero() && graceEnd.Add(-exitReserve).Before(end) {
+		end = graceEnd.Add(-exitReserve)
+	}
+	return context.WithDeadline(context.Background(), end)
+}
+
 // sendStopReasons waits until the requests that the end of the control thread interrupted are
 // answered with the reason of the stop, for at most stopReasonTimeout.
 func (d *Daemon) sendStopReasons() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopReasonTimeout)
+	ctx, cancel := d.withinGrace(stopReasonTimeout)
 	defer cancel()
 	if err := d.callersServer.Shutdown(ctx); err != nil {
 		d.log.Warn("daemon stopped before all callers received the reason of the stop", "error", err)
