Refuse requests that cannot end within the grace

Cause: a stopping host took, and started from its queue or after an attempt that did not reach a server, whatever came within the notice, however long the requests of its service or pipeline last. They were passed on although no time was left to end them.

What callers saw: before the last answers, a cut; with them, a 502 at the end of the grace for a request that another host could have run in full.

Evidence: TestCallLongerThanTheGraceIsRefused, TestUndeliveredCallIsRefused- LateInAStop and TestRequestLongerThanTheGraceIsRefused fail without the check: the requests are passed on.

Change: hosts keep the smoothed time of the runs of each service and pipeline that ended with an answer. While a host with a known grace stops, a request that has not run is refused as shuttingDown once that time reaches beyond the last answers. What may have run goes on as long as there is time.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -141,6 +141,8 @@
 		return rockreason.UnknownRank
 	case w.Pipelines.Get(r.Pipeline) == nil:
 		return rockreason.PipelineRemoved
+	case EndsTooLate(now, w, w.Pipelines.Get(r.Pipeline).RunTime):
+		return rockreason.ShuttingDown
 	case rockcrash.IsQuarantined(now, w, r):
 		return rockreason.Quarantined
 	}
--- a/core/rockadmit/order.go
+++ b/core/rockadmit/order.go
@@ -68,6 +68,11 @@
 			w.Answer(r.ID, quarantineReason(r))
 			continue
 		}
+		if !r.MayHaveRun && EndsTooLate(now, w, s.Pipeline.RunTime) {
+			Dequeue(w, r)
+			w.Answer(r.ID, rockreason.ShuttingDown)
+			continue
+		}
 		if r.Alone && !r.InFrontQueue {
 			Dequeue(w, r)
 			Requeue(now, w, r)
--- a/core/rockadmit/stop.go
+++ b/core/rockadmit/stop.go
@@ -40,3 +40,9 @@
 	end := LastAnswerAt(w)
 	return !end.IsZero() && !now.Before(end)
 }
+
+// EndsTooLate reports whether work that takes d and starts now would not end before the last answers are due.
+func EndsTooLate(now time.Time, w *rocktable.World, d time.Duration) bool {
+	end := LastAnswerAt(w)
+	return !end.IsZero() && now.Add(d).After(end)
+}
--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -147,14 +147,18 @@
 		s = pickServer(now, w, r, service)
 	}
 	left := r.Call.Deadline.Sub(now)
-	if s == nil || left <= 0 {
-		endUnserved(now, w, r)
+	switch {
+	case s == nil || left <= 0:
+		endUnserved(now, w, r, rockreason.NoServer)
+		return
+	case !r.MayHaveRun && rockadmit.EndsTooLate(now, w, service.RunTime):
+		endUnserved(now, w, r, rockreason.ShuttingDown)
 		return
 	}
 	service.ServerCursor++
 	r.Attempts++
 	r.Call.Runs++
-	r.State = rocktable.RequestRunning
+	r.State, r.Call.StartedAt = rocktable.RequestRunning, now
 	if s.Role == rocktable.RoleApplication {
 		s.InFlight++
 	}
@@ -162,8 +166,8 @@
 	w.Outbox.CallStarts = append(w.Outbox.CallStarts, rocktable.CallStart{Request: r.ID, Server: s.ID, Name: s.Name, Address: s.Address, Timeout: left})
 }
 
-// endUnserved ends a call that cannot be dispatched any more.
-func endUnserved(now time.Time, w *rocktable.World, r *rocktable.Request) {
+// endUnserved ends a call that cannot be dispatched any more. The code is the reason if it has not run.
+func endUnserved(now time.Time, w *rocktable.World, r *rocktable.Request, code rockreason.Code) {
 	if r.MayHaveRun {
 		w.Answer(r.ID, rockreason.BackendFailed)
 		return
@@ -171,7 +175,7 @@
 	if c := w.Claims.Get(r.ID); c != nil {
 		releaseClaim(now, c)
 	}
-	w.Answer(r.ID, rockreason.NoServer)
+	w.Answer(r.ID, code)
 }
 
 // handleEnded decides what follows the end of a run: an answer, a dispatch to another backend server, or a record
@@ -193,6 +197,9 @@
 	if r != nil && r.Call == nil {
 		r = nil
 	}
+	if r != nil {
+		recordRunTime(now, w, r, e)
+	}
 	if c != nil {
 		handleClaimedEnd(now, w, e, r, c)
 		return
@@ -262,12 +269,20 @@
 	r.Call.Runs--
 	r.AvoidServers = append(r.AvoidServers, e.Server)
 	if e.Reason == rockreason.StageRefused && !rockretry.SpendSharedBudget(now, w, r) {
-		endUnserved(now, w, r)
+		endUnserved(now, w, r, rockreason.NoServer)
 		return
 	}
 	dispatch(now, w, r)
 }
 
+// recordRunTime records the time of a run that ended with an answer.
+func recordRunTime(now time.Time, w *rocktable.World, r *rocktable.Request, e rocktable.CallEnded) {
+	service := w.Services.Get(r.Call.Service)
+	if service != nil && e.Reason == "" {
+		rockadmit.Smooth(&service.RunTime, now.Sub(r.Call.StartedAt))
+	}
+}
+
 // answerOutcome answers a call with the outcome in its claim row.
 func answerOutcome(w *rocktable.World, id rocktable.RequestID, row rocktable.ClaimRow) {
 	r := w.Requests.Get(id)
--- a/core/rockclaim/stop_test.go
+++ b/core/rockclaim/stop_test.go
@@ -13,6 +13,34 @@
 	w.Limits.StopGrace, w.StopSignalAt = 8*time.Second, startTime
 }
 
+// Guards against a call that is passed on during a stop although calls of its service last longer than the grace does.
+func TestCallLongerThanTheGraceIsRefused(t *testing.T) {
+	w := newTestWorld(1)
+	w.Services.Get(1).RunTime = 6 * time.Second
+	stop(w)
+	if got := runArrival(startTime.Add(time.Second), w, 1, false); got == "" {
+		t.Error("a call that can end within the grace is not passed on")
+	}
+	if got := runArrival(startTime.Add(2*time.Second), w, 2, false); got != "" {
+		t.Errorf("a call that cannot end within the grace is passed on to %q", got)
+	}
+	if answers := w.Outbox.Answers; len(answers) != 1 || answers[0].Reason != rockreason.ShuttingDown {
+		t.Errorf("got answers %+v, want %q", answers, rockreason.ShuttingDown)
+	}
+}
+
+// Guards against a call that did not reach its backend server and is passed on to another one when no time is left.
+func TestUndeliveredCallIsRefusedLateInAStop(t *testing.T) {
+	w := newTestWorld(2)
+	w.Services.Get(1).RunTime = time.Second
+	stop(w)
+	first := runArrival(startTime.Add(time.Second), w, 1, false)
+	next, reason := runEnd(startTime.Add(7*time.Second), w, rocktable.CallEnded{Request: 1, Server: w.ServerNamed(first).ID, Reason: rockreason.ServerUnreachable})
+	if next != "" || reason != rockreason.ShuttingDown {
+		t.Errorf("got dispatch to %q and reason %q, want no dispatch and %q", next, reason, rockreason.ShuttingDown)
+	}
+}
+
 // Guards against claimed calls that get no answer at the end of a stop, and against one that leaves a claim that looks as
 // if its run were in progress.
 func TestClaimedCallsAreAnsweredAtTheEndOfAStop(t *testing.T) {
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -179,8 +179,11 @@
 
 func handleSuccess(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, e rocktable.AttemptEnded) {
 	creditSuccess(w, r, a)
-	if r.Attempts == 1 && !e.FirstTokenAt.IsZero() && !e.Resumed && w.FullPathPipeline(r) == nil {
-		updateFirstTokenDelay(w.Pipelines.Get(r.Pipeline), e.FirstTokenAt.Sub(a.StartedAt))
+	if p := w.Pipelines.Get(r.Pipeline); p != nil && r.Attempts == 1 && !e.Resumed {
+		rockadmit.Smooth(&p.RunTime, now.Sub(a.StartedAt))
+		if !e.FirstTokenAt.IsZero() && w.FullPathPipeline(r) == nil {
+			rockadmit.Smooth(&p.FirstTokenDelay, e.FirstTokenAt.Sub(a.StartedAt))
+		}
 	}
 	// The largest gap of a stream that was replayed or resumed may be due to the failure of its
 	// earlier path.
@@ -198,18 +201,6 @@
 	}
 }
 
-// updateFirstTokenDelay adds a time from the start of an attempt to its first token to the smoothed
-// value of the pipeline.
-func updateFirstTokenDelay(p *rocktable.Pipeline, d time.Duration) {
-	switch {
-	case p == nil:
-	case p.FirstTokenDelay == 0:
-		p.FirstTokenDelay = d
-	default:
-		p.FirstTokenDelay += (d - p.FirstTokenDelay) / 16
-	}
-}
-
 func avoids(r *rocktable.Request, id rocktable.BackendServerID) bool {
 	for _, avoid := range r.AvoidServers {
 		if avoid == id {
--- a/core/rocktable/calls.go
+++ b/core/rocktable/calls.go
@@ -17,7 +17,8 @@
 	Claim          ClaimState
 	ClaimVersion   uint64
 	Deadline       time.Time
-	Outcome        ClaimRow // to be recorded in the claim row
+	StartedAt      time.Time // of the last run
+	Outcome        ClaimRow  // to be recorded in the claim row
 }
 
 // ClaimState is the progress of the claim of an application call.
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -134,6 +134,7 @@
 	BacklogSeconds   float64       // time with a backlog, decaying
 	BacklogTokens    float64       // tokens started during BacklogSeconds, decaying
 	FirstTokenDelay  time.Duration // from the start of an attempt to its first token, smoothed
+	RunTime          time.Duration // from the start of an only attempt to the end of its answer, smoothed
 
 	// FirstTokenWindow is the number of attempts of this host that may wait for their first token at the same time. It is
 	// 0 until one waited for too long.
@@ -152,5 +153,6 @@
 type Service struct {
 	ID           ServiceID
 	Config       ServiceConfig
-	ServerCursor int // position in the list of backend servers at which the next choice begins
+	ServerCursor int           // position in the list of backend servers at which the next choice begins
+	RunTime      time.Duration // smoothed time of its calls that ended with an answer; 0 until one has
 }
--- a/core/rocktick/stop_test.go
+++ b/core/rocktick/stop_test.go
@@ -49,6 +49,33 @@
 	}
 }
 
+// Guards against a request that is taken, or started from its queue, during a stop although requests of its pipeline last
+// longer than the rest of the grace.
+func TestRequestLongerThanTheGraceIsRefused(t *testing.T) {
+	w := newStopWorld()
+	w.Pipelines.Get(1).RunTime = 6 * time.Second
+	w.Inbox.Shutdowns = append(w.Inbox.Shutdowns, rocktable.Shutdown{})
+	arrive(w, start, 1)
+	arrive(w, start, 2)
+	first := run(t, start, w).Outbox.Starts
+	if len(first) != 1 {
+		t.Fatalf("got %d starts, want 1", len(first))
+	}
+	now := start.Add(2 * time.Second)
+	arrive(w, now, 3)
+	w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{Attempt: first[0].Attempt, Tokens: 10, FirstTokenAt: now})
+	out := run(t, now, w).Outbox
+	refused := 0
+	for _, a := range out.Answers {
+		if a.Reason == rockreason.ShuttingDown {
+			refused++
+		}
+	}
+	if len(out.Starts) != 0 || refused != 2 {
+		t.Errorf("got %d starts and %d refusals, want none and 2", len(out.Starts), refused)
+	}
+}
+
 // Guards against a host whose drain notice takes the whole grace, so that what it takes late has no time to run.
 func TestNoticeLeavesTimeToRun(t *testing.T) {
 	w := newStopWorld()
