--- a/core/rockdrain/drain.go
+++ b/core/rockdrain/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rocktable"
 )
@@ -10,6 +11,9 @@
 // checkEvery is the time between checks whether a graceful shutdown is complete.
 const checkEvery = 100 * time.Millisecond
 
+// recordTime is the time after the last answers that is left to record claims and to release the lease.
+const recordTime = 2 * checkEvery
+
 // System handles drains of backend servers and graceful shutdown.
 var System = rocktable.System{
 	Name:        "rockdrain",
@@ -33,17 +37,17 @@
 		rockmember.MarkSelfLeaving(w)
 	}
 	if !w.StopSignalAt.IsZero() && !w.Draining {
-		if end := w.StopSignalAt.Add(w.Limits.DrainNotice); now.Before(end) {
+		if end := w.StopSignalAt.Add(rockadmit.DrainNotice(w)); now.Before(end) {
 			w.WakeAt(end)
 		} else {
-			w.Draining = true
+			w.Draining, w.Outbox.Closing = true, true
 		}
 	}
 	rockmember.SendUrgent(now, w)
 	if !w.Draining {
 		return
 	}
-	w.Outbox.ShutdownDone = isIdle(w)
+	w.Outbox.ShutdownDone = isIdle(w) || rockadmit.IsStopOver(now.Add(-recordTime), w)
 	w.WakeAt(now.Add(checkEvery))
 }
 
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -36,6 +36,9 @@
 // stop. An immediate stop must not take longer.
 const stopReasonTimeout = 300 * time.Millisecond
 
+// exitReserve is the time before the end of the grace at which the process ends by itself.
+const exitReserve = 150 * time.Millisecond
+
 // ErrNoPeerTLS reports settings without the certificate files of the peer protocol.
 var ErrNoPeerTLS = eris.New("no certificate for the peer protocol")
 
@@ -67,6 +70,8 @@
 
 	drained     chan struct{} // closed when a graceful shutdown has no request left
 	drainedOnce sync.Once
+	closing     context.Context // ends when new requests are refused
+	close       context.CancelFunc
 }
 
 // Option configures a Daemon in New.
@@ -104,6 +109,9 @@
 // Relay returns the relay that WithRelay set, or nil.
 func (d *Daemon) Relay() *rockrelay.Relay { return d.relay }
 
+// Closing returns a context that ends when the host refuses new requests.
+func (d *Daemon) Closing() context.Context { return d.closing }
+
 // Snapshot returns the latest snapshot of the control state.
 func (d *Daemon) Snapshot() *rocktable.Snapshot { return d.control.Snapshot() }
 
@@ -145,6 +153,7 @@
 
 		tableChanges: newTableChanges(),
 	}
+	d.closing, d.close = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(d)
 	}
@@ -217,7 +226,7 @@
 	}
 	server := &rockhttp.Server{
 		Snapshot: d.control.Snapshot, Chat: d.traffic.Chat, Call: d.traffic.Call,
-		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(),
+		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(), Closing: d.closing,
 	}
 	d.callersServer = server.HTTPServer()
 	if d.callersHandler != nil {
@@ -303,7 +312,7 @@
 	case <-stopNow:
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	ctx, cancel := d.withinGrace(answerTimeout)
 	defer cancel()
 	go func() {
 		select {
@@ -317,10 +326,19 @@
 	}
 }
 
+// withinGrace returns a context that ends after the timeout, or earlier if the process would be ended from outside.
+func (d *Daemon) withinGrace(timeout time.Duration) (context.Context, context.CancelFunc) {
+	end := time.Now().Add(timeout)
+	if graceEnd := d.Snapshot().GraceEnd; !graceEnd.IsZero() && graceEnd.Add(-exitReserve).Before(end) {
+		end = graceEnd.Add(-exitReserve)
+	}
+	return context.WithDeadline(context.Background(), end)
+}
+
 // sendStopReasons waits until the requests that the end of the control thread interrupted are
 // answered with the reason of the stop, for at most stopReasonTimeout.
 func (d *Daemon) sendStopReasons() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopReasonTimeout)
+	ctx, cancel := d.withinGrace(stopReasonTimeout)
 	defer cancel()
 	if err := d.callersServer.Shutdown(ctx); err != nil {
 		d.log.Warn("daemon stopped before all callers received the reason of the stop", "error", err)
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -70,6 +70,9 @@
 	OverloadRetryMs Milliseconds `json:"overloadRetryMs,omitempty" validate:"milliseconds=600000"`
 	// Time between the stop signal and the first rejection of new requests.
 	DrainNoticeMs Milliseconds `json:"drainNoticeMs,omitempty" validate:"milliseconds=60000"`
+	// Time between the stop signal and the end of the process from outside; 0 means that nothing ends it and it waits
+	// for its last request.
+	StopGraceS Seconds `json:"stopGraceS,omitempty" validate:"seconds=3600"`
 	// The platform pushes its host list and the configuration; the daemon reads neither.
 	PlatformPushes bool `json:"platformPushes,omitempty"`
 }
@@ -89,6 +92,7 @@
 	override(&limits.LeaseTTL, l.LeaseTTLMs.Duration())
 	override(&limits.OrderTimeout, l.OrderTimeoutMs.Duration())
 	override(&limits.DrainNotice, l.DrainNoticeMs.Duration())
+	override(&limits.StopGrace, l.StopGraceS.Duration())
 	override(&limits.RetryWindow, l.RetryWindowMs.Duration())
 	override(&limits.RetryWindow, l.RetryWindowS.Duration())
 	override(&limits.OverloadRetry, l.OverloadRetryMs.Duration())
