--- a/core/rockdrain/doc.go
+++ b/core/rockdrain/doc.go
@@ -4,5 +4,5 @@
 //
 // At the signal to stop, a host ceases to be ready and reports to its peers
 // that it is leaving. After the drain notice it refuses new requests. It stops
-// once its own work has ended.
+// once its own work has ended, or shortly before its grace ends.
 package rockdrain
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -22,8 +22,7 @@
 
 // ReadBody reads the body of a request, up to limit bytes. It returns a code if the head or the body is too long or the
 // encoding of the body is invalid, or if the host refuses new requests before the body has ended, which the context closing
-// tells. It returns an error if the connection is broken or too slow, in which case an answer
-// would not reach the caller.
+// tells. It returns an error if the connection is broken or too slow, in which case an answer would not reach the caller.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, closing context.Context) ([]byte, rockreason.Code, error) {
 	if headLength(r) > maxHeadBytes {
 		return nil, rockreason.HeadTooLong, nil
