Ask before a silent session of a single stage is given up

An attempt over sessions of single stages ended when a stage did not answer a step for 2 s (StepLimit), and the request with it if its attempts or budgets allowed no retry, although sound backend servers may be silent for a second or so and the request had time left.

After the step limit the traffic reports a stall now, and again after each further one. The control thread ends the attempt if the request can go on with another, whose cost it takes from the budgets, as it does for full paths; otherwise the attempt waits until the request's deadline, or, without one, for the limit of its rank for the first token. The stall opens no circuit breaker: a stage may only be slow. The simulated traffic of rockcheck and rockfleet does the same.

--- a/core/rockcheck/host.go
+++ b/core/rockcheck/host.go
@@ -138,7 +138,7 @@
 	}
 	for _, cancel := range out.Cancels {
 		for _, c := range h.chats {
-			c.cancel(cancel.Attempt) // at most one request has this attempt
+			c.cancel(cancel) // at most one request has this attempt
 		}
 	}
 	for _, start := range out.CallStarts {
--- a/core/rockretry/limit.go
+++ b/core/rockretry/limit.go
@@ -34,6 +34,15 @@
 	return max(4*c.FirstTokenTarget(), minFirstTokenLimit)
 }
 
+// WaitLimit returns the longest wait for one step of one stage by a request that cannot go on with another attempt: the
+// time to its deadline, or the limit of its rank for the first token if it has none.
+func WaitLimit(now time.Time, c rocktable.RankConfig, r *rocktable.Request) time.Duration {
+	if r.Deadline.IsZero() {
+		return FirstTokenLimit(c)
+	}
+	return max(r.Deadline.Sub(now), 0)
+}
+
 // EventLimit returns the longest wait for the next event of a stream on a full path. Callers give
 // up on such a stream after a few seconds of silence, so it has to continue at another backend
 // server before then.
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -114,11 +114,11 @@
 	r.LargestGap = max(r.LargestGap, gap)
 }
 
-// handleStall opens the circuit breaker of a backend server that does not answer while an attempt
+// handleStall opens the circuit breaker of a backend server that does not answer while an attempt on a full path
 // waits for it.
 func handleStall(now time.Time, w *rocktable.World, stall rocktable.Stall) {
 	a, s := w.Attempts.Get(stall.Attempt), w.Servers.Get(stall.Server)
-	if a != nil && s != nil {
+	if a != nil && s != nil && !stall.Session {
 		a.Stalled = true
 		recordPathFailure(now, w, a)
 		tripBreaker(now, w, s, a)
--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -23,7 +23,7 @@
 )
 
 // continueStalledAttempts lets each request whose attempt waits for a stalled backend server go on without it: on
-// another path, or with another attempt.
+// another path, or with another attempt. An attempt whose request cannot go on keeps waiting.
 func continueStalledAttempts(now time.Time, w *rocktable.World) {
 	graphs := make(map[rocktable.PipelineID]*Graph) // a silent server stalls many attempts of a pipeline at once
 	var reserved []reservedPath
@@ -32,6 +32,10 @@
 		if r == nil {
 			continue
 		}
+		if stall.Session {
+			abandonSessions(now, w, r, a, stall.Server)
+			continue
+		}
 		if stall.Unmovable {
 			if graphs[p.ID] == nil {
 				graphs[p.ID] = newGraphs(now, w, []*rocktable.Pipeline{p})[0]
@@ -56,8 +60,8 @@
 	}
 }
 
-// stalledRequest returns the running request on a full path whose attempt a stall reports, the attempt and the pipeline,
-// or nil if there is none any more.
+// stalledRequest returns the running request whose attempt a stall reports, the attempt and the pipeline, or nil if there
+// is none any more. The pipeline is nil for an attempt with sessions on single stages.
 func stalledRequest(w *rocktable.World, stall rocktable.Stall) (*rocktable.Request, *rocktable.Attempt, *rocktable.Pipeline) {
 	a := w.Attempts.Get(stall.Attempt)
 	if a == nil || a.Canceled || a.Abandoned {
@@ -68,12 +72,26 @@
 		return nil, nil, nil
 	}
 	p := w.FullPathPipeline(r)
-	if p == nil {
+	if p == nil && !stall.Session {
 		return nil, nil, nil
 	}
 	return r, a, p
 }
 
+// abandonSessions ends an attempt with sessions on single stages that waits for a backend server, if the request can go
+// on with another one.
+func abandonSessions(now time.Time, w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) {
+	if s := w.Servers.Get(server); s != nil && !rockretry.IsLastRun(r) && rockretry.GrantRetry(now, w, r, a, s) {
+		endAbandoned(w, r, a, server)
+	}
+}
+
+// endAbandoned ends an attempt because a backend server does not answer.
+func endAbandoned(w *rocktable.World, r *rocktable.Request, a *rocktable.Attempt, server rocktable.BackendServerID) {
+	a.Abandoned = true
+	w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Request: r.ID, Attempt: a.ID, StalledServer: server})
+}
+
 // reservedPath is a path with room for a request that is about to start.
 type reservedPath struct {
 	path   []rocktable.Stage
@@ -102,8 +120,7 @@
 	if !rockretry.GrantRetry(now, w, r, a, s) {
 		return nil, false
 	}
-	a.Abandoned = true
-	w.Outbox.Cancels = append(w.Outbox.Cancels, rocktable.Cancel{Request: r.ID, Attempt: a.ID, StalledServer: server})
+	endAbandoned(w, r, a, server)
 	return path, true
 }
 
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -203,6 +203,7 @@
 	r.Attempt, r.State, r.MayHaveRun = id, rocktable.RequestRunning, true
 	rank := w.Ranks.Get(r.Rank)
 	memory, stepLimit, firstTokenLimit := 0.0, rockretry.StepLimit(rank.Config), rockretry.FirstTokenLimit(rank.Config)
+	waitLimit := rockretry.WaitLimit(now, rank.Config, r)
 	if p := w.FullPathPipeline(r); p != nil {
 		memory = memoryPerLayer(p, r)
 		stepLimit, firstTokenLimit = rockretry.EventLimit(rank.Config), rockretry.FirstEventLimit(rank.Config)
@@ -231,6 +232,7 @@
 		Alone:           r.Alone,
 		StepLimit:       stepLimit,
 		FirstTokenLimit: firstTokenLimit,
+		WaitLimit:       waitLimit,
 		SilenceLimit:    rockretry.SilenceLimit(rank.Config),
 		Deadline:        r.Deadline,
 	})
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -41,8 +41,11 @@
 	Alone           bool
 	StepLimit       time.Duration // longest wait for one step of one stage
 	FirstTokenLimit time.Duration // longest wait for the first token
-	SilenceLimit    time.Duration // silence after which the backend servers are queried for the failed one
-	Deadline        time.Time     // of the request; zero means none
+	// WaitLimit is the longest wait for one step of one stage while the request cannot go on with another attempt. After
+	// StepLimit or FirstTokenLimit the stall is reported. 0 means that the attempt ends then.
+	WaitLimit    time.Duration
+	SilenceLimit time.Duration // silence after which the backend servers are queried for the failed one
+	Deadline     time.Time     // of the request; zero means none
 }
 
 // Repath moves a running attempt to a path with the same first stage. Stages on both paths keep their memory.
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -57,6 +57,7 @@
 	Attempt   AttemptID
 	Server    BackendServerID
 	Unmovable bool // the first stage does not answer, or a move did not help: only another attempt can go on
+	Session   bool // the attempt has a session on each stage; the stage may only be slow
 }
 
 // AttemptEnded reports the end of an attempt.
--- a/core/rocktick/begun_test.go
+++ b/core/rocktick/begun_test.go
@@ -117,3 +117,48 @@
 		}
 	}
 }
+
+// stallFirstStage starts a request, reports that the first stage of its path does not answer, and returns the world, the
+// start and what the tick decided.
+func stallFirstStage(t *testing.T, r rocktable.Request) (*rocktable.World, rocktable.Start, rocktable.Outbox) {
+	t.Helper()
+	w := newWorld()
+	setUpPipeline(t, w)
+	r.ID, r.Caller, r.Pipeline, r.ArrivedAt, r.PromptTokens, r.MaxTokens = 1, w.CallerNamed("guild").ID, w.InternPipeline("captions").ID, start, 10, 5
+	w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: r})
+	attempt := run(t, start, w).Outbox.Starts[0]
+	w.Inbox.Progress = append(w.Inbox.Progress, rocktable.Progress{Attempt: attempt.Attempt, Tokens: 1, FirstTokenAt: start})
+	w.Inbox.Stalls = append(w.Inbox.Stalls, rocktable.Stall{Attempt: attempt.Attempt, Server: attempt.Path[0].Server, Session: true})
+	return w, attempt, run(t, start.Add(2*time.Second), w).Outbox
+}
+
+// Guards against a session of a single stage that is given up for its silence although the request can't go on, and
+// against one that is kept although it can.
+func TestSilentSessionIsGivenUpIfTheRequestGoesOn(t *testing.T) {
+	w, attempt, out := stallFirstStage(t, rocktable.Request{})
+	server := attempt.Path[0].Server
+	if len(out.Cancels) != 1 || out.Cancels[0].StalledServer != server || len(out.Answers) != 0 {
+		t.Fatalf("got cancels %+v and answers %+v, want the attempt to end because of server %d", out.Cancels, out.Answers, server)
+	}
+	if s := w.Servers.Get(server); s.BreakerTrips != 0 {
+		t.Errorf("got %d trips of the circuit breaker, want none for a stage that may only be slow", s.BreakerTrips)
+	}
+	w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{
+		Attempt: attempt.Attempt, Reason: rockreason.StageStalled, FailedServer: server, Tokens: 1, FirstTokenAt: start,
+	})
+	if out = run(t, start.Add(2*time.Second), w).Outbox; len(out.Starts) != 1 {
+		t.Errorf("got starts %+v and answers %+v, want a second attempt", out.Starts, out.Answers)
+	}
+	if _, _, out := stallFirstStage(t, rocktable.Request{MaxAttempts: 1}); len(out.Cancels)+len(out.Answers) != 0 {
+		t.Errorf("got cancels %+v and answers %+v for a request without another attempt, want it to wait", out.Cancels, out.Answers)
+	}
+}
+
+// Guards against a wait for a silent stage that is not limited by the request's own time.
+func TestWaitLimitIsTheTimeOfTheRequest(t *testing.T) {
+	for deadline, want := range map[time.Time]time.Duration{start.Add(time.Minute): time.Minute, {}: 5 * time.Second} {
+		if _, attempt, _ := stallFirstStage(t, rocktable.Request{Deadline: deadline}); attempt.WaitLimit != want {
+			t.Errorf("deadline %v: got a wait limit of %s, want %s", deadline, attempt.WaitLimit, want)
+		}
+	}
+}
--- a/io/rockfleet/attempt.go
+++ b/io/rockfleet/attempt.go
@@ -27,12 +27,14 @@
 type Attempt struct {
 	Key             AttemptKey
 	Start           rocktable.Start
-	Stage           int // position in Start.Path of the stage that runs the current step
-	StepIndex       int // current step; 0 is the prefill
-	ReplayTokens    int // tokens of earlier attempts that the prefill replays
-	DeliveredTokens int // tokens that this attempt delivered
-	SkipTokens      int // tokens that are generated again after a restart and not delivered
-	Deadline        time.Time
+	Stage           int           // position in Start.Path of the stage that runs the current step
+	StepIndex       int           // current step; 0 is the prefill
+	ReplayTokens    int           // tokens of earlier attempts that the prefill replays
+	DeliveredTokens int           // tokens that this attempt delivered
+	SkipTokens      int           // tokens that are generated again after a restart and not delivered
+	Deadline        time.Time     // of the next check of the step
+	Limit           time.Duration // of the step, after which its stall is reported; 0 for the prefill at the first stage
+	WaitedSince     time.Time     // when the step began
 	ReportedAt      time.Time
 	Opening         bool // its sessions are not open yet
 }
@@ -108,7 +110,7 @@
 		if attempt.StepIndex == 0 {
 			limit = attempt.Start.FirstTokenLimit
 		}
-		attempt.Deadline = f.Now.Add(limit)
+		attempt.Deadline, attempt.Limit, attempt.WaitedSince = f.Now.Add(limit), limit, f.Now
 	}
 	e := f.engine(attempt.Start.Path[attempt.Stage])
 	d, ok := f.link(f.Hosts[key.Host], e)
@@ -254,6 +256,32 @@
 	f.Attempts.Delete(attempt.Key)
 }
 
+// cancelAttempt ends an attempt. One that ends because of a silent backend server reports its end.
+func (f *Fleet) cancelAttempt(attempt *Attempt, c rocktable.Cancel) {
+	if c.StalledServer != 0 {
+		f.endAttempt(attempt, rockreason.StageStalled, c.StalledServer, false)
+		return
+	}
+	f.closeAttempt(attempt)
+}
+
+// handleSilence reports a stall of an attempt whose step is not answered within its limit, or ends the attempt once it
+// has waited for as long as it may.
+func (f *Fleet) handleSilence(attempt *Attempt) {
+	server := attempt.Start.Path[attempt.Stage].Server
+	if attempt.Opening {
+		f.endAttempt(attempt, rockreason.StageUnreachable, server, false)
+		return
+	}
+	if attempt.Limit == 0 || f.Now.Sub(attempt.WaitedSince) > attempt.Start.WaitLimit {
+		f.endAttempt(attempt, rockreason.StageStalled, server, false)
+		return
+	}
+	in := &f.Hosts[attempt.Key.Host].Inbox
+	in.Stalls = append(in.Stalls, rocktable.Stall{Attempt: attempt.Start.Attempt, Server: server, Session: true})
+	attempt.Deadline = f.Now.Add(min(attempt.Limit, attempt.Start.WaitLimit-f.Now.Sub(attempt.WaitedSince)))
+}
+
 func runLimits(f *Fleet) {
 	// A check every 10 ticks is sufficient: the time limits are seconds long.
 	if f.Since()%(10*Tick) != 0 {
@@ -261,11 +289,7 @@
 	}
 	for _, attempt := range f.Attempts.All() {
 		if f.Now.After(attempt.Deadline) {
-			reason := rockreason.StageStalled
-			if attempt.Opening {
-				reason = rockreason.StageUnreachable
-			}
-			f.endAttempt(attempt, reason, attempt.Start.Path[attempt.Stage].Server, false)
+			f.handleSilence(attempt)
 		}
 	}
 }
--- a/io/rockfleet/host.go
+++ b/io/rockfleet/host.go
@@ -52,7 +52,7 @@
 	}
 	for _, c := range out.Cancels {
 		if attempt := f.Attempts.Get(AttemptKey{Host: i, Attempt: c.Attempt}); attempt != nil {
-			f.closeAttempt(attempt)
+			f.cancelAttempt(attempt, c)
 		}
 	}
 	for _, s := range out.Starts {
--- a/io/rocktraffic/attempt.go
+++ b/io/rocktraffic/attempt.go
@@ -25,6 +25,7 @@
 	resumeTries int       // over all stages
 	resumed     bool      // at least one session was resumed
 	progressAt  time.Time // last progress report; zero before the first
+	watch       stageWatch
 }
 
 // failure describes why an attempt ended without a complete answer.
@@ -41,6 +42,7 @@
 		return
 	}
 	a := &attempt{chat: c, start: start, replay: replay}
+	a.watch.report = a.reportStall
 	fail := a.openSessions(ctx)
 	if fail == nil {
 		fail = a.runSteps(ctx)
@@ -142,7 +144,7 @@
 	server := a.start.Path[i].Server
 	switch {
 	case ctx.Err() != nil:
-		return &failure{reason: rockreason.StageStalled}
+		return &failure{reason: rockreason.StageStalled, server: a.chat.stalledServer(a.start.Attempt)}
 	case errors.Is(err, context.DeadlineExceeded):
 		return &failure{reason: rockreason.StageStalled, server: server}
 	case errors.Is(err, rockengine.ErrOutOfStep):
@@ -173,6 +175,13 @@
 	post(func(in *rocktable.Inbox) { in.Progress = append(in.Progress, p) })
 }
 
+// reportStall reports that a stage does not answer a step. The control thread ends the attempt once the request can go
+// on with another one.
+func (a *attempt) reportStall(stage int) {
+	stall := rocktable.Stall{Attempt: a.start.Attempt, Server: a.start.Path[stage].Server, Session: true}
+	a.chat.traffic.Post(func(in *rocktable.Inbox) { in.Stalls = append(in.Stalls, stall) })
+}
+
 func (a *attempt) reportEnd(fail *failure) {
 	a.chat.mu.Lock()
 	e := rocktable.AttemptEnded{
--- a/io/rocktraffic/chat.go
+++ b/io/rocktraffic/chat.go
@@ -34,7 +34,8 @@
 	mu      sync.Mutex
 	stream  rockstream.Stream
 	attempt rocktable.AttemptID
-	cancel  context.CancelFunc // of the current attempt
+	cancel  context.CancelFunc        // of the current attempt
+	stalled rocktable.BackendServerID // for whose silence the current attempt was canceled; 0 for another reason
 }
 
 // Chat runs a model request, passes its tokens to emit in order and returns the answer after the
@@ -136,7 +137,7 @@
 		c.cancel()
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	c.attempt, c.cancel = start.Attempt, cancel
+	c.attempt, c.cancel, c.stalled = start.Attempt, cancel, 0
 	return ctx, replay, true
 }
 
@@ -152,13 +153,24 @@
 	return code, len(c.stream.Tokens)
 }
 
-func (c *chat) cancelAttempt(id rocktable.AttemptID) {
+func (c *chat) cancelAttempt(cancel rocktable.Cancel) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.attempt == id && c.cancel != nil {
+	if c.attempt == cancel.Attempt && c.cancel != nil {
+		c.stalled = cancel.StalledServer
 		c.cancel()
 	}
 }
 
+// stalledServer returns the backend server for whose silence an attempt was canceled, or 0.
+func (c *chat) stalledServer(id rocktable.AttemptID) rocktable.BackendServerID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempt != id {
+		return 0
+	}
+	return c.stalled
+}
+
 // name returns the identifier of the request at the engines.
 func (c *chat) name() string { return fmt.Sprintf("%s/%d", c.traffic.HostIncarnation, c.id) }
--- a/io/rocktraffic/resume.go
+++ b/io/rocktraffic/resume.go
@@ -32,10 +32,14 @@
 }
 
 // runStage runs a step on one stage. If the connection is lost or silent, it resumes the session
-// once and sends the same step again, all within limit.
+// once and sends the same step again. After limit it reports the stall, and goes on waiting up to Start.WaitLimit.
 func (a *attempt) runStage(ctx context.Context, limit time.Duration, i int, step rockengine.Step) (rockengine.StepReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, max(limit, a.start.WaitLimit))
 	defer cancel()
+	if limit < a.start.WaitLimit {
+		a.watch.begin(i, limit)
+		defer a.watch.end()
+	}
 	old := a.sessions[i]
 	if !a.start.Path[i].Resume || old.Resume == nil || a.resumeTries >= maxResumesPerStage*len(a.start.Path) {
 		return old.Step(ctx, step)
--- a/io/rocktraffic/traffic.go
+++ b/io/rocktraffic/traffic.go
@@ -38,7 +38,7 @@
 	}
 	for _, cancel := range out.Cancels {
 		if c := t.chats[cancel.Request]; c != nil {
-			c.cancelAttempt(cancel.Attempt)
+			c.cancelAttempt(cancel)
 		}
 	}
 	for _, start := range out.CallStarts {
