Count the bytes that a host holds in one account

The host counted the content of answers only, up to a constant, and no limit was set for the garbage collector. io/rockmemory has one account with a limit: what is held is reserved before it is allocated, by the size of buffers, and counts towards the shares of a caller and a backend server. One owner may hold up to four times what is still free for large holdings, and an eighth of the limit is for holdings of up to 64 KB.

The limit follows from the machine: limits.memoryMb, which the platform fills in, or the limit of the process's group in the kernel, or 256 MB. Half of it is the account's, and three quarters are the memory limit of the Go runtime. A changed value takes effect at once.

--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"sassafrasrock/io/rockcontrol"
 	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockhttp"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rockmetric"
 	"sassafrasrock/io/rockoperator"
 	"sassafrasrock/io/rockpeer"
@@ -50,6 +51,7 @@
 	control         *rockcontrol.Control
 	traffic         *rocktraffic.Traffic
 	metrics         *rockmetric.Metrics
+	memory          *rockmemory.Account
 	platform        *rockplatform.Platform
 	engine          *rockengine.Engine
 	service         *rockservice.Client
@@ -111,6 +113,9 @@
 // rockcontrol.ErrStopped.
 func (d *Daemon) Status(ctx context.Context) (*rocktable.Status, error) { return d.control.Status(ctx) }
 
+// Memory returns the account of the bytes that the host holds.
+func (d *Daemon) Memory() *rockmemory.Account { return d.memory }
+
 // Count increments the counter of a reason.
 func (d *Daemon) Count(code rockreason.Code) { d.metrics.Count(code) }
 
@@ -141,6 +146,7 @@
 		engine:   rockengine.New(),
 		service:  rockservice.New(),
 		metrics:  rockmetric.New(settings.Host),
+		memory:   rockmemory.New(rockmemory.AccountLimit(processBytes(settings))),
 		drained:  make(chan struct{}),
 
 		tableChanges: newTableChanges(),
@@ -211,6 +217,7 @@
 		d.relay.Count, d.relay.Now, d.relay.Stopped, d.relay.Log = d.metrics.Count, time.Now, d.control.Done(), d.log
 	}
 	d.metrics.RegisterSnapshotGauges(d.control.Snapshot)
+	d.metrics.RegisterGauge("heldBytes", d.memory.Used)
 	d.peer.CountRejected = d.metrics.Count
 	d.peer.Receive = func(m rocktable.PeerMessage) {
 		d.control.Post(func(in *rocktable.Inbox) { in.Peers = append(in.Peers, m) })
@@ -345,6 +352,11 @@
 	}
 }
 
+// processBytes returns the memory that the process may use, in bytes.
+func processBytes(settings rocksettings.Daemon) int64 {
+	return rockmemory.ProcessBytes(int64(settings.Limits.MemoryMB) << 20)
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/io/rockdaemon/main.go
+++ b/io/rockdaemon/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rocksettings"
 )
 
@@ -84,6 +85,7 @@
 // RunUntilSignal runs a daemon until SIGTERM or SIGINT, which starts a graceful shutdown. A second
 // signal stops it at once.
 func RunUntilSignal(d *Daemon) error {
+	rockmemory.LimitHeap(processBytes(d.settings))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ctx, stop := context.WithCancel(context.Background())
--- a/io/rockdaemon/reload.go
+++ b/io/rockdaemon/reload.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rocksettings"
 )
 
@@ -92,6 +93,10 @@
 		r.daemon.control.Post(func(in *rocktable.Inbox) { in.Limits = append(in.Limits, limits) })
 		r.current.Limits = next.Limits
 	}
+	if slices.Contains(applied, "limits.memoryMb") {
+		r.daemon.memory.SetLimit(rockmemory.AccountLimit(processBytes(next)))
+		rockmemory.LimitHeap(processBytes(next))
+	}
 	log.Info("settings reloaded", "taken", applied, "atNextStart", atNextStart)
 }
 
--- /dev/null
+++ b/io/rockmemory/account.go
@@ -0,0 +1,159 @@
+package rockmemory
+
+import (
+	"math"
+	"sync"
+)
+
+const (
+	// SmallBytes is the size up to which a holding is refused only when the whole account is full, so that large bodies
+	// and answers do not displace small ones.
+	SmallBytes = 64 << 10
+	// smallFraction is the part of the limit, as a divisor, that only holdings of at most SmallBytes may use.
+	smallFraction = 8
+	// shareFactor limits what one owner holds to this multiple of what is still free for large holdings. A single owner
+	// gets four fifths of that room, two get four ninths each, and a new owner always finds some of it free.
+	shareFactor = 4
+)
+
+// OwnerKind is the kind of an Owner.
+type OwnerKind int
+
+// The kinds of owners.
+const (
+	Caller OwnerKind = iota + 1
+	Server
+)
+
+// Owner is a caller or a backend server for which the host holds bytes. All unknown callers are one owner.
+type Owner struct {
+	Kind OwnerKind
+	Name string
+}
+
+// Account counts all bytes that a host holds, in total and by owner. A nil Account has no limit. Its methods are safe for
+// concurrent use.
+type Account struct {
+	mu     sync.Mutex
+	limit  int64
+	used   int64
+	owners map[Owner]int64 // bytes held; owners without any have no entry
+}
+
+// New returns an account with a limit in bytes.
+func New(limit int64) *Account { return &Account{limit: limit, owners: make(map[Owner]int64)} }
+
+// SetLimit changes the limit in bytes. What is already held stays reserved.
+func (a *Account) SetLimit(limit int64) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit = limit
+}
+
+// Used returns the number of bytes held.
+func (a *Account) Used() int64 {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used
+}
+
+// Open returns an empty holding that counts towards the shares of its owners. Without an account it is nil.
+func (a *Account) Open(owners ...Owner) *Holding {
+	if a == nil {
+		return nil
+	}
+	return &Holding{account: a, owners: owners}
+}
+
+// Holding is what the host holds for one request or answer. A nil Holding counts nothing and has no limit. Its methods are safe for concurrent use.
+type Holding struct {
+	account *Account
+	owners  []Owner
+	bytes   int64
+	closed  bool
+}
+
+// Reserve adds n bytes to the holding, and reports whether the account and the shares of all owners have room for them.
+// It changes nothing if they have not, or if the holding is closed.
+func (h *Holding) Reserve(n int64) bool {
+	if h == nil || n == 0 {
+		return true
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.closed || !a.hasRoom(h, n) {
+		return false
+	}
+	a.add(h, n)
+	return true
+}
+
+// Shrink removes up to n bytes from the holding.
+func (h *Holding) Shrink(n int64) {
+	if h == nil {
+		return
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.add(h, -min(n, h.bytes))
+}
+
+// Release removes all bytes from the holding, which can be used again.
+func (h *Holding) Release() { h.Shrink(math.MaxInt64) }
+
+// Close removes all bytes from the holding for good.
+func (h *Holding) Close() {
+	if h == nil {
+		return
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.closed = true
+	a.add(h, -h.bytes)
+}
+
+// Bytes returns the size of the holding; it is 0 without an account.
+func (h *Holding) Bytes() int64 {
+	if h == nil {
+		return 0
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return h.bytes
+}
+
+func (a *Account) hasRoom(h *Holding, n int64) bool {
+	if h.bytes+n <= SmallBytes {
+		return a.used+n <= a.limit
+	}
+	free := a.limit - a.limit/smallFraction - a.used - n
+	if free < 0 {
+		return false
+	}
+	for _, o := range h.owners {
+		if a.owners[o]+n > shareFactor*free {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *Account) add(h *Holding, n int64) {
+	h.bytes += n
+	a.used += n
+	for _, o := range h.owners {
+		if a.owners[o] += n; a.owners[o] == 0 {
+			delete(a.owners, o)
+		}
+	}
+}
--- /dev/null
+++ b/io/rockmemory/account_test.go
@@ -0,0 +1,92 @@
+package rockmemory
+
+import (
+	"sync"
+	"testing"
+)
+
+const mb = 1 << 20
+
+var (
+	guild = Owner{Kind: Caller, Name: "guild"}
+	other = Owner{Kind: Caller, Name: "other"}
+)
+
+// fill reserves parts of 1 MB until one is refused, and returns how many were not.
+func fill(h *Holding) int {
+	n := 0
+	for h.Reserve(mb) {
+		n++
+	}
+	return n
+}
+
+// Guards against an owner that takes the room of the others, and against large holdings that take that of small ones.
+func TestOwnersLeaveRoom(t *testing.T) {
+	a := New(100 * mb)
+	first := a.Open(guild)
+	if n := fill(first); n < 65 || n > 75 {
+		t.Errorf("a single owner got %d of 100 MB, want about seven tenths", n)
+	}
+	second := a.Open(other)
+	if n := fill(second); n < 10 {
+		t.Errorf("a second owner got %d MB beside the first, want at least 10", n)
+	}
+	for i := range 20 {
+		fill(a.Open(Owner{Kind: Server, Name: string(rune('a' + i))}))
+	}
+	for range 100 {
+		if !a.Open(guild).Reserve(SmallBytes) {
+			t.Fatal("a small holding was refused beside large ones")
+		}
+	}
+	first.Close()
+	if n := fill(second); n < 30 {
+		t.Errorf("the second owner got %d MB more after the first had left, want at least 30", n)
+	}
+}
+
+// Guards against bytes that stay reserved, or are reserved after the end of what they were reserved for.
+func TestHoldingsEnd(t *testing.T) {
+	a := New(100 * mb)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				h := a.Open(guild, other)
+				h.Reserve(mb)
+				h.Reserve(1000)
+				h.Shrink(10)
+				h.Shrink(20 * mb)
+				h.Reserve(7)
+				h.Release()
+				h.Reserve(9)
+				h.Close()
+				if h.Reserve(1) || h.Bytes() != 0 {
+					t.Error("a closed holding grew")
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if a.Used() != 0 || len(a.owners) != 0 {
+		t.Errorf("%d bytes of %d owners are still held", a.Used(), len(a.owners))
+	}
+}
+
+// Guards against a lowered limit that frees or refuses what needs no memory.
+func TestLimitChanges(t *testing.T) {
+	a := New(100 * mb)
+	h := a.Open()
+	if !h.Reserve(50 * mb) {
+		t.Fatal("50 of 100 MB were refused")
+	}
+	a.SetLimit(40 * mb)
+	if a.Used() != 50*mb || !h.Reserve(0) || h.Reserve(1) {
+		t.Errorf("got %d bytes in use, want %d, an empty part and no other one", a.Used(), 50*mb)
+	}
+	a.SetLimit(200 * mb)
+	if !h.Reserve(50 * mb) {
+		t.Error("a raised limit gives no room")
+	}
+}
--- /dev/null
+++ b/io/rockmemory/process.go
@@ -0,0 +1,84 @@
+package rockmemory
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+)
+
+const (
+	// DefaultProcessBytes is assumed where neither the settings nor the kernel limit the memory of the process. The
+	// machine's memory is no such limit, since other processes use it too.
+	DefaultProcessBytes = 256 << 20
+	// accountPercent is the part of the process's memory that an account may use.
+	accountPercent = 50
+	// heapPercent is the part of the process's memory that the Go runtime may use, garbage included. The rest is for the
+	// program itself and for data in the kernel's socket buffers.
+	heapPercent = 75
+	// cgroupRoot is where the kernel shows the limits of process groups.
+	cgroupRoot = "/sys/fs/cgroup"
+)
+
+// AccountLimit returns the limit of an account, in bytes, for a process that may use so many bytes of memory.
+func AccountLimit(processBytes int64) int64 { return processBytes / 100 * accountPercent }
+
+// LimitHeap makes the garbage collector keep the heap below a stated part of the memory that the process may use. A lower
+// limit from the environment (GOMEMLIMIT) stays.
+func LimitHeap(processBytes int64) {
+	if limit := processBytes / 100 * heapPercent; limit < fromEnvironment {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
+// fromEnvironment is the limit that the runtime took from the environment, or math.MaxInt64.
+var fromEnvironment = debug.SetMemoryLimit(-1)
+
+// ProcessBytes returns the memory that the process may use, in bytes: the setting, or if that is 0 the limit of the
+// process's group in the kernel, or DefaultProcessBytes.
+func ProcessBytes(setting int64) int64 {
+	if setting > 0 {
+		return setting
+	}
+	if limit := groupLimit("/proc/self/cgroup", cgroupRoot); limit < math.MaxInt64 {
+		return limit
+	}
+	return DefaultProcessBytes
+}
+
+// groupLimit returns the smallest memory limit of the process's group and the groups around it, or math.MaxInt64.
+func groupLimit(groupFile, root string) int64 {
+	limit := int64(math.MaxInt64)
+	data, err := os.ReadFile(groupFile)
+	if err != nil {
+		return limit
+	}
+	for line := range bytes.Lines(data) {
+		group, found := bytes.CutPrefix(bytes.TrimSpace(line), []byte("0::")) // of the unified hierarchy
+		if !found {
+			continue
+		}
+		for dir := filepath.Clean("/" + string(group)); ; dir = filepath.Dir(dir) {
+			limit = min(limit, readLimit(filepath.Join(root, dir, "memory.max")))
+			if dir == "/" {
+				break
+			}
+		}
+	}
+	return limit
+}
+
+// readLimit reads a limit in bytes. Without a limit the file says "max" or does not exist.
+func readLimit(file string) int64 {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return math.MaxInt64
+	}
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(data)), 10, 64)
+	if err != nil || n <= 0 {
+		return math.MaxInt64
+	}
+	return n
+}
--- /dev/null
+++ b/io/rockmemory/read.go
@@ -0,0 +1,112 @@
+package rockmemory
+
+import (
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// firstStepBytes and stepBytes are the sizes of the first and the further parts in which memory is reserved for data
+	// without a declared length. Most such data fits into the first.
+	firstStepBytes = 4 << 10
+	stepBytes      = 64 << 10
+)
+
+// ErrNoRoom reports that the account, or the share of an owner, has no room for the next part of what is read.
+var ErrNoRoom = eris.New("no memory for what is received")
+
+// Reader reads one body into memory that it reserves before it reads.
+type Reader struct {
+	Source io.Reader
+	Held   *Holding
+	// BeforeStep is called before each part of n bytes, with the number of bytes received so far; nil for none.
+	BeforeStep func(received, n int)
+
+	received int
+}
+
+// ReadAll returns the whole body. A negative length means that it was not declared. The errors are ErrNoRoom,
+// io.ErrUnexpectedEOF for a body that is shorter than declared, and those of the source.
+func (r *Reader) ReadAll(length int64) ([]byte, error) {
+	if length < 0 {
+		return r.readSteps()
+	}
+	if !r.Held.Reserve(length) {
+		return nil, ErrNoRoom
+	}
+	body := make([]byte, length)
+	for begin := 0; begin < len(body); begin += stepBytes {
+		if _, err := r.fill(body[begin:min(begin+stepBytes, len(body))]); err != nil {
+			return nil, unexpected(err)
+		}
+	}
+	return body, nil
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readSteps reads a body without a declared length in parts and joins them.
+func (r *Reader) readSteps() ([]byte, error) {
+	var parts [][]byte
+	for size := firstStepBytes; ; size = stepBytes {
+		if !r.Held.Reserve(int64(size)) {
+			return nil, ErrNoRoom
+		}
+		part := make([]byte, size)
+		n, err := r.fill(part)
+		parts = append(parts, part[:n])
+		if errors.Is(err, io.EOF) {
+			return r.join(parts)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// join returns the parts in one slice. Until it is done, both are held.
+func (r *Reader) join(parts [][]byte) ([]byte, error) {
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	if !r.Held.Reserve(int64(r.received)) {
+		return nil, ErrNoRoom
+	}
+	body := make([]byte, 0, r.received)
+	for _, p := range parts {
+		body = append(body, p...)
+		r.Held.Shrink(int64(cap(p)))
+	}
+	return body, nil
+}
+
+// fill reads until p is full. Unlike io.ReadFull it returns the error of the source unchanged, since io.ErrUnexpectedEOF
+// says there that a body was broken off.
+func (r *Reader) fill(p []byte) (int, error) {
+	if r.BeforeStep != nil {
+		r.BeforeStep(r.received, len(p))
+	}
+	n, err := Fill(r.Source, p)
+	r.received += n
+	return n, err
+}
+
+// Fill reads until p is full, and returns the number of bytes read. The error is that of the source, unless p is full.
+func Fill(source io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = source.Read(p[n:])
+		n += m
+	}
+	if n == len(p) && errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return n, err
+}
--- /dev/null
+++ b/io/rockmemory/read_test.go
@@ -0,0 +1,57 @@
+package rockmemory
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// Guards against bodies that are changed or cut on the way into memory, and against memory that is taken without being
+// counted.
+func TestReadAll(t *testing.T) {
+	reset := errors.New("reset")
+	for _, size := range []int{0, 1, firstStepBytes, firstStepBytes + 1, stepBytes, 3*stepBytes + 5} {
+		text := strings.Repeat("x", size)
+		for _, c := range []struct {
+			name   string
+			source io.Reader
+			length int64
+			want   error
+		}{
+			{"declared", strings.NewReader(text), int64(size), nil},
+			{"end with the last byte", iotest.DataErrReader(strings.NewReader(text)), int64(size), nil},
+			{"not declared", iotest.OneByteReader(strings.NewReader(text)), -1, nil},
+			{"not declared, end with the last byte", iotest.DataErrReader(strings.NewReader(text)), -1, nil},
+			{"shorter than declared", strings.NewReader(text), int64(size) + 1, io.ErrUnexpectedEOF},
+			{"broken off", io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, io.ErrUnexpectedEOF},
+			{"reset", io.MultiReader(strings.NewReader(text), iotest.ErrReader(reset)), int64(size) + 1, reset},
+		} {
+			a := New(10 * mb)
+			r := Reader{Source: c.source, Held: a.Open()}
+			body, err := r.ReadAll(c.length)
+			if !errors.Is(err, c.want) || c.want == nil && string(body) != text {
+				t.Errorf("%s, %d bytes: got %d bytes and error %v, want error %v", c.name, size, len(body), err, c.want)
+			}
+			if c.want == nil && a.Used() < int64(cap(body)) {
+				t.Errorf("%s: %d bytes are counted for a buffer of %d", c.name, a.Used(), cap(body))
+			}
+		}
+	}
+}
+
+// Guards against a body that is read although there is no room for it.
+func TestReadAllWithoutRoom(t *testing.T) {
+	for _, length := range []int64{20 * mb, -1} {
+		a := New(8 * mb)
+		source := strings.NewReader(strings.Repeat("x", 20*mb))
+		r := Reader{Source: source, Held: a.Open()}
+		if _, err := r.ReadAll(length); !errors.Is(err, ErrNoRoom) {
+			t.Errorf("length %d: got error %v, want ErrNoRoom", length, err)
+		}
+		if read := 20*mb - source.Len(); read > 8*mb || length > 0 && read > 0 {
+			t.Errorf("length %d: read %d bytes", length, read)
+		}
+	}
+}
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -68,6 +68,8 @@
 	OverloadRetryMs int `json:"overloadRetryMs,omitempty" validate:"min=0,max=600000"`
 	// Time between the stop signal and the first rejection of new requests.
 	DrainNoticeMs int `json:"drainNoticeMs,omitempty" validate:"min=0,max=60000"`
+	// Memory of the process, in MB; 0 means the limit that the kernel sets, or rockmemory.DefaultProcessBytes.
+	MemoryMB int `json:"memoryMb,omitempty" validate:"omitempty,min=64,max=1048576"`
 	// The platform pushes its host list and the configuration; the daemon reads neither.
 	PlatformPushes bool `json:"platformPushes,omitempty"`
 }
