Admit the body of a request before it is read

30 callers that each sent an allowed body of 4 MiB at once took a host over 284 MB, and the platform killed it: bodies were limited one by one, and grew by doubling. Now the declared length is reserved in the account of the host and read into a buffer of that size; without a length, memory is reserved in steps. Where there is no room, the request is refused before its body is read: 503, not run, Retry-After, memoryFull, and the connection is closed. A body that declares more than the limit is refused at once too. After 5 s a long body has to arrive at 128 KB/s at least, so that a caller that stops sending does not keep the room. The product's own interface counts the copies of a prompt and the answers of services as well.

--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -18,6 +18,7 @@
 	ConfigUnconfirmed Code = "configUnconfirmed"
 	ShuttingDown      Code = "shuttingDown"
 	HostFull          Code = "hostFull"
+	MemoryFull        Code = "memoryFull"
 	QueueFull         Code = "queueFull"
 	WouldMissTarget   Code = "wouldMissTarget"
 	Shed              Code = "shed"
@@ -162,6 +163,12 @@
 		Text:           "The host holds as many requests as its settings allow.",
 		OperatorAction: "Add entry hosts, or raise maxRequests.",
 	},
+	{
+		Code: MemoryFull, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
+		Title:          "Memory full",
+		Text:           "The host has no memory for the request body now, or the caller uses its share of it.",
+		OperatorAction: "Add entry hosts, or raise memoryMb if the machine has more memory.",
+	},
 	{
 		Code: QueueFull, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
 		Title:          "Queue full",
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -224,7 +224,7 @@
 	}
 	server := &rockhttp.Server{
 		Snapshot: d.control.Snapshot, Chat: d.traffic.Chat, Call: d.traffic.Call,
-		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(),
+		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(), Memory: d.memory,
 	}
 	d.callersServer = server.HTTPServer()
 	if d.callersHandler != nil {
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -8,29 +8,57 @@
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/io/rockmemory"
 )
 
 const (
 	// bodyTimeout limits the time to read a complete request body.
 	bodyTimeout = 30 * time.Second
+	// bodyGrace is the time after which a long body has to have arrived at minBodyRate, so that a caller that stops
+	// sending does not keep memory that others need.
+	bodyGrace = 5 * time.Second
+	// minBodyRate is the lowest mean speed of a body of more than rockmemory.SmallBytes, in bytes a second.
+	minBodyRate = 128 << 10
 	// maxHeadBytes limits the request line and headers. net/http itself rejects heads of more than
 	// twice this size, which no counter shows.
 	maxHeadBytes = 64 << 10
 )
 
-// ReadBody reads the body of a request, up to limit bytes. It returns a code if the head or the body is too long or the
-// encoding of the body is invalid. It returns an error if the connection is broken or too slow, in which case an answer
-// would not reach the caller.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, rockreason.Code, error) {
-	if headLength(r) > maxHeadBytes {
+// ReadBody reads the body of a request, up to limit bytes, into memory that it reserves from the holding before it reads.
+// The caller of ReadBody releases the holding, also after a code or an error. ReadBody returns a code if the head or the
+// body is too long, the encoding of the body is invalid or the holding has no room. The connection is then closed after
+// the answer, because the rest of the body is not read. It returns an error if the connection is broken or too slow, in
+// which case an answer would not reach the caller.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
+	body, code, err := readBody(w, r, limit, held)
+	if code != "" {
+		w.Header().Set("Connection", "close")
+	}
+	return body, code, err
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
+	switch {
+	case headLength(r) > maxHeadBytes:
 		return nil, rockreason.HeadTooLong, nil
+	case r.ContentLength > limit:
+		return nil, rockreason.BodyTooLong, nil
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // not every ResponseWriter has deadlines
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	begin := time.Now()
+	reader := rockmemory.Reader{
+		Source: http.MaxBytesReader(w, r.Body, limit), Held: held,
+		BeforeStep: func(received, n int) { // not every ResponseWriter has deadlines
+			_ = control.SetReadDeadline(deadline(begin, r.ContentLength, received, n))
+		},
+	}
+	body, err := reader.ReadAll(r.ContentLength)
 	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
 		return nil, rockreason.BodyTooLong, nil
 	}
+	if errors.Is(err, rockmemory.ErrNoRoom) {
+		return nil, rockreason.MemoryFull, nil
+	}
 	if netErr := net.Error(nil); errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || r.Context().Err() != nil {
 		return nil, "", errors.Join(err, r.Context().Err())
 	}
@@ -41,6 +69,16 @@
 	return body, "", nil
 }
 
+// deadline returns the time by which a part of n bytes must have arrived, after the received ones. length is the declared
+// length of the body, or negative.
+func deadline(begin time.Time, length int64, received, n int) time.Time {
+	size := received + n
+	if max(length, int64(size)) <= rockmemory.SmallBytes {
+		return begin.Add(bodyTimeout)
+	}
+	return begin.Add(min(bodyTimeout, bodyGrace+time.Duration(size)*time.Second/minBodyRate))
+}
+
 // headLength returns the length in bytes that the head of a request has in HTTP/1.1.
 func headLength(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
--- a/io/rockhttp/chat.go
+++ b/io/rockhttp/chat.go
@@ -15,12 +15,20 @@
 	"sassafrasrock/io/rocktraffic"
 )
 
+// promptCopies is the number of copies of a body's texts beside the body: the decoded messages and the prompt.
+const promptCopies = 2
+
 // chat answers POST /v1/chat/completions.
 func (s *Server) chat(c *echo.Context, v view) {
-	data, ok := s.readBody(c)
+	defer v.held.Close()
+	data, ok := s.readBody(c, v)
 	if !ok {
 		return
 	}
+	if !v.held.Reserve(promptCopies * int64(len(data))) {
+		s.refuse(c, rockreason.MemoryFull, "")
+		return
+	}
 	body, bad := decodeChat(data)
 	if bad != nil {
 		s.refuse(c, bad.code, bad.detail)
--- a/io/rockhttp/server.go
+++ b/io/rockhttp/server.go
@@ -11,6 +11,7 @@
 	"sassafrasrock/core/rocklookup"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rocktraffic"
 )
 
@@ -38,8 +39,9 @@
 	// Count counts a refusal that does not reach the control thread.
 	Count func(code rockreason.Code)
 
-	BodyLimitBytes int64         // bytes; 0 means DefaultBodyLimitBytes
-	WriteTimeout   time.Duration // 0 means DefaultWriteTimeout
+	BodyLimitBytes int64               // bytes; 0 means DefaultBodyLimitBytes
+	Memory         *rockmemory.Account // counts request bodies; nil means no limit
+	WriteTimeout   time.Duration       // 0 means DefaultWriteTimeout
 }
 
 // HTTPServer returns an HTTP server for Handler that limits slow and oversized requests.
@@ -69,6 +71,7 @@
 type view struct {
 	snapshot *rocktable.Snapshot
 	caller   rocktable.CallerID
+	held     *rockmemory.Holding // bytes of the request and its answer
 }
 
 // authorized returns a handler that refuses requests without a valid token, before their body is read.
@@ -80,7 +83,9 @@
 			s.refuse(c, code, "")
 			return nil
 		}
-		handle(c, view{snapshot: snapshot, caller: caller})
+		v := view{snapshot: snapshot, caller: caller}
+		v.held = s.Memory.Open(rockmemory.Owner{Kind: rockmemory.Caller, Name: snapshot.CallerConfigs[caller].Name})
+		handle(c, v)
 		return nil
 	}
 }
@@ -95,12 +100,12 @@
 }
 
 // readBody returns the request body. It returns false if the request is too long or invalid, after answering it.
-func (s *Server) readBody(c *echo.Context) ([]byte, bool) {
+func (s *Server) readBody(c *echo.Context, v view) ([]byte, bool) {
 	limit := s.BodyLimitBytes
 	if limit == 0 {
 		limit = DefaultBodyLimitBytes
 	}
-	body, code, err := ReadBody(c.Response(), c.Request(), limit)
+	body, code, err := ReadBody(c.Response(), c.Request(), limit, v.held)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/io/rockhttp/service.go
+++ b/io/rockhttp/service.go
@@ -19,21 +19,33 @@
 
 // call answers /v1/services/{service}/*.
 func (s *Server) call(c *echo.Context, v view) {
+	goesOn := false
+	defer func() {
+		if !goesOn {
+			v.held.Close()
+		}
+	}()
+	goesOn = s.runCall(c, v)
+}
+
+// runCall runs and answers a call. It reports whether the call goes on because its caller left; Server.Call then closes
+// the holding.
+func (s *Server) runCall(c *echo.Context, v view) (goesOn bool) {
 	r := c.Request()
 	key := r.Header.Get("Idempotency-Key")
 	if !isKeyValid(key) {
 		s.refuse(c, rockreason.BadField, badField("Idempotency-Key", "the value", "up to 255 printable ASCII characters").detail)
-		return
+		return false
 	}
 	service, path := splitPath(r.URL)
 	target, code := rocklookup.Service(v.snapshot, service, isReadOnly(r.Method), key)
 	if code != "" {
 		s.refuse(c, code, nameDetail("service", service))
-		return
+		return false
 	}
-	body, ok := s.readBody(c)
+	body, ok := s.readBody(c, v)
 	if !ok {
-		return
+		return false
 	}
 	answer, err := s.Call(r.Context(), rocktraffic.CallRequest{
 		Caller:         v.caller,
@@ -44,10 +56,11 @@
 		Path:           path,
 		ContentType:    r.Header.Get("Content-Type"),
 		Body:           body,
+		Held:           v.held,
 	})
 	answer, callerLeft := s.finalAnswer(r.Context(), answer, err)
 	if callerLeft {
-		return
+		return err != nil
 	}
 	row := answer.Recorded
 	if answer.Reason == "" && (row == nil || row.Status < 200 || row.Status > 599) {
@@ -57,10 +70,11 @@
 	}
 	if answer.Reason != "" {
 		s.fail(c, answer, nil)
-		return
+		return false
 	}
 	s.extendWriteDeadline(c)
 	_ = c.Blob(row.Status, row.ContentType, row.Body) // a failed write means that the caller left
+	return false
 }
 
 // isReadOnly reports whether a method only reads, in which case the call may be retried.
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"sassafrasrock/io/rockmemory"
 )
 
 // The headers that carry Call.IdempotencyKey and Call.AttemptID.
@@ -84,7 +86,11 @@
 		return Reply{}, fail(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.options.MaxBodyBytes)+1))
+	if resp.ContentLength > int64(c.options.MaxBodyBytes) {
+		return Reply{}, fail(fmt.Errorf("answer is longer than %d bytes", c.options.MaxBodyBytes))
+	}
+	reader := rockmemory.Reader{Source: io.LimitReader(resp.Body, int64(c.options.MaxBodyBytes)+1), Held: call.Held}
+	body, err := reader.ReadAll(bodyLength(resp))
 	if err != nil {
 		return Reply{}, fail(err)
 	}
@@ -94,6 +100,14 @@
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// bodyLength returns the length of an answer's body, or -1 if it is not known.
+func bodyLength(resp *http.Response) int64 {
+	if resp.Body == http.NoBody {
+		return 0 // the answer to a HEAD request declares the length that a GET request would get
+	}
+	return resp.ContentLength
+}
+
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
--- a/io/rockservice/service.go
+++ b/io/rockservice/service.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/rotisserie/eris"
+
+	"sassafrasrock/io/rockmemory"
 )
 
 var (
@@ -22,6 +24,7 @@
 	IdempotencyKey string // sent as HeaderIdempotencyKey unless empty
 	AttemptID      string // sent as HeaderAttempt unless empty
 	Body           []byte
+	Held           *rockmemory.Holding // grows with the body of the answer; nil means no limit but the client's
 }
 
 // Reply is the answer of a backend server.
--- a/io/rocktraffic/call.go
+++ b/io/rocktraffic/call.go
@@ -21,7 +21,8 @@
 }
 
 // Call runs an application call and returns its answer, or the context's error. A call that is running when its caller
-// disconnects continues, because its outcome has to be recorded.
+// disconnects continues, because its outcome has to be recorded. Only then Call closes the holding of the request, when the
+// call has ended.
 func (t *Traffic) Call(ctx context.Context, req CallRequest) (rocktable.Answer, error) {
 	c := &call{id: t.NextRequestID(), req: req, answer: make(chan rocktable.Answer, 1)}
 	c.attemptName = fmt.Sprintf("%s/%d", t.HostIncarnation, c.id)
@@ -32,6 +33,13 @@
 	case answer := <-c.answer:
 		return answer, nil
 	case <-ctx.Done():
+		go func() {
+			select {
+			case <-c.answer:
+			case <-t.Stopped:
+			}
+			req.Held.Close()
+		}()
 		return rocktable.Answer{}, ctx.Err()
 	case <-t.Stopped:
 		return stoppedAnswer(c.id), nil
@@ -65,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), start.Timeout)
 	defer cancel()
 	reply, err := t.Service.Do(ctx, start.Address, rockservice.Call{
-		Method: c.req.Method, Path: c.req.Path, ContentType: c.req.ContentType, IdempotencyKey: c.req.IdempotencyKey, AttemptID: c.attemptName, Body: c.req.Body,
+		Method: c.req.Method, Path: c.req.Path, ContentType: c.req.ContentType, IdempotencyKey: c.req.IdempotencyKey, AttemptID: c.attemptName, Body: c.req.Body, Held: c.req.Held,
 	})
 	e := rocktable.CallEnded{Request: c.id, Server: start.Server, Sent: true}
 	switch {
--- a/io/rocktraffic/request.go
+++ b/io/rocktraffic/request.go
@@ -1,6 +1,9 @@
 package rocktraffic
 
-import "sassafrasrock/core/rocktable"
+import (
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
+)
 
 // ChatRequest is a model request of an authenticated caller.
 type ChatRequest struct {
@@ -27,4 +30,5 @@
 	Path           string // begins with a slash and includes the query
 	ContentType    string
 	Body           []byte
+	Held           *rockmemory.Holding // bytes of Body; grows with those of the answer
 }
