Hold of an answer only what a repeat of the call needs

One backend server that sent bytes without end took a host over 284 MB: answers were read up to 16 MB into buffers that doubled, only their content was counted, and the end of such an answer counted as a success of its server.

An answer is now read into chunks that are reserved in the account, with shares of the server and the caller. It is held as long as a repeat of the call could replace it. An answer that can't be repeated any more, because the call must not run twice or this is its last run, is passed on after 64 KB as it arrives, no faster than the caller reads. So is one of a declared length for which there is no room; without a length it is given up and the call goes to another server. Only statuses from 200 to 399 are passed on early, and what breaks off then closes the caller's connection and is not repeated. An answer of more than 16 MB, declared or not, ends at once and opens the server's circuit breaker. An event counts with the capacity of its buffer.

In TestHeldAnswersAreLimited and TestEndlessEventEndsTheAttempt the limit is that of the account; what they check is the same.

--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -187,7 +187,7 @@
 		s.InFlight--
 	}
 	if s := w.Servers.Get(e.Server); s != nil && s.ListedService != "" && e.Reason != rockreason.CallerLeft {
-		rockretry.RecordCall(now, s, e.Reason != rockreason.ServerUnreachable)
+		rockretry.RecordCall(now, s, e.Reason != rockreason.ServerUnreachable && !e.TooLong)
 	}
 	r, c := w.Requests.Get(e.Request), w.Claims.Get(e.Request)
 	if r != nil && r.Call == nil {
@@ -213,6 +213,9 @@
 	case r.Call.NeedsNoClaim && !r.Call.Idempotent:
 		r.MayHaveRun = true
 		w.Answer(r.ID, rockreason.OutcomeUnknown)
+	case e.AnswerBegun:
+		r.MayHaveRun = true
+		w.Answer(r.ID, rockreason.BackendFailed)
 	default:
 		r.MayHaveRun = true
 		if r.Call.Runs >= maxRunsOf(r) || !rockretry.SpendSharedBudget(now, w, r) {
--- a/core/rockclaim/listed_test.go
+++ b/core/rockclaim/listed_test.go
@@ -117,3 +117,26 @@
 		})
 	}
 }
+
+// Guards against a backend server whose answers have no end and that gets as many calls as the others.
+func TestTooLongAnswerOpensTheCircuitBreaker(t *testing.T) {
+	w := newTestWorld(2)
+	first := runArrival(startTime, w, 1, true)
+	second, _ := runEnd(startTime, w, rocktable.CallEnded{Request: 1, Server: w.ServerNamed(first).ID, Reason: rockreason.OutcomeUnknown, Sent: true, Crashed: true, TooLong: true})
+	if second == "" || second == first {
+		t.Errorf("dispatched to %q and then to %q, want another backend server", first, second)
+	}
+	if !rockretry.IsBreakerOpen(startTime, w.ServerNamed(first)) {
+		t.Error("the circuit breaker is closed")
+	}
+}
+
+// Guards against a second answer behind the beginning of one that the caller has.
+func TestBegunAnswerIsNotRepeated(t *testing.T) {
+	w := newTestWorld(2)
+	first := runArrival(startTime, w, 1, true)
+	next, reason := runEnd(startTime, w, rocktable.CallEnded{Request: 1, Server: w.ServerNamed(first).ID, Reason: rockreason.OutcomeUnknown, Sent: true, AnswerBegun: true})
+	if next != "" || reason != rockreason.BackendFailed {
+		t.Errorf("got dispatch to %q and reason %q, want no second dispatch and %q", next, reason, rockreason.BackendFailed)
+	}
+}
--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -52,9 +52,9 @@
 }
 
 // RecordCall opens the circuit breaker of a plain service's backend server if a call could not
-// reach it, and closes it otherwise.
-func RecordCall(now time.Time, s *rocktable.BackendServer, reached bool) {
-	if reached {
+// reach it or its answer was too long, and closes it otherwise.
+func RecordCall(now time.Time, s *rocktable.BackendServer, ok bool) {
+	if ok {
 		s.BreakerTrips = 0
 		return
 	}
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -253,6 +253,8 @@
 	ContentType string
 	Body        []byte
 	Crashed     bool
+	TooLong     bool // the answer exceeded the largest size that is allowed
+	AnswerBegun bool // a part of the answer has reached the caller, so that no other one can follow
 }
 
 // OrderEnded reports the answer to an order.
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -213,6 +213,7 @@
 	}
 	if d.relay != nil {
 		d.relay.Snapshot, d.relay.Post, d.relay.NextRequestID = d.control.Snapshot, d.control.Post, d.control.NextRequestID
+		d.relay.Memory = d.memory
 		d.relay.ObserveRequest = d.metrics.ObserveRequest
 		d.relay.Count, d.relay.Now, d.relay.Stopped, d.relay.Log = d.metrics.Count, time.Now, d.control.Done(), d.log
 	}
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -49,7 +49,7 @@
 	reader := rockmemory.Reader{
 		Source: http.MaxBytesReader(w, r.Body, limit), Held: held,
 		BeforeStep: func(received, n int) { // not every ResponseWriter has deadlines
-			_ = control.SetReadDeadline(deadline(begin, r.ContentLength, received, n))
+			_ = control.SetReadDeadline(stepDeadline(begin, r.ContentLength, received, n))
 		},
 	}
 	body, err := reader.ReadAll(r.ContentLength)
@@ -69,9 +69,9 @@
 	return body, "", nil
 }
 
-// deadline returns the time by which a part of n bytes must have arrived, after the received ones. length is the declared
+// stepDeadline returns the time by which a part of n bytes must have arrived, after the received ones. length is the declared
 // length of the body, or negative.
-func deadline(begin time.Time, length int64, received, n int) time.Time {
+func stepDeadline(begin time.Time, length int64, received, n int) time.Time {
 	size := received + n
 	if max(length, int64(size)) <= rockmemory.SmallBytes {
 		return begin.Add(bodyTimeout)
--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -17,7 +17,7 @@
 const (
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 1 << 20
-	// uncountedEventBytes is the size up to which an event does not count towards Relay.MaxHeldBytes. Usual events have
+	// uncountedEventBytes is the size up to which an event does not count towards Relay.Memory. Usual events have
 	// some hundred bytes.
 	uncountedEventBytes = 16 << 10
 	// streamType is the content type of a stream of events.
@@ -191,7 +191,7 @@
 // returns the remaining bytes and io.EOF.
 func (x *exchange) readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
-	counted := uncountedEventBytes
+	counted := uncountedEventBytes // of the capacity, which grows in larger steps than the event
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
@@ -205,11 +205,11 @@
 		if len(event) > maxEventBytes {
 			return nil, errTooLarge
 		}
-		if len(event) > counted {
-			if !x.hold(answerChunkBytes) {
+		if size := cap(event); size > counted {
+			if !x.hold(int64(size - counted)) {
 				return nil, errHostFull
 			}
-			counted += answerChunkBytes
+			counted = size
 		}
 	}
 }
--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -10,6 +10,7 @@
 	"sassafrasrock/core/rocklookup"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 )
 
 // moveTimeout limits the order that moves a request to another path.
@@ -35,7 +36,8 @@
 
 	calledServer rocktable.BackendServerID // of the call that is running, or 0
 
-	held       int64 // bytes of answers and events that count towards Relay.MaxHeldBytes
+	runs       int                 // of the call, at backend servers that did not say that they had not run it
+	held       *rockmemory.Holding // bytes of the answer or event that is being read
 	stream     stream
 	callAnswer *callAnswer // last complete answer to a call
 }
@@ -148,8 +150,7 @@
 	case x.stream.headerSent:
 		return ErrIncomplete
 	case x.callAnswer != nil && (answer.Recorded != nil || answer.Reason == rockreason.BackendFailed):
-		x.sink.WriteHeader(x.callAnswer.status, x.callAnswer.header)
-		return x.sink.Write(x.callAnswer.body)
+		return x.sendCallAnswer()
 	case answer.Reason == "":
 		x.sink.Refuse(rockreason.BackendFailed, 0)
 		return nil
@@ -158,6 +159,17 @@
 	return nil
 }
 
+// sendCallAnswer sends the last complete answer to a call.
+func (x *exchange) sendCallAnswer() error {
+	x.sink.WriteHeader(x.callAnswer.status, x.callAnswer.header)
+	for _, chunk := range x.callAnswer.chunks {
+		if err := x.sink.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // beginAttempt makes an attempt the current one, which cancelAttempt and move act on.
 func (x *exchange) beginAttempt(ctx context.Context, id rocktable.AttemptID, a Attempt) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/rockrelay/held_test.go
+++ b/io/rockrelay/held_test.go
@@ -1,13 +1,16 @@
 package rockrelay
 
 import (
+	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 )
 
 // endlessBody is a body without end that counts what is read of it.
@@ -31,7 +34,8 @@
 		Name: "read", Host: "a.example", Prefix: "/", Targets: []rocktable.RouteTarget{{Name: "desk", Weight: 1}}, Repeatable: true, Attempts: 2,
 	}
 	b := newFixture(t, route)
-	b.MaxHeldBytes = 4 << 20
+	const limit = 4 << 20
+	b.Memory = rockmemory.New(limit)
 	c := b.send(t.Context(), Request{ID: "a"})
 	waitFor(t, b, arrivals)
 	body := &endlessBody{text: "x"}
@@ -41,23 +45,24 @@
 	if e := waitFor(t, b, callEndings); e.Reason != rockreason.OutcomeUnknown || !e.Sent {
 		t.Errorf("endless answer: got end %q, sent %v; want %q of a call that was sent", e.Reason, e.Sent, rockreason.OutcomeUnknown)
 	}
-	if body.read.Load() > b.MaxHeldBytes+answerChunkBytes {
-		t.Errorf("read %d bytes, want at most %d", body.read.Load(), b.MaxHeldBytes)
+	if body.read.Load() > limit+answerChunkBytes {
+		t.Errorf("read %d bytes, want at most %d", body.read.Load(), limit)
 	}
 	b.answers <- respond(io.NopCloser(strings.NewReader("whole")))
 	b.Dispatch(start)
 	waitFor(t, b, callEndings)
 	b.sendAnswer(rocktable.Answer{Recorded: &rocktable.ClaimRow{}})
 	<-c.done
-	if c.body.String() != "whole" || b.heldBytes.Load() != 0 {
-		t.Errorf("caller got %q and %d bytes are still counted, want the second answer and 0", c.body.String(), b.heldBytes.Load())
+	if c.body.String() != "whole" || b.Memory.Used() != 0 {
+		t.Errorf("caller got %q and %d bytes are still counted, want the second answer and 0", c.body.String(), b.Memory.Used())
 	}
 }
 
 // Guards against an event without end that takes the memory of the host.
 func TestEndlessEventEndsTheAttempt(t *testing.T) {
 	b := newFixture(t, streaming)
-	b.MaxHeldBytes = 256 << 10
+	const limit = 256 << 10
+	b.Memory = rockmemory.New(limit)
 	b.send(t.Context(), Request{ID: "a"})
 	waitFor(t, b, arrivals)
 	body := &endlessBody{text: "data: x\n"}
@@ -66,7 +71,131 @@
 	if e := waitFor(t, b, endings); e.Reason != rockreason.StageDied || e.FailedServer != 1 {
 		t.Errorf("got end %q of backend server %d, want %q of 1", e.Reason, e.FailedServer, rockreason.StageDied)
 	}
-	if body.read.Load() > b.MaxHeldBytes+2*answerChunkBytes || b.heldBytes.Load() != 0 {
-		t.Errorf("read %d bytes with %d still counted, want at most %d and 0", body.read.Load(), b.heldBytes.Load(), b.MaxHeldBytes+2*answerChunkBytes)
+	if body.read.Load() > limit+2*answerChunkBytes || b.Memory.Used() != 0 {
+		t.Errorf("read %d bytes with %d still counted, want at most %d and 0", body.read.Load(), b.Memory.Used(), limit+2*answerChunkBytes)
+	}
+}
+
+var calls = rocktable.RouteConfig{
+	Name: "pay", Host: "a.example", Prefix: "/", Targets: []rocktable.RouteTarget{{Name: "desk", Weight: 1}}, Attempts: 1,
+}
+
+func (b *fixture) startCall() {
+	b.Dispatch(rocktable.Outbox{CallStarts: []rocktable.CallStart{{Request: 1, Server: 1, Name: "d1", Address: "d1:80", Timeout: 1e9}}})
+}
+
+// Guards against an answer without end that is held, or that looks complete to the caller, where no other answer can
+// replace it.
+func TestEndlessFinalAnswerIsBrokenOff(t *testing.T) {
+	for name, route := range map[string]rocktable.RouteConfig{
+		"must not run twice": calls,
+		"last run":           {Name: "read", Host: "a.example", Prefix: "/", Targets: calls.Targets, Repeatable: true, Attempts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, route)
+			b.Memory = rockmemory.New(64 << 20)
+			c := b.send(t.Context(), Request{ID: "a"})
+			waitFor(t, b, arrivals)
+			var peak int64
+			body := &endlessBody{text: "x"}
+			b.answers <- respond(peakReader{body, func() { peak = max(peak, b.Memory.Used()) }})
+			b.startCall()
+			e := waitFor(t, b, callEndings)
+			if e.Reason != rockreason.OutcomeUnknown || !e.Crashed || !e.TooLong || !e.AnswerBegun {
+				t.Errorf("got %+v, want a call whose answer was begun and too long", e)
+			}
+			b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+			<-c.done
+			if !errors.Is(c.err, ErrIncomplete) || c.refused != "" {
+				t.Errorf("Serve returned %v with refusal %q, want ErrIncomplete, which closes the connection", c.err, c.refused)
+			}
+			if read := body.read.Load(); read > maxAnswerBytes+answerChunkBytes || peak > maxFinalBytes+answerChunkBytes || b.Memory.Used() != 0 {
+				t.Errorf("read %d bytes, held %d at most and %d at the end", read, peak, b.Memory.Used())
+			}
+		})
+	}
+}
+
+// peakReader calls look before each read.
+type peakReader struct {
+	io.ReadCloser
+	look func()
+}
+
+func (r peakReader) Read(p []byte) (int, error) {
+	r.look()
+	return r.ReadCloser.Read(p)
+}
+
+// Guards against an answer that is read ahead of a slow caller, and against one that is changed when it is passed on.
+func TestFinalAnswerIsPassedOnAsItIsRead(t *testing.T) {
+	b := newFixture(t, calls)
+	b.Memory = rockmemory.New(64 << 20)
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	want := strings.Repeat("0123456789", 1<<17)
+	ahead := 0
+	source := strings.NewReader(want)
+	b.answers <- respond(peakReader{io.NopCloser(source), func() { ahead = max(ahead, len(want)-source.Len()-c.body.Len()) }})
+	b.startCall()
+	if e := waitFor(t, b, callEndings); e.Reason != "" || e.Status != http.StatusOK {
+		t.Errorf("got end %q with status %d, want an answer with 200", e.Reason, e.Status)
+	}
+	b.sendAnswer(rocktable.Answer{Recorded: &rocktable.ClaimRow{}})
+	<-c.done
+	if c.err != nil || c.body.String() != want || ahead > maxFinalBytes+answerChunkBytes {
+		t.Errorf("caller got %d bytes and error %v, %d bytes were read ahead; want %d bytes and at most %d ahead", c.body.Len(), c.err, ahead, len(want), maxFinalBytes+answerChunkBytes)
+	}
+}
+
+// Guards against an answer that breaks off after a part of it was passed on, and that looks complete to the caller or is
+// followed by another one.
+func TestBrokenAnswerIsNotRepeatedAfterItsBeginning(t *testing.T) {
+	b := newFixture(t, rocktable.RouteConfig{Name: "read", Host: "a.example", Prefix: "/", Targets: calls.Targets, Repeatable: true, Attempts: 2})
+	b.Memory = rockmemory.New(1 << 20)
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- func() (*Response, error) {
+		return &Response{Status: 200, Header: http.Header{}, Length: 8 << 20, Body: brokenBody(strings.Repeat("x", 2<<20), errors.New("reset"))}, nil
+	}
+	b.startCall()
+	if e := waitFor(t, b, callEndings); e.Reason != rockreason.OutcomeUnknown || !e.AnswerBegun || e.TooLong {
+		t.Errorf("got %+v, want a call with an unknown outcome whose answer was begun", e)
+	}
+	b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+	<-c.done
+	if !errors.Is(c.err, ErrIncomplete) || c.body.Len() != 2<<20 || b.Memory.Used() != 0 {
+		t.Errorf("Serve returned %v after %d bytes with %d still held, want ErrIncomplete after %d with 0", c.err, c.body.Len(), b.Memory.Used(), 2<<20)
+	}
+}
+
+// Guards against an answer that is read in vain, because it declares a length beyond the largest size, and against a
+// failure of a backend server that is passed on although the call can be repeated.
+func TestAnswersThatAreNotPassedOn(t *testing.T) {
+	for name, resp := range map[string]Response{
+		"too long":  {Status: 200, Length: maxAnswerBytes + 1},
+		"a failure": {Status: 500, Length: 8 << 20},
+		"not run":   {Status: 429, Length: 8 << 20, NotRun: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, rocktable.RouteConfig{Name: "read", Host: "a.example", Prefix: "/", Targets: calls.Targets, Repeatable: true, Attempts: 2})
+			b.Memory = rockmemory.New(1 << 20)
+			b.send(t.Context(), Request{ID: "a"})
+			waitFor(t, b, arrivals)
+			body := &endlessBody{text: "x"}
+			resp.Body, resp.Header = body, http.Header{}
+			b.answers <- func() (*Response, error) { return &resp, nil }
+			b.startCall()
+			e := waitFor(t, b, callEndings)
+			if e.Reason != rockreason.OutcomeUnknown || e.AnswerBegun || e.TooLong != (resp.Status == 200) || e.Crashed != e.TooLong {
+				t.Errorf("got %+v", e)
+			}
+			if resp.Status == 200 && body.read.Load() > 0 {
+				t.Errorf("read %d bytes of an answer that declares too many", body.read.Load())
+			}
+			if b.Memory.Used() != 0 {
+				t.Errorf("%d bytes are still held", b.Memory.Used())
+			}
+		})
 	}
 }
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,11 +15,9 @@
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockguard"
+	"sassafrasrock/io/rockmemory"
 )
 
-// DefaultMaxHeldBytes is a third of the memory of the smallest hosts.
-const DefaultMaxHeldBytes = 64 << 20
-
 var (
 	// ErrNotSent reports that no byte of a request reached the backend server.
 	ErrNotSent = eris.New("request was not sent to the backend server")
@@ -67,6 +64,7 @@
 	Body          io.ReadCloser
 	NotRun        bool   // the backend server reported that it did not run the request
 	FailedAddress string // of the failed backend server, if the answer names one
+	Length        int64  // declared length of the body; 0 or less if it is not known
 }
 
 // Sink writes the answer to a caller. Only one goroutine uses it.
@@ -100,12 +98,10 @@
 	Stopped        <-chan struct{} // closed after the control thread has ended
 	Log            *slog.Logger
 
-	// MaxHeldBytes limits the memory of all answers and events that are read and not yet sent; 0 means
-	// DefaultMaxHeldBytes.
-	MaxHeldBytes int64
+	// Memory counts the answers and events that are read and not yet sent; nil means no limit.
+	Memory *rockmemory.Account
 
 	waitReports waitReports
-	heldBytes   atomic.Int64
 
 	mu        sync.Mutex
 	exchanges map[rocktable.RequestID]*exchange
@@ -143,13 +139,6 @@
 
 func (t *Relay) guard() rockguard.Guard { return rockguard.Guard{Log: t.Log, Count: t.Count} }
 
-func (t *Relay) maxHeldBytes() int64 {
-	if t.MaxHeldBytes > 0 {
-		return t.MaxHeldBytes
-	}
-	return DefaultMaxHeldBytes
-}
-
 func (t *Relay) removeExchange(id rocktable.RequestID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -68,6 +68,7 @@
 	watch.start(max(start.SilenceLimit, start.FirstTokenLimit/firstCheckDivisor))
 	resp, err := x.relay.Open(ctx, a)
 	if err == nil {
+		x.openHolding(a.ServerName)
 		err = x.forwardEvents(start, resp, watch)
 		x.releaseHeld()
 	}
