Obey the configured limits of requests

The limits of the users' manifest were not decoded: heads, bodies, slow heads and idle connections had limits of our own, and a changed limit had no effect. A connection is idle from the end of an answer, or its start, to the first byte of a head, and is not closed before the limit. Heads count without the request line, since callers may measure only the fields.

--- a/core/rocktable/config.go
+++ b/core/rocktable/config.go
@@ -10,6 +10,26 @@
 	Services  []ServiceConfig  `json:"services" validate:"dive"`
 	Drained   []string         `json:"drained,omitempty"` // names of backend servers that receive no new work
 	Routes    []RouteConfig    `json:"routes,omitempty"`  // for a front end that routes by host name and path
+
+	RequestLimits RequestLimits `json:"requestLimits,omitzero"`
+}
+
+// RequestLimits bounds what callers may send and how long they may take. A zero field means the front end's own limit.
+type RequestLimits struct {
+	MaxHeadBytes  int64 `json:"maxHeadBytes,omitempty" validate:"min=0,max=1073741824"` // header fields, without the request line
+	MaxBodyBytes  int64 `json:"maxBodyBytes,omitempty" validate:"min=0,max=1073741824"`
+	HeadTimeoutMs int   `json:"headTimeoutMs,omitempty" validate:"min=0,max=86400000"` // from the first byte of a head to its end
+	IdleTimeoutMs int   `json:"idleTimeoutMs,omitempty" validate:"min=0,max=86400000"` // of a connection between two requests
+}
+
+// HeadTimeout returns the longest time from the first byte of a head to its end, or 0.
+func (l RequestLimits) HeadTimeout() time.Duration {
+	return time.Duration(l.HeadTimeoutMs) * time.Millisecond
+}
+
+// IdleTimeout returns the time after which an idle connection is closed, or 0.
+func (l RequestLimits) IdleTimeout() time.Duration {
+	return time.Duration(l.IdleTimeoutMs) * time.Millisecond
 }
 
 // RouteConfig maps requests to a service or pipeline by host name and path.
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -1,6 +1,7 @@
 package rockhttp
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockmemory"
 )
 
@@ -19,35 +21,36 @@
 	bodyGrace = 5 * time.Second
 	// minBodyRate is the lowest mean speed of a body of more than rockmemory.SmallBytes, in bytes a second.
 	minBodyRate = 128 << 10
-	// maxHeadBytes limits the request line and headers. net/http itself rejects heads of more than
-	// twice this size, which no counter shows.
-	maxHeadBytes = 64 << 10
+	// defaultHeadBytes limits the header fields if the configuration does not. net/http itself rejects heads of more than
+	// largestHeadBytes, which no counter shows.
+	defaultHeadBytes = 64 << 10
+	largestHeadBytes = 2 * defaultHeadBytes
 )
 
-// ReadBody reads the body of a request, up to limit bytes, into memory that it reserves from the holding before it reads.
+// ReadBody reads the body of a request into memory that it reserves from the holding before it reads.
 // The caller of ReadBody releases the holding, also after a code or an error. ReadBody returns a code if the head or the
 // body is too long, the encoding of the body is invalid or the holding has no room. The connection is then closed after
 // the answer, because the rest of the body is not read. It returns an error if the connection is broken or too slow, in
 // which case an answer would not reach the caller.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
-	body, code, err := readBody(w, r, limit, held)
+func ReadBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
+	body, code, err := readBody(w, r, limits, held)
 	if code != "" {
 		w.Header().Set("Connection", "close")
 	}
 	return body, code, err
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
+func readBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
 	switch {
-	case headLength(r) > maxHeadBytes:
+	case headLength(r) > cmp.Or(limits.MaxHeadBytes, defaultHeadBytes):
 		return nil, rockreason.HeadTooLong, nil
-	case r.ContentLength > limit:
+	case r.ContentLength > limits.MaxBodyBytes:
 		return nil, rockreason.BodyTooLong, nil
 	}
 	control := http.NewResponseController(w)
 	begin := time.Now()
 	reader := rockmemory.Reader{
-		Source: http.MaxBytesReader(w, r.Body, limit), Held: held,
+		Source: http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes), Held: held,
 		BeforeStep: func(received, n int) { // not every ResponseWriter has deadlines
 			_ = control.SetReadDeadline(stepDeadline(begin, r.ContentLength, received, n))
 		},
@@ -79,13 +82,13 @@
 	return begin.Add(min(bodyTimeout, bodyGrace+time.Duration(size)*time.Second/minBodyRate))
 }
 
-// headLength returns the length in bytes that the head of a request has in HTTP/1.1.
-func headLength(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
+// headLength returns the length in bytes that the header fields of a request have in HTTP/1.1.
+func headLength(r *http.Request) int64 {
+	n := len("Host: \r\n") + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
 			n += len(name) + len(": \r\n") + len(v)
 		}
 	}
-	return n
+	return int64(n)
 }
--- a/io/rockhttp/body_test.go
+++ b/io/rockhttp/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -12,7 +13,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockhttp"
+	"sassafrasrock/io/rocktraffic"
 )
 
 // Guards against invalid requests that net/http rejects by itself, which no counter shows to operators, and against an
@@ -55,3 +58,32 @@
 		})
 	}
 }
+
+// Guards against limits of the configuration that are not obeyed, or only after a restart.
+func TestConfiguredRequestLimits(t *testing.T) {
+	f := newFixture()
+	f.Call = func(context.Context, rocktraffic.CallRequest) (rocktable.Answer, error) {
+		return rocktable.Answer{Recorded: &rocktable.ClaimRow{Status: 200}}, nil
+	}
+	server := f.start(t)
+	snapshot := *f.Snapshot()
+	f.Snapshot = func() *rocktable.Snapshot { return &snapshot }
+	for _, c := range []struct {
+		limits     rocktable.RequestLimits
+		head, body int
+		status     int
+	}{
+		{rocktable.RequestLimits{}, 10 << 10, 1000, 200},
+		{rocktable.RequestLimits{}, 10, 1001, 413},
+		{rocktable.RequestLimits{MaxHeadBytes: 8 << 10, MaxBodyBytes: 5000}, 7 << 10, 5000, 200},
+		{rocktable.RequestLimits{MaxHeadBytes: 8 << 10, MaxBodyBytes: 5000}, 7 << 10, 5001, 413},
+		{rocktable.RequestLimits{MaxHeadBytes: 8 << 10, MaxBodyBytes: 5000}, 8 << 10, 5000, 431},
+		{rocktable.RequestLimits{MaxHeadBytes: 100 << 10}, 90 << 10, 0, 200},
+	} {
+		snapshot.Config.RequestLimits = c.limits
+		response, _ := send(t, server, "POST", "/v1/services/squares/", "open", strings.Repeat("x", c.body), "X-Long", strings.Repeat("x", c.head))
+		if response.StatusCode != c.status {
+			t.Errorf("%+v: got status %d", c, response.StatusCode)
+		}
+	}
+}
--- /dev/null
+++ b/io/rockhttp/connections.go
@@ -0,0 +1,150 @@
+package rockhttp
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+)
+
+// Limits of net/http's server, which are fixed when it starts. They are far beyond those that a configuration sets and that
+// Connections keeps.
+const (
+	longestHeadTimeout = 10 * time.Minute
+	longestIdleTimeout = 24 * time.Hour
+)
+
+// Limits that hold if the configuration does not set them.
+const (
+	defaultHeadTimeout = 10 * time.Second
+	defaultIdleTimeout = 2 * time.Minute
+)
+
+// Connections closes callers' connections that are idle, or that take longer to send the head of a request, than the
+// configuration allows. The limit that was active when the time began holds to its end.
+type Connections struct {
+	// Limits returns the active limits. It is safe for concurrent use.
+	Limits func() rocktable.RequestLimits
+}
+
+// Watch returns a listener whose connections are limited while server serves it.
+func (c *Connections) Watch(server *http.Server, l net.Listener) net.Listener {
+	server.ReadHeaderTimeout, server.IdleTimeout = longestHeadTimeout, longestIdleTimeout
+	server.ConnState = changeState
+	return watchedListener{Listener: l, connections: c}
+}
+
+func (c *Connections) headTimeout() time.Duration {
+	if d := c.Limits().HeadTimeout(); d > 0 {
+		return d
+	}
+	return defaultHeadTimeout
+}
+
+func (c *Connections) idleTimeout() time.Duration {
+	if d := c.Limits().IdleTimeout(); d > 0 {
+		return d
+	}
+	return defaultIdleTimeout
+}
+
+type watchedListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept returns a connection that is closed if no request begins within the limit for idle ones.
+func (l watchedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	w := &watchedConn{Conn: conn, connections: l.connections}
+	w.beginIdle()
+	return w, nil
+}
+
+// changeState is told by net/http when a head is complete, when a connection has become idle and when it ends.
+func changeState(conn net.Conn, state http.ConnState) {
+	w, ok := conn.(*watchedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		w.beginIdle()
+	case http.StateActive, http.StateHijacked, http.StateClosed:
+		w.end()
+	}
+}
+
+// watchedConn is a connection of a caller. Its timer closes it while it is idle or receives a head.
+type watchedConn struct {
+	net.Conn
+	connections *Connections
+
+	mu     sync.Mutex
+	isIdle bool
+	period int         // number of the present time limit; a timer of an earlier one has no effect
+	timer  *time.Timer // nil while a request is handled
+}
+
+// Read notices the first byte of a head.
+func (w *watchedConn) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if n > 0 {
+		w.beginHead()
+	}
+	return n, err
+}
+
+func (w *watchedConn) beginIdle() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isIdle = true
+	w.limit(w.connections.idleTimeout())
+}
+
+func (w *watchedConn) beginHead() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isIdle {
+		return
+	}
+	w.isIdle = false
+	w.limit(w.connections.headTimeout())
+}
+
+func (w *watchedConn) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isIdle = false
+	w.stopTimer()
+}
+
+// limit closes the connection after d unless another period begins before.
+func (w *watchedConn) limit(d time.Duration) {
+	w.stopTimer()
+	period := w.period
+	w.timer = time.AfterFunc(d, func() { w.closeAfter(period) })
+}
+
+// closeAfter closes the connection if the period has not ended.
+func (w *watchedConn) closeAfter(period int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.period == period {
+		_ = w.Conn.Close()
+	}
+}
+
+// stopTimer ends the period.
+func (w *watchedConn) stopTimer() {
+	w.period++
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
+	}
+}
--- /dev/null
+++ b/io/rockhttp/connections_test.go
@@ -0,0 +1,122 @@
+package rockhttp_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockhttp"
+)
+
+// pipeListener accepts connections inside this process, which follow the virtual time of a test.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// limitedServer serves an empty answer to each request, with limits that a test may change.
+type limitedServer struct {
+	t        *testing.T
+	limits   atomic.Pointer[rocktable.RequestLimits]
+	listener pipeListener
+}
+
+func startLimitedServer(t *testing.T) *limitedServer {
+	s := &limitedServer{t: t, listener: pipeListener{make(chan net.Conn)}}
+	s.limits.Store(&rocktable.RequestLimits{HeadTimeoutMs: 3000, IdleTimeoutMs: 15000})
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return *s.limits.Load() }}
+	go func() { _ = server.Serve(connections.Watch(server, s.listener)) }()
+	t.Cleanup(func() {
+		close(s.listener.conns)
+		_ = server.Close()
+	})
+	return s
+}
+
+func (s *limitedServer) dial() net.Conn {
+	own, other := net.Pipe()
+	s.t.Cleanup(func() { _ = own.Close() })
+	s.listener.conns <- other
+	return own
+}
+
+const (
+	headBegin = "GET / HTTP/1.1\r\n"
+	headEnd   = "Host: h\r\n\r\n"
+)
+
+// isServed reports whether a text, which ends a head, is answered.
+func isServed(conn net.Conn, text string) bool {
+	if _, err := fmt.Fprint(conn, text); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// Guards against connections that are closed before the configured time, which callers that reuse them see as lost
+// requests, and against those that stay open for longer.
+func TestIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimitedServer(t)
+		conn := s.dial()
+		for range 5 {
+			time.Sleep(14900 * time.Millisecond)
+			if !isServed(conn, headBegin+headEnd) {
+				t.Fatal("a connection was closed after 14.9 s of 15 s")
+			}
+		}
+		time.Sleep(time.Second)
+		s.limits.Store(&rocktable.RequestLimits{IdleTimeoutMs: 1000})
+		time.Sleep(13900 * time.Millisecond)
+		if !isServed(conn, headBegin+headEnd) {
+			t.Error("a change of the limit ended a period that had begun with the earlier one")
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if isServed(conn, headBegin+headEnd) {
+			t.Error("a connection was open after 1.1 s of 1 s")
+		}
+	})
+}
+
+// Guards against a head that is sent a byte now and then and keeps its connection, and against the limit of a head that is
+// applied to the idle time before it.
+func TestSlowHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimitedServer(t)
+		for _, c := range []struct {
+			pause time.Duration
+			want  bool
+		}{{2900 * time.Millisecond, true}, {3100 * time.Millisecond, false}} {
+			conn := s.dial()
+			for i := range 2 {
+				time.Sleep(12 * time.Second)
+				if _, err := fmt.Fprint(conn, headBegin); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(c.pause)
+				if got := isServed(conn, headEnd); got != c.want {
+					t.Errorf("head %d that took %s: got served %v, want %v", i, c.pause, got, c.want)
+				}
+				if !c.want {
+					break
+				}
+			}
+		}
+	})
+}
--- a/io/rockhttp/server.go
+++ b/io/rockhttp/server.go
@@ -1,6 +1,7 @@
 package rockhttp
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
@@ -20,9 +21,6 @@
 	DefaultBodyLimitBytes = 4 << 20
 	// DefaultWriteTimeout limits each write of a part of an answer if Server.WriteTimeout is 0.
 	DefaultWriteTimeout = 30 * time.Second
-
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 )
 
 // Server serves callers' requests. The function fields must be set and safe for concurrent use.
@@ -44,13 +42,13 @@
 	WriteTimeout   time.Duration       // 0 means DefaultWriteTimeout
 }
 
-// HTTPServer returns an HTTP server for Handler that limits slow and oversized requests.
+// HTTPServer returns an HTTP server for Handler that limits oversized heads. Connections.Watch limits slow and idle callers.
 func (s *Server) HTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           s.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    2 * maxHeadBytes,
+		ReadHeaderTimeout: defaultHeadTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    largestHeadBytes,
 	}
 }
 
@@ -101,11 +99,9 @@
 
 // readBody returns the request body. It returns false if the request is too long or invalid, after answering it.
 func (s *Server) readBody(c *echo.Context, v view) ([]byte, bool) {
-	limit := s.BodyLimitBytes
-	if limit == 0 {
-		limit = DefaultBodyLimitBytes
-	}
-	body, code, err := ReadBody(c.Response(), c.Request(), limit, v.held)
+	limits := v.snapshot.Config.RequestLimits
+	limits.MaxBodyBytes = cmp.Or(limits.MaxBodyBytes, s.BodyLimitBytes, DefaultBodyLimitBytes)
+	body, code, err := ReadBody(c.Response(), c.Request(), limits, v.held)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/io/rockschema/check.go
+++ b/io/rockschema/check.go
@@ -77,7 +77,8 @@
 			return false
 		}
 	}
-	return true
+	l := m.GetRequestLimits()
+	return min(l.GetMaxHeadBytes(), l.GetMaxBodyBytes()) >= 0 && min(l.GetHeadTimeoutMs(), l.GetIdleTimeoutMs()) >= 0
 }
 
 func hasValidLayers(c *v1.Pipeline) bool {
--- a/io/rockschema/configuration.go
+++ b/io/rockschema/configuration.go
@@ -17,6 +17,8 @@
 		Services:  convertAll(cfg.Services, serviceToProto),
 		Drained:   cfg.Drained,
 		Routes:    convertAll(cfg.Routes, routeToProto),
+
+		RequestLimits: requestLimitsToProto(cfg.RequestLimits),
 	}
 }
 
@@ -30,6 +32,30 @@
 		Services:  convertAll(m.GetServices(), serviceFromProto),
 		Drained:   m.GetDrained(),
 		Routes:    convertAll(m.GetRoutes(), routeFromProto),
+
+		RequestLimits: requestLimitsFromProto(m.GetRequestLimits()),
+	}
+}
+
+// requestLimitsToProto returns nil for limits that are all the front end's own.
+func requestLimitsToProto(l rocktable.RequestLimits) *v1.RequestLimits {
+	if l == (rocktable.RequestLimits{}) {
+		return nil
+	}
+	return &v1.RequestLimits{
+		MaxHeadBytes:  l.MaxHeadBytes,
+		MaxBodyBytes:  l.MaxBodyBytes,
+		HeadTimeoutMs: clampInt32(l.HeadTimeoutMs),
+		IdleTimeoutMs: clampInt32(l.IdleTimeoutMs),
+	}
+}
+
+func requestLimitsFromProto(m *v1.RequestLimits) rocktable.RequestLimits {
+	return rocktable.RequestLimits{
+		MaxHeadBytes:  m.GetMaxHeadBytes(),
+		MaxBodyBytes:  m.GetMaxBodyBytes(),
+		HeadTimeoutMs: int(m.GetHeadTimeoutMs()),
+		IdleTimeoutMs: int(m.GetIdleTimeoutMs()),
 	}
 }
 
