--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"sassafrasrock/io/rockcontrol"
 	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockhttp"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rockmetric"
 	"sassafrasrock/io/rockoperator"
 	"sassafrasrock/io/rockpeer"
@@ -53,6 +54,7 @@
 	control         *rockcontrol.Control
 	traffic         *rocktraffic.Traffic
 	metrics         *rockmetric.Metrics
+	memory          *rockmemory.Account
 	platform        *rockplatform.Platform
 	engine          *rockengine.Engine
 	service         *rockservice.Client
@@ -119,6 +121,9 @@
 // rockcontrol.ErrStopped.
 func (d *Daemon) Status(ctx context.Context) (*rocktable.Status, error) { return d.control.Status(ctx) }
 
+// Memory returns the account of the bytes that the host holds.
+func (d *Daemon) Memory() *rockmemory.Account { return d.memory }
+
 // Count increments the counter of a reason.
 func (d *Daemon) Count(code rockreason.Code) { d.metrics.Count(code) }
 
@@ -149,6 +154,7 @@
 		engine:   rockengine.New(),
 		service:  rockservice.New(),
 		metrics:  rockmetric.New(settings.Host),
+		memory:   rockmemory.New(rockmemory.AccountLimit(processBytes(settings))),
 		drained:  make(chan struct{}),
 
 		tableChanges: newTableChanges(),
@@ -216,17 +222,19 @@
 	}
 	if d.relay != nil {
 		d.relay.Snapshot, d.relay.Post, d.relay.NextRequestID = d.control.Snapshot, d.control.Post, d.control.NextRequestID
+		d.relay.Memory = d.memory
 		d.relay.ObserveRequest = d.metrics.ObserveRequest
 		d.relay.Count, d.relay.Now, d.relay.Stopped, d.relay.Log = d.metrics.Count, time.Now, d.control.Done(), d.log
 	}
 	d.metrics.RegisterSnapshotGauges(d.control.Snapshot)
+	d.metrics.RegisterGauge("heldBytes", d.memory.Used)
 	d.peer.CountRejected = d.metrics.Count
 	d.peer.Receive = func(m rocktable.PeerMessage) {
 		d.control.Post(func(in *rocktable.Inbox) { in.Peers = append(in.Peers, m) })
 	}
 	server := &rockhttp.Server{
 		Snapshot: d.control.Snapshot, Chat: d.traffic.Chat, Call: d.traffic.Call,
-		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(), Closing: d.closing,
+		Status: d.control.Status, Count: d.metrics.Count, BodyLimitBytes: d.settings.MaxBodyBytes(), Memory: d.memory, Closing: d.closing,
 	}
 	d.callersServer = server.HTTPServer()
 	if d.callersHandler != nil {
@@ -269,7 +277,9 @@
 	for _, task := range d.tasks {
 		wg.Go(func() { task(running, d) })
 	}
-	go func() { failed <- d.callersServer.Serve(d.callersListener) }()
+	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return d.control.Snapshot().Config.RequestLimits }}
+	listener := connections.Watch(d.callersServer, d.callersListener)
+	go func() { failed <- d.callersServer.Serve(listener) }()
 	d.log.Info("daemon started", "host", d.settings.Host, "callers", d.CallersAddress, "operators", d.OperatorsAddress, "peers", d.PeersAddress)
 
 	select {
@@ -363,6 +373,11 @@
 	}
 }
 
+// processBytes returns the memory that the process may use, in bytes.
+func processBytes(settings rocksettings.Daemon) int64 {
+	return rockmemory.ProcessBytes(int64(settings.Limits.MemoryMB * (1 << 20)))
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -1,6 +1,7 @@
 package rockhttp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -10,29 +11,70 @@
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 )
 
 const (
 	// bodyTimeout limits the time to read a complete request body.
 	bodyTimeout = 30 * time.Second
-	// maxHeadBytes limits the request line and headers. net/http itself rejects heads of more than
-	// twice this size, which no counter shows.
-	maxHeadBytes = 64 << 10
+	// requestBytes is the memory for a request beside its head and body: the buffers and goroutines of its connections to
+	// the caller and the backend server, and its rows.
+	requestBytes = 64 << 10
+	// dropTimeout limits the time in which the body of a refused request is read and dropped.
+	dropTimeout = 2 * time.Second
+	// longBodyBytes is the size from which bodyGrace and minBodyRate hold.
+	longBodyBytes = 64 << 10
+	// bodyGrace is the time after which a long body has to have arrived at minBodyRate, so that a caller that stops
+	// sending does not keep memory that others need.
+	bodyGrace = 5 * time.Second
+	// minBodyRate is the lowest mean speed of a body of more than longBodyBytes, in bytes a second.
+	minBodyRate = 128 << 10
+	// defaultHeadBytes limits the header fields if the configuration does not. net/http itself rejects heads of more than
+	// largestHeadBytes, which no counter shows.
+	defaultHeadBytes = 64 << 10
+	largestHeadBytes = 2 * defaultHeadBytes
 )
 
-// ReadBody reads the body of a request, up to limit bytes. It returns a code if the head or the body is too long or the
-// encoding of the body is invalid, or if the host refuses new requests before the body has ended, which the context closing
-// tells. It returns an error if the connection is broken or too slow, in which case an answer would not reach the caller.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, closing context.Context) ([]byte, rockreason.Code, error) {
-	if headLength(r) > maxHeadBytes {
+// ReadBody reads the body of a request into memory that it reserves from the holding before it reads, together with that
+// for the head and for the request itself.
+// The caller of ReadBody releases the holding, also after a code or an error. ReadBody returns a code if the head or the
+// body is too long, the encoding of the body is invalid, the holding has no room, or the host refuses new requests before
+// the body has ended, which the context closing tells. The connection is then closed after the answer, because the rest of
+// the body is not read. It returns an error if the connection is broken or too slow, in which case an answer would not
+// reach the caller.
+func ReadBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding, closing context.Context) ([]byte, rockreason.Code, error) {
+	body, code, err := readBody(w, r, limits, held, closing)
+	if code != "" {
+		w.Header().Set("Connection", "close")
+	}
+	return body, code, err
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding, closing context.Context) ([]byte, rockreason.Code, error) {
+	head := headLength(r)
+	switch {
+	case head > cmp.Or(limits.MaxHeadBytes, defaultHeadBytes):
 		return nil, rockreason.HeadTooLong, nil
+	case r.ContentLength > limits.MaxBodyBytes:
+		return nil, rockreason.BodyTooLong, nil
+	case !held.Reserve(requestBytes + head):
+		return nil, rockreason.MemoryFull, nil
 	}
 	deadline := newBodyDeadline(w, closing)
 	defer deadline.stop()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	begin := time.Now()
+	reader := rockmemory.Reader{
+		Source: http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes), Held: held,
+		BeforeStep: func(received, n int) { deadline.setStep(stepDeadline(begin, r.ContentLength, received, n)) },
+	}
+	body, err := reader.ReadAll(r.ContentLength)
 	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
 		return nil, rockreason.BodyTooLong, nil
 	}
+	if errors.Is(err, rockmemory.ErrNoRoom) {
+		return nil, rockreason.MemoryFull, nil
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && deadline.isClosing() {
 		return nil, rockreason.ShuttingDown, nil
 	}
@@ -46,13 +88,32 @@
 	return body, "", nil
 }
 
-// headLength returns the length in bytes that the head of a request has in HTTP/1.1.
-func headLength(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
+// DropBody reads the rest of the body of a request that is answered, without holding it. If the connection were closed
+// while the caller sends, some callers would see only a failed write and not the answer.
+func DropBody(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(dropTimeout))
+	_, _ = io.Copy(io.Discard, r.Body) // net/http closes the connection in any case
+}
+
+// stepDeadline returns the time by which a part of n bytes must have arrived, after the received ones. length is the declared
+// length of the body, or negative.
+func stepDeadline(begin time.Time, length int64, received, n int) time.Time {
+	size := received + n
+	if max(length, int64(size)) <= longBodyBytes {
+		return begin.Add(bodyTimeout)
+	}
+	return begin.Add(min(bodyTimeout, bodyGrace+time.Duration(size)*time.Second/minBodyRate))
+}
+
+// headLength returns the length in bytes that the header fields of a request have in HTTP/1.1.
+func headLength(r *http.Request) int64 {
+	n := len("Host: \r\n") + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
 			n += len(name) + len(": \r\n") + len(v)
 		}
 	}
-	return n
+	return int64(n)
 }
--- a/io/rockhttp/deadline.go
+++ b/io/rockhttp/deadline.go
@@ -16,14 +16,17 @@
 	lateBodyTimeout = 100 * time.Millisecond
 )
 
-// bodyDeadline is the read deadline of a request's body.
+// bodyDeadline is the read deadline of a request's body: the deadline of the part that is being read, or an earlier one
+// once the host refuses new requests.
 type bodyDeadline struct {
 	control  *http.ResponseController
 	closing  context.Context // ends when the host refuses new requests
 	stopWait func() bool
 
-	mu    sync.Mutex
-	ended bool
+	mu      sync.Mutex
+	step    time.Time // of the part that is being read
+	closeAt time.Time // of the whole body, once the host refuses new requests; zero before
+	ended   bool
 }
 
 // newBodyDeadline sets the deadline for a body, which becomes earlier when the context closing ends; nil means never.
@@ -32,24 +35,43 @@
 		closing = context.Background()
 	}
 	d := &bodyDeadline{control: http.NewResponseController(w), closing: closing}
+	d.setStep(time.Now().Add(bodyTimeout))
 	if d.isClosing() {
-		d.set(lateBodyTimeout)
+		d.setClose(lateBodyTimeout)
 		d.stopWait = func() bool { return true }
 		return d
 	}
-	d.set(bodyTimeout)
-	d.stopWait = context.AfterFunc(closing, func() { d.set(closingBodyTimeout) })
+	d.stopWait = context.AfterFunc(closing, func() { d.setClose(closingBodyTimeout) })
 	return d
 }
 
 // isClosing reports whether the host refuses new requests.
 func (d *bodyDeadline) isClosing() bool { return d.closing.Err() != nil }
 
-func (d *bodyDeadline) set(timeout time.Duration) {
+// setStep sets the deadline of the part that is being read.
+func (d *bodyDeadline) setStep(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.step = at
+	d.apply()
+}
+
+// setClose limits the time for the rest of the body.
+func (d *bodyDeadline) setClose(timeout time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closeAt = time.Now().Add(timeout)
+	d.apply()
+}
+
+// apply sets the earlier one of the two deadlines. The mutex must be held.
+func (d *bodyDeadline) apply() {
+	at := d.step
+	if !d.closeAt.IsZero() && d.closeAt.Before(at) {
+		at = d.closeAt
+	}
 	if !d.ended {
-		_ = d.control.SetReadDeadline(time.Now().Add(timeout)) // not every ResponseWriter has deadlines
+		_ = d.control.SetReadDeadline(at) // not every ResponseWriter has deadlines
 	}
 }
 
--- a/io/rockhttp/deadline_test.go
+++ b/io/rockhttp/deadline_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockhttp"
 )
 
@@ -28,7 +29,7 @@
 	b := &bodyReader{codes: make(chan rockreason.Code, 1), contexts: make(chan context.Context, 1), answer: make(chan struct{})}
 	b.closing, b.close = context.WithCancel(context.Background())
 	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, code, err := rockhttp.ReadBody(w, r, 1<<20, b.closing)
+		_, code, err := rockhttp.ReadBody(w, r, rocktable.RequestLimits{MaxBodyBytes: 1 << 20}, nil, b.closing)
 		if err != nil {
 			t.Error(err)
 		}
--- a/io/rockhttp/server.go
+++ b/io/rockhttp/server.go
@@ -1,6 +1,7 @@
 package rockhttp
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 	"sassafrasrock/core/rocklookup"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rocktraffic"
 )
 
@@ -19,9 +21,6 @@
 	DefaultBodyLimitBytes = 4 << 20
 	// DefaultWriteTimeout limits each write of a part of an answer if Server.WriteTimeout is 0.
 	DefaultWriteTimeout = 30 * time.Second
-
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 )
 
 // Server serves callers' requests. The function fields must be set and safe for concurrent use.
@@ -38,20 +37,21 @@
 	// Count counts a refusal that does not reach the control thread.
 	Count func(code rockreason.Code)
 
-	BodyLimitBytes int64         // bytes; 0 means DefaultBodyLimitBytes
-	WriteTimeout   time.Duration // 0 means DefaultWriteTimeout
+	BodyLimitBytes int64               // bytes; 0 means DefaultBodyLimitBytes
+	Memory         *rockmemory.Account // counts request bodies; nil means no limit
+	WriteTimeout   time.Duration       // 0 means DefaultWriteTimeout
 
 	// Closing ends when the host refuses new requests; nil means never.
 	Closing context.Context
 }
 
-// HTTPServer returns an HTTP server for Handler that limits slow and oversized requests.
+// HTTPServer returns an HTTP server for Handler that limits oversized heads. Connections.Watch limits slow and idle callers.
 func (s *Server) HTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           s.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    2 * maxHeadBytes,
+		ReadHeaderTimeout: defaultHeadTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    largestHeadBytes,
 		// net/http answers OPTIONS * with 200 before any handler sees it.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -74,6 +74,7 @@
 type view struct {
 	snapshot *rocktable.Snapshot
 	caller   rocktable.CallerID
+	held     *rockmemory.Holding // bytes of the request and its answer
 }
 
 // authorized returns a handler that refuses requests without a valid token, before their body is read.
@@ -85,7 +86,9 @@
 			s.refuse(c, code, "")
 			return nil
 		}
-		handle(c, view{snapshot: snapshot, caller: caller})
+		v := view{snapshot: snapshot, caller: caller}
+		v.held = s.Memory.Open(rockmemory.Owner{Kind: rockmemory.Caller, Name: snapshot.CallerConfigs[caller].Name})
+		handle(c, v)
 		return nil
 	}
 }
@@ -100,17 +103,17 @@
 }
 
 // readBody returns the request body. It returns false if the request is too long or invalid, after answering it.
-func (s *Server) readBody(c *echo.Context) ([]byte, bool) {
-	limit := s.BodyLimitBytes
-	if limit == 0 {
-		limit = DefaultBodyLimitBytes
-	}
-	body, code, err := ReadBody(c.Response(), c.Request(), limit, s.Closing)
+func (s *Server) readBody(c *echo.Context, v view) ([]byte, bool) {
+	limits := v.snapshot.Config.RequestLimits
+	limits.MaxBodyBytes = cmp.Or(limits.MaxBodyBytes, s.BodyLimitBytes, DefaultBodyLimitBytes)
+	body, code, err := ReadBody(c.Response(), c.Request(), limits, v.held, s.Closing)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if code != "" {
+		v.held.Close()
 		s.refuse(c, code, "")
+		DropBody(c.Response(), c.Request())
 	}
 	return body, code == ""
 }
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -16,6 +16,7 @@
 
 	"sassafrasrock/core/rockstream"
 	"sassafrasrock/io/rockliveness"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rocktarget"
 )
 
@@ -92,7 +93,11 @@
 		return Reply{}, fail(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.options.MaxBodyBytes)+1))
+	if resp.ContentLength > int64(c.options.MaxBodyBytes) {
+		return Reply{}, fail(fmt.Errorf("answer is longer than %d bytes", c.options.MaxBodyBytes))
+	}
+	reader := rockmemory.Reader{Source: io.LimitReader(resp.Body, int64(c.options.MaxBodyBytes)+1), Held: call.Held}
+	body, err := reader.ReadAll(bodyLength(resp))
 	if err != nil {
 		return Reply{}, fail(err)
 	}
@@ -122,6 +127,14 @@
 	return nil // a backend server that is silent may be sound
 }
 
+// bodyLength returns the length of an answer's body, or -1 if it is not known.
+func bodyLength(resp *http.Response) int64 {
+	if resp.Body == http.NoBody {
+		return 0 // the answer to a HEAD request declares the length that a GET request would get
+	}
+	return resp.ContentLength
+}
+
 func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address, bytes.NewReader(call.Body))
 	if err != nil {
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -73,6 +73,8 @@
 	// Time between the stop signal and the end of the process from outside; 0 means that nothing ends it and it waits
 	// for its last request.
 	StopGraceS Seconds `json:"stopGraceS,omitempty" validate:"seconds=3600"`
+	// Memory of the process, in MB; 0 means the limit that the kernel sets, or rockmemory.DefaultProcessBytes.
+	MemoryMB float64 `json:"memoryMb,omitempty" validate:"omitempty,min=64,max=1048576"`
 	// The platform pushes its host list and the configuration; the daemon reads neither.
 	PlatformPushes bool `json:"platformPushes,omitempty"`
 }
--- a/io/rocksettings/duration_test.go
+++ b/io/rocksettings/duration_test.go
@@ -127,7 +127,7 @@
 
 // Guards against figures of the platform's bounds, which may have fractions, that keep the program from starting.
 func TestTemplateTakesFractions(t *testing.T) {
-	values := map[string]any{"ip": "127.0.0.1", "internalPorts.0": 7340, "internalPorts.1": 7341, "platform.addr": "127.0.0.1:8223", "bounds.graceS": 7.5}
+	values := map[string]any{"ip": "127.0.0.1", "internalPorts.0": 7340, "internalPorts.1": 7341, "platform.addr": "127.0.0.1:8223", "bounds.graceS": 7.5, "limits.memoryMb": 284.5}
 	for _, c := range []struct {
 		window, ratio, burst any
 		want                 time.Duration
