Count events that are kept until the first one with data

Comments and events without data before the first event were kept up to 1 MiB for each stream without being counted, so that servers in trouble took 1 MiB for each attempt. The buffer now counts by its capacity, as that of one event does.

--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -65,8 +65,8 @@
 			watch.progressMade()
 			x.recordEvent(start)
 		case !begun:
-			if held = append(held, event...); len(held) > maxEventBytes {
-				return errTooLarge
+			if held, err = x.keepEvent(held, event); err != nil {
+				return err
 			}
 			continue
 		}
@@ -81,6 +81,18 @@
 	}
 }
 
+// keepEvent appends an event without data to those that are kept until one with data arrives.
+func (x *exchange) keepEvent(kept, event []byte) ([]byte, error) {
+	counted := max(cap(kept), uncountedEventBytes)
+	if kept = append(kept, event...); len(kept) > maxEventBytes {
+		return nil, errTooLarge
+	}
+	if size := cap(kept); size > counted && !x.hold(int64(size-counted)) {
+		return nil, errHostFull
+	}
+	return kept, nil
+}
+
 // forward sends a part of an answer to the caller, after the headers if it is the first one.
 func (x *exchange) forward(resp *Response, p []byte) error {
 	x.sendHeader(resp)
--- a/io/rockrelay/held_test.go
+++ b/io/rockrelay/held_test.go
@@ -58,21 +58,25 @@
 	}
 }
 
-// Guards against an event without end that takes the memory of the host.
+// Guards against an event without end, or events without data before a first one, that take the memory of the host.
 func TestEndlessEventEndsTheAttempt(t *testing.T) {
-	b := newFixture(t, streaming)
-	const limit = 256 << 10
-	b.Memory = rockmemory.New(limit)
-	b.send(t.Context(), Request{ID: "a"})
-	waitFor(t, b, arrivals)
-	body := &endlessBody{text: "data: x\n"}
-	b.answers <- respond(body)
-	b.startAttempt(1)
-	if e := waitFor(t, b, endings); e.Reason != rockreason.StageDied || e.FailedServer != 1 {
-		t.Errorf("got end %q of backend server %d, want %q of 1", e.Reason, e.FailedServer, rockreason.StageDied)
-	}
-	if body.read.Load() > limit+2*answerChunkBytes || b.Memory.Used() != 0 {
-		t.Errorf("read %d bytes with %d still counted, want at most %d and 0", body.read.Load(), b.Memory.Used(), limit+2*answerChunkBytes)
+	for name, text := range map[string]string{"event": "data: x\n", "comments": ": x\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, streaming)
+			const limit = 256 << 10
+			b.Memory = rockmemory.New(limit)
+			b.send(t.Context(), Request{ID: "a"})
+			waitFor(t, b, arrivals)
+			body := &endlessBody{text: text}
+			b.answers <- respond(body)
+			b.startAttempt(1)
+			if e := waitFor(t, b, endings); e.Reason != rockreason.StageDied || e.FailedServer != 1 {
+				t.Errorf("got end %q of backend server %d, want %q of 1", e.Reason, e.FailedServer, rockreason.StageDied)
+			}
+			if body.read.Load() > limit+2*answerChunkBytes || b.Memory.Used() != 0 {
+				t.Errorf("read %d bytes with %d still counted, want at most %d and 0", body.read.Load(), b.Memory.Used(), limit+2*answerChunkBytes)
+			}
+		})
 	}
 }
 
