Keep room for the short answer to a call of a service

On the product's own interface a call that had run lost its outcome if the account was full when its answer came, also an answer of some bytes, and the lack of memory counted as a crash of its backend server. The first 4 KB of an answer now belong to what is reserved for the request, as on the users' platform.

--- a/io/rockmemory/read.go
+++ b/io/rockmemory/read.go
@@ -23,8 +23,11 @@
 	Held   *Holding
 	// BeforeStep is called before each part of n bytes, with the number of bytes received so far; nil for none.
 	BeforeStep func(received, n int)
+	// Prepaid is the number of first bytes for which memory has been reserved before.
+	Prepaid int64
 
 	received int
+	reserved int64
 }
 
 // ReadAll returns the whole body. A negative length means that it was not declared. The errors are ErrNoRoom,
@@ -33,7 +36,7 @@
 	if length < 0 {
 		return r.readSteps()
 	}
-	if !r.Held.Reserve(length) {
+	if !r.reserve(length) {
 		return nil, ErrNoRoom
 	}
 	body := make([]byte, length)
@@ -56,7 +59,7 @@
 func (r *Reader) readSteps() ([]byte, error) {
 	var parts [][]byte
 	for size := firstStepBytes; ; size = stepBytes {
-		if !r.Held.Reserve(int64(size)) {
+		if !r.reserve(int64(size)) {
 			return nil, ErrNoRoom
 		}
 		part := make([]byte, size)
@@ -76,17 +79,29 @@
 	if len(parts) == 1 {
 		return parts[0], nil
 	}
-	if !r.Held.Reserve(int64(r.received)) {
+	apart := r.reserved
+	if !r.reserve(int64(r.received)) {
 		return nil, ErrNoRoom
 	}
 	body := make([]byte, 0, r.received)
 	for _, p := range parts {
 		body = append(body, p...)
-		r.Held.Shrink(int64(cap(p)))
 	}
+	r.Held.Shrink(apart)
 	return body, nil
 }
 
+// reserve reserves n bytes, or what the prepaid ones do not cover.
+func (r *Reader) reserve(n int64) bool {
+	covered := min(n, r.Prepaid)
+	if !r.Held.Reserve(n - covered) {
+		return false
+	}
+	r.Prepaid -= covered
+	r.reserved += n - covered
+	return true
+}
+
 // fill reads until p is full. Unlike io.ReadFull it returns the error of the source unchanged, since io.ErrUnexpectedEOF
 // says there that a body was broken off.
 func (r *Reader) fill(p []byte) (int, error) {
--- a/io/rockmemory/read_test.go
+++ b/io/rockmemory/read_test.go
@@ -55,3 +55,24 @@
 		}
 	}
 }
+
+// Guards against a short body that is refused although memory was reserved for it before, and against giving that memory
+// back twice.
+func TestPrepaidBytes(t *testing.T) {
+	for _, c := range []struct {
+		size, length, used int64
+	}{{1000, 1000, 0}, {1000, -1, 0}, {5000, 5000, 5000 - firstStepBytes}, {5000, -1, 5000}} {
+		a := New(mb)
+		h := a.Open()
+		r := Reader{Source: strings.NewReader(strings.Repeat("x", int(c.size))), Held: h, Prepaid: firstStepBytes}
+		body, err := r.ReadAll(c.length)
+		if err != nil || int64(len(body)) != c.size || a.Used() != c.used {
+			t.Errorf("%+v: got %d bytes and error %v, %d counted", c, len(body), err, a.Used())
+		}
+	}
+	a := New(1)
+	r := Reader{Source: strings.NewReader("short"), Held: a.Open(), Prepaid: firstStepBytes}
+	if body, err := r.ReadAll(-1); err != nil || string(body) != "short" {
+		t.Errorf("without room: got %q and error %v", body, err)
+	}
+}
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -89,7 +89,7 @@
 	if resp.ContentLength > int64(c.options.MaxBodyBytes) {
 		return Reply{}, fail(fmt.Errorf("answer is longer than %d bytes", c.options.MaxBodyBytes))
 	}
-	reader := rockmemory.Reader{Source: io.LimitReader(resp.Body, int64(c.options.MaxBodyBytes)+1), Held: call.Held}
+	reader := rockmemory.Reader{Source: io.LimitReader(resp.Body, int64(c.options.MaxBodyBytes)+1), Held: call.Held, Prepaid: call.Prepaid}
 	body, err := reader.ReadAll(bodyLength(resp))
 	if err != nil {
 		return Reply{}, fail(err)
--- a/io/rockservice/service.go
+++ b/io/rockservice/service.go
@@ -25,6 +25,7 @@
 	AttemptID      string // sent as HeaderAttempt unless empty
 	Body           []byte
 	Held           *rockmemory.Holding // grows with the body of the answer; nil means no limit but the client's
+	Prepaid        int64               // first bytes of the answer for which Held has room already
 }
 
 // Reply is the answer of a backend server.
--- a/io/rocktraffic/call.go
+++ b/io/rocktraffic/call.go
@@ -9,9 +9,14 @@
 
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rockservice"
 )
 
+// shortAnswerBytes is the part of an answer that belongs to what is reserved for a request before it is accepted. The outcome
+// of a call that has run is not lost because the host has no memory for a short answer.
+const shortAnswerBytes = 4 << 10
+
 // call is an application call between its arrival and its answer.
 type call struct {
 	id          rocktable.RequestID
@@ -73,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), start.Timeout)
 	defer cancel()
 	reply, err := t.Service.Do(ctx, start.Address, rockservice.Call{
-		Method: c.req.Method, Path: c.req.Path, ContentType: c.req.ContentType, IdempotencyKey: c.req.IdempotencyKey, AttemptID: c.attemptName, Body: c.req.Body, Held: c.req.Held,
+		Method: c.req.Method, Path: c.req.Path, ContentType: c.req.ContentType, IdempotencyKey: c.req.IdempotencyKey, AttemptID: c.attemptName, Body: c.req.Body, Held: c.req.Held, Prepaid: shortAnswerBytes,
 	})
 	e := rocktable.CallEnded{Request: c.id, Server: start.Server, Sent: true}
 	switch {
@@ -81,7 +86,7 @@
 		e.Status, e.ContentType, e.Body = reply.Status, reply.ContentType, reply.Body
 	case errors.Is(err, rockservice.ErrUnreachable):
 		e.Reason, e.Sent = rockreason.ServerUnreachable, false
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, rockmemory.ErrNoRoom):
 		e.Reason = rockreason.OutcomeUnknown
 	default:
 		e.Reason, e.Crashed = rockreason.OutcomeUnknown, true
