Pass on only answers that prove who made them

The client of backend servers tells the origin of each answer by proof and id. One that is not proved fails its attempt as one that may have run: 502 for what must not run twice. One of another server also takes all work from the address for 1 s, twice as long with each further one up to 5 min, until an answer is proved or the entry changes its address or start. Refusals need no proof, and a failure without one that repeats the id takes no work away. Such answers are no sign of a crash, so that no part of a prompt is blamed for them.

TestAnswersNeedAProof, TestStrangerTakesNoCalls, TestForeignAddressGetsNoCalls, TestForeignAddressIsTriedAgain and TestForeignAddressIsOnNoPath fail without the change.

--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -189,6 +189,9 @@
 	if s := w.Servers.Get(e.Server); s != nil && s.ListedService != "" && e.Reason != rockreason.CallerLeft {
 		rockretry.RecordCall(now, s, e.Reason != rockreason.ServerUnreachable)
 	}
+	if s := w.Servers.Get(e.Server); s != nil {
+		recordOrigin(now, w, s, e)
+	}
 	r, c := w.Requests.Get(e.Request), w.Claims.Get(e.Request)
 	if r != nil && r.Call == nil {
 		r = nil
@@ -225,6 +228,16 @@
 	}
 }
 
+// recordOrigin records whether the backend server itself answered a call.
+func recordOrigin(now time.Time, w *rocktable.World, s *rocktable.BackendServer, e rocktable.CallEnded) {
+	switch {
+	case e.Foreign:
+		rockretry.RecordForeign(now, w, s)
+	case e.Reason == "":
+		rockretry.RecordProof(s)
+	}
+}
+
 // handleClaimedEnd handles the end of the only run of a non-idempotent call. r is nil if the caller has left meanwhile.
 func handleClaimedEnd(now time.Time, w *rocktable.World, e rocktable.CallEnded, r *rocktable.Request, c *rocktable.Claim) {
 	if c.State != rocktable.ClaimHeld {
--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -49,6 +49,7 @@
 	StaleEpoch        Code = "staleEpoch"
 	RepeatedIndex     Code = "repeatedIndex"
 	LateEvent         Code = "lateEvent"
+	ForeignAnswer     Code = "foreignAnswer"
 	StaleNews         Code = "staleNews"
 	StoreRestored     Code = "storeRestored"
 	FrameTooLarge     Code = "frameTooLarge"
@@ -348,6 +349,12 @@
 		Text:           "An event about a request or attempt that has already ended was dropped.",
 		OperatorAction: "None.",
 	},
+	{
+		Code: ForeignAnswer, Kind: Dropped, Status: 0, Ran: NotReported, Retryable: false,
+		Title:          "Answer of another server",
+		Text:           "An answer came from the address of a backend server without its proof, and was not passed on. The address gets no work for a time.",
+		OperatorAction: "Find out what listens at the address, and who wrote the entry that names it.",
+	},
 	{
 		Code: StaleNews, Kind: Dropped, Status: 0, Ran: NotReported, Retryable: false,
 		Title:          "Stale news",
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -161,6 +161,9 @@
 	if s := w.Servers.Get(e.FailedServer); s != nil && (e.Crashed || e.Reason == rockreason.StageUnreachable) {
 		tripBreaker(now, w, s, a)
 	}
+	if s := w.Servers.Get(e.FailedServer); s != nil && e.Foreign {
+		RecordForeign(now, w, s)
+	}
 	if s := w.Servers.Get(e.FailedServer); s != nil && e.Reason == rockreason.StageRefused && w.FullPathPipeline(r) != nil {
 		recordMemoryRefusal(now, s, a)
 	}
@@ -185,6 +188,9 @@
 	// earlier path.
 	slow := r.Attempts == 1 && !e.Resumed && isOverloadGap(w, r, e.LargestGap)
 	closeBreakers(w, a)
+	if s := w.Servers.Get(a.Path[0].Server); s != nil {
+		RecordProof(s) // the first backend server sends the answer
+	}
 	for _, stage := range a.Path {
 		s := w.Servers.Get(stage.Server)
 		if s == nil {
--- a/core/rockroute/graph.go
+++ b/core/rockroute/graph.go
@@ -64,6 +64,10 @@
 		if s.State != rocktable.StateLive || s.Role != rocktable.RoleModel || s.Drained {
 			continue
 		}
+		if rockretry.IsForeign(now, s) {
+			w.WakeAt(s.Foreign.ClosedUntil)
+			continue
+		}
 		for i, p := range pipelines {
 			if holdsModel(s, p) {
 				graphs[i].Servers = append(graphs[i].Servers, s)
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -65,6 +65,7 @@
 	Reason       rockreason.Code // empty for a complete answer
 	FailedServer BackendServerID // backend server of the failed stage, or 0
 	Crashed      bool            // the stage's connection was lost or refused while work ran there
+	Foreign      bool            // another server answered at the address of the failed backend server
 	Tokens       int             // delivered by this attempt
 	FirstTokenAt time.Time
 	LargestGap   time.Duration
@@ -253,6 +254,7 @@
 	ContentType string
 	Body        []byte
 	Crashed     bool
+	Foreign     bool // another server answered at the address of the backend server
 }
 
 // OrderEnded reports the answer to an order.
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -66,6 +66,8 @@
 	BreakerTrippedAt time.Time
 	BreakerOpenUntil time.Time // no work is sent until then if others cover its layers
 
+	Foreign ForeignAnswers
+
 	RetryBudget  float64 // retries earned less retries caused; rockretry adds an allowance
 	Probing      bool    // this host is one of its probers
 	ProbePending bool
@@ -87,6 +89,15 @@
 	RemovableSince  time.Time // since when it has been down or departed, not listed and unused; zero otherwise
 }
 
+// ForeignAnswers counts the answers to this host's requests that came from another server at the address of a backend
+// server. They concern one address and one start of the backend server.
+type ForeignAnswers struct {
+	Address     string
+	Incarnation uint64
+	Count       int       // since the last proved answer
+	ClosedUntil time.Time // no work is sent until then
+}
+
 // CrashCandidate is a request content that was in flight on a backend server when a sign of a crash appeared.
 type CrashCandidate struct {
 	Fingerprint uint64
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -37,6 +37,10 @@
 	resp, err := x.relay.Open(ctx, a)
 	e := rocktable.CallEnded{Request: x.id, Server: start.Server, Sent: true}
 	var answer callAnswer
+	if err == nil && resp.Origin != OriginServer {
+		resp.Body.Close()
+		err, e.Foreign = unprovedError(resp), resp.Origin == OriginForeign
+	}
 	if err == nil {
 		answer, err = x.readAnswer(resp)
 	}
--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -31,6 +31,9 @@
 // the caller already has, also those from before the caller resumed the stream itself.
 func (x *exchange) forwardEvents(start rocktable.Start, resp *Response, watch *stallWatch) error {
 	defer resp.Body.Close()
+	if resp.Origin != OriginServer {
+		return unprovedError(resp)
+	}
 	if resp.Status < 200 || resp.Status > 299 {
 		return StatusError(resp.Status)
 	}
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -60,12 +60,23 @@
 	LastEventID string            // the stream resumes after this event; empty to start at the first event
 }
 
+// Origin tells who sent an answer.
+type Origin uint8
+
+// The origins of answers.
+const (
+	OriginServer  Origin = iota // the backend server that was asked, as the answer proves or its refusal says
+	OriginUnknown               // the answer bears no proof; a backend server in trouble may have sent it
+	OriginForeign               // another server
+)
+
 // Response is the beginning of a backend server's answer.
 type Response struct {
 	Status        int
 	Header        http.Header // without hop-by-hop headers
 	Body          io.ReadCloser
-	NotRun        bool   // the backend server reported that it did not run the request
+	NotRun        bool // the backend server reported that it did not run the request
+	Origin        Origin
 	FailedAddress string // of the failed backend server, if the answer names one
 }
 
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -28,6 +28,7 @@
 	errCallerWrite  = errors.New("write of the answer to the caller failed")
 	errPartialEvent = errors.New("answer ended inside an event")
 	errNoEvents     = errors.New("answer ended without an event")
+	errUnproved     = errors.New("answer does not prove that it is of the backend server")
 	errNotStream    = errors.New("answer is not a stream of events, or does not go on after the last one")
 )
 
@@ -150,7 +151,8 @@
 		e.Reason, e.FailedServer = rockreason.StageRefused, serverAt(start.Path, resp.FailedAddress)
 	default:
 		e.Reason, e.FailedServer = rockreason.StageDied, start.Path[0].Server
-		e.Crashed = resp == nil || resp.Status < 300 && !errors.Is(err, errNotStream)
+		e.Crashed = resp == nil || resp.Status < 300 && !errors.Is(err, errNotStream) && !errors.Is(err, errUnproved)
+		e.Foreign = resp != nil && resp.Origin == OriginForeign
 		if resp != nil && resp.FailedAddress != "" {
 			e.FailedServer = serverAt(start.Path, resp.FailedAddress)
 		}
@@ -220,6 +222,11 @@
 	x.sink.WriteHeader(resp.Status, maps.Clone(resp.Header))
 }
 
+// unprovedError returns the error for an answer that is not passed on, because it may be of another server.
+func unprovedError(resp *Response) error {
+	return fmt.Errorf("%w: %w", errUnproved, StatusError(resp.Status))
+}
+
 // StatusError is an answer of a backend server with another HTTP status than expected.
 type StatusError int
 
