--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -66,6 +66,7 @@
 	Reason       rockreason.Code // empty for a complete answer
 	FailedServer BackendServerID // backend server of the failed stage, or 0
 	Crashed      bool            // the stage's connection was lost or refused while work ran there
+	Foreign      bool            // another server answered at the address of the failed backend server
 	Tokens       int             // delivered by this attempt
 	FirstTokenAt time.Time
 	LargestGap   time.Duration
@@ -256,6 +257,7 @@
 	Crashed     bool
 	TooLong     bool // the answer exceeded the largest size that is allowed
 	AnswerBegun bool // a part of the answer has reached the caller, so that no other one can follow
+	Foreign     bool // another server answered at the address of the backend server
 }
 
 // OrderEnded reports the answer to an order.
--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -21,6 +21,10 @@
 	resp, err := x.relay.Open(ctx, a)
 	e := rocktable.CallEnded{Request: x.id, Server: start.Server, Sent: true}
 	var answer callAnswer
+	if err == nil && resp.Origin != OriginServer {
+		resp.Body.Close()
+		err, e.Foreign = unprovedError(resp), resp.Origin == OriginForeign
+	}
 	if err == nil {
 		x.openHolding(a.ServerName)
 		if answer, err = x.readAnswer(resp); err != nil {
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -59,12 +59,23 @@
 	Incarnation uint64            // of the backend server at the address; 0 if it is not known
 }
 
+// Origin tells who sent an answer.
+type Origin uint8
+
+// The origins of answers.
+const (
+	OriginServer  Origin = iota // the backend server that was asked, as the answer proves or its refusal says
+	OriginUnknown               // the answer bears no proof; a backend server in trouble may have sent it
+	OriginForeign               // another server
+)
+
 // Response is the beginning of a backend server's answer.
 type Response struct {
 	Status        int
 	Header        http.Header // without hop-by-hop headers
 	Body          io.ReadCloser
-	NotRun        bool   // the backend server reported that it did not run the request
+	NotRun        bool // the backend server reported that it did not run the request
+	Origin        Origin
 	FailedAddress string // of the failed backend server, if the answer names one
 	Length        int64  // declared length of the body; 0 or less if it is not known
 	// EndsWithConnection is set if the answer has neither a length nor chunks, so that its end does not show whether it is
