Count the connections of callers

With a limit of 184 MB, 5,000 connections with heads of 16 KB took a host to 223 MB in a trial: connections themselves did not count. Each now adds 8 KB to the account until it is closed, which leaves less room for bodies and requests.

--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -268,7 +268,9 @@
 	for _, task := range d.tasks {
 		wg.Go(func() { task(running, d) })
 	}
-	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return d.control.Snapshot().Config.RequestLimits }}
+	connections := &rockhttp.Connections{
+		Limits: func() rocktable.RequestLimits { return d.control.Snapshot().Config.RequestLimits }, Memory: d.memory,
+	}
 	listener := connections.Watch(d.callersServer, d.callersListener)
 	go func() { failed <- d.callersServer.Serve(listener) }()
 	d.log.Info("daemon started", "host", d.settings.Host, "callers", d.CallersAddress, "operators", d.OperatorsAddress, "peers", d.PeersAddress)
--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 )
 
 // Limits of net/http's server, which are fixed when it starts. They are far beyond those that a configuration sets and that
@@ -22,11 +23,16 @@
 	defaultIdleTimeout = 2 * time.Minute
 )
 
+// connectionBytes is the memory for a connection without a request: its buffers and its goroutine.
+const connectionBytes = 8 << 10
+
 // Connections closes callers' connections that are idle, or that take longer to send the head of a request, than the
 // configuration allows. The limit that was active when the time began holds to its end.
 type Connections struct {
 	// Limits returns the active limits. It is safe for concurrent use.
 	Limits func() rocktable.RequestLimits
+	// Memory counts the connections; nil means that they are not counted.
+	Memory *rockmemory.Account
 }
 
 // Watch returns a listener whose connections are limited while server serves it.
@@ -61,7 +67,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &watchedConn{Conn: conn, connections: l.connections}
+	w := &watchedConn{Conn: conn, connections: l.connections, held: l.connections.Memory.Open()}
+	w.held.Add(connectionBytes)
 	w.beginIdle()
 	return w, nil
 }
@@ -84,6 +91,7 @@
 type watchedConn struct {
 	net.Conn
 	connections *Connections
+	held        *rockmemory.Holding
 
 	mu     sync.Mutex
 	isIdle bool
@@ -100,6 +108,12 @@
 	return n, err
 }
 
+// Close closes the connection, which then no longer counts.
+func (w *watchedConn) Close() error {
+	w.held.Close()
+	return w.Conn.Close()
+}
+
 func (w *watchedConn) beginIdle() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/rockhttp/connections_test.go
+++ b/io/rockhttp/connections_test.go
@@ -12,6 +12,7 @@
 
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockhttp"
+	"sassafrasrock/io/rockmemory"
 )
 
 // pipeListener accepts connections inside this process, which follow the virtual time of a test.
@@ -32,14 +33,15 @@
 type limitedServer struct {
 	t        *testing.T
 	limits   atomic.Pointer[rocktable.RequestLimits]
+	memory   *rockmemory.Account
 	listener pipeListener
 }
 
 func startLimitedServer(t *testing.T) *limitedServer {
-	s := &limitedServer{t: t, listener: pipeListener{make(chan net.Conn)}}
+	s := &limitedServer{t: t, memory: rockmemory.New(1 << 20), listener: pipeListener{make(chan net.Conn)}}
 	s.limits.Store(&rocktable.RequestLimits{HeadTimeoutMs: 3000, IdleTimeoutMs: 15000})
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return *s.limits.Load() }}
+	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return *s.limits.Load() }, Memory: s.memory}
 	go func() { _ = server.Serve(connections.Watch(server, s.listener)) }()
 	t.Cleanup(func() {
 		close(s.listener.conns)
@@ -120,3 +122,25 @@
 		}
 	})
 }
+
+// Guards against connections without a request that take memory and do not count, or count after their end.
+func TestConnectionsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimitedServer(t)
+		left, idle := s.dial(), s.dial()
+		if !isServed(idle, headBegin+headEnd) {
+			t.Fatal("not served")
+		}
+		synctest.Wait()
+		both := s.memory.Used()
+		_ = left.Close()
+		synctest.Wait()
+		if one := s.memory.Used(); one == 0 || both != 2*one {
+			t.Errorf("two connections count %d bytes and one %d", both, one)
+		}
+		time.Sleep(16 * time.Second)
+		if used := s.memory.Used(); used != 0 {
+			t.Errorf("%d bytes count after an idle connection was closed", used)
+		}
+	})
+}
--- a/io/rockmemory/account.go
+++ b/io/rockmemory/account.go
@@ -95,6 +95,19 @@
 	return true
 }
 
+// Add adds n bytes to the holding without asking for room, for what is held in any case. It leaves less room for the rest.
+func (h *Holding) Add(n int64) {
+	if h == nil {
+		return
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !h.closed {
+		a.add(h, n)
+	}
+}
+
 // Shrink removes up to n bytes from the holding.
 func (h *Holding) Shrink(n int64) {
 	if h == nil {
