--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -35,10 +35,9 @@
 )
 
 // ReadBody reads the body of a request into memory that it reserves from the holding before it reads, together with that
-// for the head and for the request itself.
-// The caller of ReadBody releases the holding, also after a code or an error. ReadBody returns a code if the head or the
-// body is too long, the encoding of the body is invalid or the holding has no room. The connection is then closed after
-// the answer, because the rest of the body is not read. It returns an error if the connection is broken or too slow, in
+// for the head and for the request itself. Its caller closes the holding, also after a code or an error. ReadBody returns a
+// code if the head or the body is too long, the encoding of the body is invalid or the holding has no room; the connection
+// is then closed after the answer, and DropBody has to be called for what is left of the body. It returns an error if the connection is broken or too slow, in
 // which case an answer would not reach the caller.
 func ReadBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding) ([]byte, rockreason.Code, error) {
 	body, code, err := readBody(w, r, limits, held)
