Set no read deadline for a request without a body

A host that refuses new requests gives a body that begins late 100 ms. It set that deadline for requests without a body as well, and removed it at once. net/http reads from such a connection from the start, to notice that the caller leaves. If the deadline passes before the host removes it, as on a host that stands still for that time, the context of the request ends and the connection is closed without an answer, instead of a refusal as not run.

--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -59,6 +59,8 @@
 		return nil, rockreason.BodyTooLong, nil
 	case !held.Reserve(requestBytes + head):
 		return nil, rockreason.MemoryFull, nil
+	case r.Body == http.NoBody:
+		return nil, "", nil // without a deadline: net/http reads already, to notice that the caller leaves
 	}
 	deadline := newBodyDeadline(w, closing)
 	defer deadline.stop()
--- a/io/rockhttp/deadline_test.go
+++ b/io/rockhttp/deadline_test.go
@@ -98,3 +98,29 @@
 	case <-time.After(1500 * time.Millisecond): // longer than the time that the stop leaves for bodies
 	}
 }
+
+// deadlineRecorder records whether a read deadline was set.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	set bool
+}
+
+func (r *deadlineRecorder) SetReadDeadline(time.Time) error {
+	r.set = true
+	return nil
+}
+
+// Guards against a request without a body that is taken for one whose caller left: net/http waits for the end of its
+// connection from the start, and a deadline of 100 ms may pass before a busy host removes it.
+func TestRequestWithoutABodyHasNoDeadline(t *testing.T) {
+	closing, cancel := context.WithCancel(t.Context())
+	cancel()
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)
+	if body, code, err := rockhttp.ReadBody(w, r, rocktable.RequestLimits{MaxBodyBytes: 1}, nil, closing); len(body) > 0 || code != "" || err != nil {
+		t.Errorf("got body %q, code %q and error %v, want none", body, code, err)
+	}
+	if w.set {
+		t.Error("a read deadline was set")
+	}
+}
