Release the memory of a cut-off answer at once

An answer without a length that was found cut off, because the process of its backend server had ended, was dropped, but its bytes counted towards the memory of the host, and towards the shares of its backend server and caller, until the next attempt was answered: up to 16 MB for each call that is repeated at a slow server. The same held for the body of a refusal. The holding was released only if the answer could not be read.

--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -27,12 +27,13 @@
 	}
 	if err == nil {
 		x.openHolding(a.ServerName)
-		if answer, err = x.readAnswer(resp); err != nil {
-			x.releaseHeld()
+		answer, err = x.readAnswer(resp)
+		if err == nil && !resp.NotRun {
+			err = x.confirmEnd(ctx, a, resp)
+		}
+		if err != nil || resp.NotRun {
+			x.releaseHeld() // the answer is dropped
 		}
-	}
-	if err == nil && !resp.NotRun {
-		err = x.confirmEnd(ctx, a, resp)
 	}
 	e.AnswerBegun = x.stream.headerSent
 	switch {
--- a/io/rockrelay/end_test.go
+++ b/io/rockrelay/end_test.go
@@ -13,6 +13,7 @@
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rockstream"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/io/rockmemory"
 )
 
 // unframed returns an answer that ends with its connection.
@@ -176,3 +177,28 @@
 		})
 	}
 }
+
+// Guards against an answer that was cut off and dropped, but counts towards the memory of the host until the next attempt
+// is answered.
+func TestCutOffAnswerIsNotHeld(t *testing.T) {
+	route := rocktable.RouteConfig{
+		Name: "read", Host: "a.example", Prefix: "/", Targets: []rocktable.RouteTarget{{Name: "desk", Weight: 1}}, Repeatable: true, Attempts: 2,
+	}
+	b := newFixture(t, route)
+	b.Memory = rockmemory.New(16 << 20)
+	b.FetchProcess = func(context.Context, Attempt) (rockstream.Process, error) {
+		return rockstream.Process{Gone: true}, nil
+	}
+	caller := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- unframed(strings.Repeat("x", 1<<20))
+	b.startCall()
+	if e := waitFor(t, b, callEndings); e.Reason != rockreason.OutcomeUnknown {
+		t.Fatalf("got end %q, want %q", e.Reason, rockreason.OutcomeUnknown)
+	}
+	if n := b.Memory.Used(); n != 0 {
+		t.Errorf("%d bytes are still counted", n)
+	}
+	b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+	<-caller.done
+}
