Reset the connection of a broken answer in HTTP/1.0

A caller that uses HTTP/1.0 got a stream that had been broken off, or a part of an answer that was passed on as it arrived, as a complete one. Such an answer has no chunks and ends with its connection, and the front end closed that in order.

The front end resets the connection of an answer in HTTP/1.0 that it does not complete. Answers in HTTP/1.1 show their end by the last chunk.

--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -114,6 +114,23 @@
 	return w.Conn.Close()
 }
 
+// ResetConnection resets the connection of a request, which shows the caller that its answer is broken off. The answer
+// cannot be written any more.
+func ResetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection has ended
+	}
+	defer conn.Close()
+	inner := conn
+	if watched, ok := conn.(*watchedConn); ok {
+		inner = watched.Conn
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (w *watchedConn) beginIdle() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
