End a host with a short grace before it is killed

With a grace of up to about 2 s, a host that could not record a claim or release its lease was killed instead of ending by itself. The last answers are due an eighth of the grace before its end, but 200 ms were kept after them for records, and the check ran only every 100 ms.

The time for records is at most 0.4 of what is left after the last answers, and the host wakes at its end. With a grace of 4 s or more nothing changes but that.

TestHostEndsWithinAShortGrace failed before: 0 s left of graces of 500 ms and 1 s, 50 ms of 2 s. go test -race ./core/rocktick ./core/rockcheck passes.

--- a/core/rockdrain/drain.go
+++ b/core/rockdrain/drain.go
@@ -11,8 +11,12 @@
 // checkEvery is the time between checks whether a graceful shutdown is complete.
 const checkEvery = 100 * time.Millisecond
 
-// recordTime is the time after the last answers that is left to record claims and to release the lease.
-const recordTime = 2 * checkEvery
+// recordTime is the time after the last answers that is left to record claims and to release the lease, and
+// maxRecordFraction its limit as a fraction of the time from the last answers to the end of the grace.
+const (
+	recordTime        = 200 * time.Millisecond
+	maxRecordFraction = 0.4
+)
 
 // System handles drains of backend servers and graceful shutdown.
 var System = rocktable.System{
@@ -47,10 +51,25 @@
 	if !w.Draining {
 		return
 	}
-	w.Outbox.ShutdownDone = isIdle(w) || rockadmit.IsStopOver(now.Add(-recordTime), w)
+	w.Outbox.ShutdownDone = isIdle(w) || isRecordTimeOver(now, w)
 	w.WakeAt(now.Add(checkEvery))
 }
 
+// isRecordTimeOver reports whether the host ends although claims are not recorded or the lease is not released.
+func isRecordTimeOver(now time.Time, w *rocktable.World) bool {
+	lastAnswer := rockadmit.LastAnswerAt(w)
+	if lastAnswer.IsZero() {
+		return false
+	}
+	left := w.GraceEnd().Sub(lastAnswer)
+	end := lastAnswer.Add(min(recordTime, time.Duration(maxRecordFraction*float64(left))))
+	if now.Before(end) {
+		w.WakeAt(end)
+		return false
+	}
+	return true
+}
+
 // isIdle reports whether this host's work has ended: it has no request, no unrecorded claim, no departure to report
 // and no lease.
 func isIdle(w *rocktable.World) bool {
--- a/core/rocktick/stop_test.go
+++ b/core/rocktick/stop_test.go
@@ -102,3 +102,22 @@
 		t.Error("the host waits for the record of a claim beyond its grace")
 	}
 }
+
+// Guards against a host with a short grace that waits for the record of a claim until it is killed.
+func TestHostEndsWithinAShortGrace(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
+		w := newStopWorld()
+		w.Limits.StopGrace = grace
+		w.Inbox.Shutdowns = append(w.Inbox.Shutdowns, rocktable.Shutdown{})
+		now := start
+		result := run(t, now, w)
+		w.Claims.Put(1, rocktable.Claim{Request: 1, State: rocktable.ClaimRecording, PendingOp: 99, PendingSince: start})
+		for !result.Outbox.ShutdownDone && now.Before(start.Add(grace)) {
+			now = result.Wake
+			result = run(t, now, w)
+		}
+		if left := grace - now.Sub(start); left < grace/32 {
+			t.Errorf("grace %s: the host is done %s before its end", grace, left)
+		}
+	}
+}
