Keep a connection for a limit that is raised while it is idle

A timer closed a connection by the limit at the beginning of its idle time or head. A caller that knew of a raised limit reused the connection later, as it may, and its request was lost.

The timer now reads the limit again when it ends, and waits for the rest of a longer one. A lowered limit still holds from the next period on.

TestRaisedLimits failed before: a head was ended after 8 s of 9 s, and an idle connection before 48 s of 60 s. It passes now, three runs with -race, as do the other tests of Connections.

--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -27,7 +27,8 @@
 const connectionBytes = 8 << 10
 
 // Connections closes callers' connections that are idle, or that take longer to send the head of a request, than the
-// configuration allows. The limit that was active when the time began holds to its end.
+// configuration allows. A limit that is lowered holds from the next period on. One that is raised holds at once: a caller that
+// knows of it may already rely on it.
 type Connections struct {
 	// Limits returns the active limits. It is safe for concurrent use.
 	Limits func() rocktable.RequestLimits
@@ -118,7 +119,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.isIdle = true
-	w.limit(w.connections.idleTimeout())
+	w.limit(w.connections.idleTimeout)
 }
 
 func (w *watchedConn) beginHead() {
@@ -128,7 +129,7 @@
 		return
 	}
 	w.isIdle = false
-	w.limit(w.connections.headTimeout())
+	w.limit(w.connections.headTimeout)
 }
 
 func (w *watchedConn) end() {
@@ -138,20 +139,25 @@
 	w.stopTimer()
 }
 
-// limit closes the connection after d unless another period begins before.
-func (w *watchedConn) limit(d time.Duration) {
+// limit closes the connection after the timeout unless another period begins before.
+func (w *watchedConn) limit(timeout func() time.Duration) {
 	w.stopTimer()
-	period := w.period
-	w.timer = time.AfterFunc(d, func() { w.closeAfter(period) })
+	begin, period := time.Now(), w.period
+	w.timer = time.AfterFunc(timeout(), func() { w.closeAfter(period, begin, timeout) })
 }
 
-// closeAfter closes the connection if the period has not ended.
-func (w *watchedConn) closeAfter(period int) {
+// closeAfter closes the connection if the period has not ended, or waits for the rest of a limit that has been raised.
+func (w *watchedConn) closeAfter(period int, begin time.Time, timeout func() time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.period == period {
-		_ = w.Conn.Close()
+	if w.period != period {
+		return
+	}
+	if left := timeout() - time.Since(begin); left > 0 {
+		w.timer.Reset(left)
+		return
 	}
+	_ = w.Conn.Close()
 }
 
 // stopTimer ends the period.
--- a/io/rockhttp/connections_test.go
+++ b/io/rockhttp/connections_test.go
@@ -96,6 +96,32 @@
 	})
 }
 
+// Guards against a connection that is closed by a limit that has been raised meanwhile: a caller that knows the new limit
+// reuses the connection, and its request is lost.
+func TestRaisedLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimitedServer(t)
+		idle, slow := s.dial(), s.dial()
+		if _, err := fmt.Fprint(slow, headBegin); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		s.limits.Store(&rocktable.RequestLimits{HeadTimeoutMs: 9000, IdleTimeoutMs: 60000})
+		time.Sleep(7 * time.Second)
+		if !isServed(slow, headEnd) {
+			t.Error("a head was ended after 8 s of 9 s")
+		}
+		time.Sleep(40 * time.Second)
+		if !isServed(idle, headBegin+headEnd) {
+			t.Error("an idle connection was closed before 48 s of 60 s")
+		}
+		time.Sleep(61 * time.Second)
+		if isServed(idle, headBegin+headEnd) {
+			t.Error("an idle connection was open after 61 s of 60 s")
+		}
+	})
+}
+
 // Guards against a head that is sent a byte now and then and keeps its connection, and against the limit of a head that is
 // applied to the idle time before it.
 func TestSlowHeads(t *testing.T) {
