Count short bodies without a declared length as small holdings

A body in chunks was read in parts of 4 KB and then 64 KB. With the 64 KB for the request, the second part made the holding larger than SmallBytes, so that a body of 5 KB was refused with memoryFull as soon as long bodies filled their part of the account, though the eighth for small holdings was free.

Each part is now as large as all before it, up to 64 KB. Bodies of up to about 28 KB remain small, with their joined copy.

--- a/io/rockhttp/memory_test.go
+++ b/io/rockhttp/memory_test.go
@@ -17,7 +17,10 @@
 	"sassafrasrock/io/rocktraffic"
 )
 
-const longBody = 4 << 20
+const (
+	longBody  = 4 << 20
+	stepBytes = 64 << 10
+)
 
 // beginCall sends the head of a call over a connection of its own, and none of its body.
 func beginCall(t *testing.T, address, framing string) (net.Conn, *bufio.Reader) {
@@ -79,6 +82,20 @@
 	}
 }
 
+// Guards against short bodies without a declared length that are refused because of large ones: the parts in which they
+// were read took more than a small holding may have.
+func TestShortChunkedBodiesAreSmall(t *testing.T) {
+	f, address := newMemoryFixture(t)
+	for large := f.Memory.Open(); large.Reserve(stepBytes); {
+	}
+	for _, length := range []int{5 << 10, 12 << 10, 24 << 10} {
+		_, reader := beginCall(t, address, fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0", length, strings.Repeat("x", length)))
+		if response, err := http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("a body of %d bytes beside large ones: got %+v and error %v, want 200", length, response, err)
+		}
+	}
+}
+
 // Guards against a refusal that does not reach a caller which reads the answer only after it has sent its body: the
 // connection was closed while it sent.
 func TestRefusalReachesCallersThatAreSending(t *testing.T) {
--- a/io/rockmemory/read.go
+++ b/io/rockmemory/read.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// firstStepBytes and stepBytes are the sizes of the first and the further parts in which memory is reserved for data
-	// without a declared length. Most such data fits into the first.
+	// firstStepBytes and stepBytes are the sizes of the first and the largest part in which memory is reserved for data
+	// without a declared length. Most such data fits into the first. Each further part is as large as all before it, so that
+	// short data does not take more than a small holding may have.
 	firstStepBytes = 4 << 10
 	stepBytes      = 64 << 10
 )
@@ -58,7 +59,7 @@
 // readSteps reads a body without a declared length in parts and joins them.
 func (r *Reader) readSteps() ([]byte, error) {
 	var parts [][]byte
-	for size := firstStepBytes; ; size = stepBytes {
+	for size := firstStepBytes; ; size = min(r.received, stepBytes) {
 		if !r.reserve(int64(size)) {
 			return nil, ErrNoRoom
 		}
