Let slow but steady bodies arrive, and end stalled ones within 10 s

A body of more than 64 KB had to arrive at a mean of 128 KB/s after 5 s. That cut sound callers on slow links, for example 256 KB at 16 KB/s or 1 MB at 40 KB/s, which had been served within the 30 s for all bodies. It let a caller that had sent much at once and then stopped keep its memory: 3 MB for 23 s.

The limit now holds for each part of 64 KB: 5 s and 1 s for each 16 KB from the end of the part before. The 30 s for the whole stay.

--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -25,11 +25,12 @@
 	dropTimeout = 2 * time.Second
 	// longBodyBytes is the size from which bodyGrace and minBodyRate hold.
 	longBodyBytes = 64 << 10
-	// bodyGrace is the time after which a long body has to have arrived at minBodyRate, so that a caller that stops
-	// sending does not keep memory that others need.
+	// bodyGrace is the longest pause of a long body, so that a caller that stops sending does not keep memory that others
+	// need. It outlasts a few retransmissions of TCP.
 	bodyGrace = 5 * time.Second
-	// minBodyRate is the lowest mean speed of a body of more than longBodyBytes, in bytes a second.
-	minBodyRate = 128 << 10
+	// minBodyRate is the speed, in bytes a second, at which each part of a long body has to arrive beside bodyGrace. It is
+	// far below that of sound callers; bodyTimeout limits the whole.
+	minBodyRate = 16 << 10
 	// defaultHeadBytes limits the header fields if the configuration does not. net/http itself rejects heads of more than
 	// largestHeadBytes, which no counter shows.
 	defaultHeadBytes = 64 << 10
@@ -65,7 +66,7 @@
 	begin := time.Now()
 	reader := rockmemory.Reader{
 		Source: http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes), Held: held,
-		BeforeStep: func(received, n int) { deadline.setStep(stepDeadline(begin, r.ContentLength, received, n)) },
+		BeforeStep: func(received, n int) { deadline.setStep(stepDeadline(begin, time.Now(), r.ContentLength, received, n)) },
 	}
 	body, err := reader.ReadAll(r.ContentLength)
 	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
@@ -96,14 +97,17 @@
 	_, _ = io.Copy(io.Discard, r.Body) // net/http closes the connection in any case
 }
 
-// stepDeadline returns the time by which a part of n bytes must have arrived, after the received ones. length is the declared
-// length of the body, or negative.
-func stepDeadline(begin time.Time, length int64, received, n int) time.Time {
-	size := received + n
-	if max(length, int64(size)) <= longBodyBytes {
-		return begin.Add(bodyTimeout)
+// stepDeadline returns the time by which a part of n bytes must have arrived, after the received ones. begin is the time at
+// which the body began, stepBegin that of the part, and length the declared length of the body, or negative.
+func stepDeadline(begin, stepBegin time.Time, length int64, received, n int) time.Time {
+	end := begin.Add(bodyTimeout)
+	if max(length, int64(received+n)) <= longBodyBytes {
+		return end
 	}
-	return begin.Add(min(bodyTimeout, bodyGrace+time.Duration(size)*time.Second/minBodyRate))
+	if stepEnd := stepBegin.Add(bodyGrace + time.Duration(n)*time.Second/minBodyRate); stepEnd.Before(end) {
+		return stepEnd
+	}
+	return end
 }
 
 // headLength returns the length in bytes that the header fields of a request have in HTTP/1.1.
