Take no word of another server on which backend server failed

A failed answer may name the backend server of the path that failed. The name was also taken from an answer that is of another server. The sound backend server with that address then got no work for 1 s up to 5 min, and the address at which the stranger answers kept it.

TestForeignAnswerBlamesNoOtherServer failed before: backend server 2 was named instead of 1. go test ./io/rockrelay passes.

--- a/io/rockrelay/origin_test.go
+++ b/io/rockrelay/origin_test.go
@@ -62,3 +62,21 @@
 		}
 	}
 }
+
+// Guards against another server that takes the work of a sound backend server by naming it in its answer.
+func TestForeignAnswerBlamesNoOtherServer(t *testing.T) {
+	for origin, want := range map[Origin]rocktable.BackendServerID{OriginForeign: 1, OriginServer: 2} {
+		b := newFixture(t, streaming)
+		c := b.send(t.Context(), Request{ID: "a"})
+		waitFor(t, b, arrivals)
+		b.answers <- func() (*Response, error) {
+			return &Response{Status: 502, Origin: origin, FailedAddress: "r2:80", Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}, nil
+		}
+		b.startAttempt(1)
+		if e := waitFor(t, b, endings); e.FailedServer != want || e.Foreign != (origin == OriginForeign) {
+			t.Errorf("origin %d: got end %+v, want backend server %d", origin, e, want)
+		}
+		b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+		<-c.done
+	}
+}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -158,7 +158,7 @@
 		e.Reason, e.FailedServer = rockreason.StageDied, start.Path[0].Server
 		e.Crashed = resp == nil || resp.Status < 300 && !errors.Is(err, errNotStream) && !errors.Is(err, errUnproved)
 		e.Foreign = resp != nil && resp.Origin == OriginForeign
-		if resp != nil && resp.FailedAddress != "" {
+		if resp != nil && resp.FailedAddress != "" && !e.Foreign {
 			e.FailedServer = serverAt(start.Path, resp.FailedAddress)
 		}
 	}
