Count no crash of a backend server because this host has no memory

A stream that ended because the host had no memory for an event counted as a crash of the backend server: its circuit breaker opened, and the parts of the prompt became suspects, though both were sound.

TestFullHostIsNoCrash failed before, with Crashed set. go test ./io/rockrelay passes.

--- a/io/rockrelay/held_test.go
+++ b/io/rockrelay/held_test.go
@@ -225,3 +225,21 @@
 		t.Errorf("caller got %q", c.body.String())
 	}
 }
+
+// Guards against a backend server that counts as crashed, with the parts of the prompt as suspects, because this host has no
+// memory for an event.
+func TestFullHostIsNoCrash(t *testing.T) {
+	b := newFixture(t, streaming)
+	b.Memory = rockmemory.New(64 << 10)
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- func() (*Response, error) {
+		return &Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("data: " + strings.Repeat("x", 200<<10) + "\n\n"))}, nil
+	}
+	b.startAttempt(1)
+	if e := waitFor(t, b, endings); e.Reason != rockreason.StageDied || e.Crashed {
+		t.Errorf("got end %+v, want %q without a crash", e, rockreason.StageDied)
+	}
+	b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
+	<-c.done
+}
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -156,7 +156,7 @@
 		e.Reason, e.FailedServer = rockreason.StageRefused, serverAt(start.Path, resp.FailedAddress)
 	default:
 		e.Reason, e.FailedServer = rockreason.StageDied, start.Path[0].Server
-		e.Crashed = resp == nil || resp.Status < 300 && !errors.Is(err, errNotStream) && !errors.Is(err, errUnproved)
+		e.Crashed = resp == nil || resp.Status < 300 && !isNoCrash(err)
 		e.Foreign = resp != nil && resp.Origin == OriginForeign
 		if resp != nil && resp.FailedAddress != "" && !e.Foreign {
 			e.FailedServer = serverAt(start.Path, resp.FailedAddress)
@@ -169,6 +169,12 @@
 	return e
 }
 
+// isNoCrash reports whether an attempt ended for a reason that is no sign of a crash of the backend server: it goes on
+// running, or this host has no memory.
+func isNoCrash(err error) bool {
+	return errors.Is(err, errNotStream) || errors.Is(err, errUnproved) || errors.Is(err, errHostFull)
+}
+
 // silenceCheck returns a function that finds the backend server that a silent attempt is waiting
 // for. It returns nil if the attempt cannot be resumed on another path.
 func (x *exchange) silenceCheck(ctx context.Context, a Attempt) func() silenceCause {
