Limit the small holdings of one owner

Holdings of up to 128 KB were refused only when the whole account was full, whoever had them. One caller could fill the account with requests of 64 KB and bodies below that which it does not send (by calculation 1,150 of them at a limit of 142 MB), and each request of all other callers was refused with memoryFull for up to 30 s.

An owner's small holdings are limited now, too: to four times what is free in the account, and the eighth that large holdings cannot use. One owner alone gets about four fifths of the account.

TestSmallHoldingsLeaveRoom failed before: one owner got 100 of 100 MB, and another one nothing. The tests of rockmemory, rockhttp and rockrelay pass with -race.

--- a/io/rockmemory/account.go
+++ b/io/rockmemory/account.go
@@ -6,13 +6,15 @@
 )
 
 const (
-	// SmallBytes is the size up to which a holding is refused only when the whole account is full, so that large bodies
-	// and answers do not displace small ones.
+	// SmallBytes is the size up to which a holding may use the whole account, so that large bodies and answers do not
+	// displace small ones.
 	SmallBytes = 128 << 10
 	// smallFraction is the part of the limit, as a divisor, that only holdings of at most SmallBytes may use.
 	smallFraction = 8
 	// shareFactor limits what one owner holds to this multiple of what is still free for large holdings. A single owner
-	// gets four fifths of that room, two get four ninths each, and a new owner always finds some of it free.
+	// gets four fifths of that room, two get four ninths each, and a new owner always finds some of it free. In the same
+	// way it limits what one owner has in small holdings to a multiple of what is free in the whole account, beside the
+	// part that only they may use.
 	shareFactor = 4
 )
 
@@ -37,11 +39,17 @@
 	mu     sync.Mutex
 	limit  int64
 	used   int64
-	owners map[Owner]int64 // bytes held; owners without any have no entry
+	owners map[Owner]share // owners without any bytes have no entry
+}
+
+// share is what an account holds for one owner.
+type share struct {
+	bytes int64
+	small int64 // part of bytes in holdings of at most SmallBytes
 }
 
 // New returns an account with a limit in bytes.
-func New(limit int64) *Account { return &Account{limit: limit, owners: make(map[Owner]int64)} }
+func New(limit int64) *Account { return &Account{limit: limit, owners: make(map[Owner]share)} }
 
 // SetLimit changes the limit in bytes. What is already held stays reserved.
 func (a *Account) SetLimit(limit int64) {
@@ -146,15 +154,18 @@
 }
 
 func (a *Account) hasRoom(h *Holding, n int64) bool {
-	if h.bytes+n <= SmallBytes {
-		return a.used+n <= a.limit
+	isSmall := h.bytes+n <= SmallBytes
+	reserved := a.limit / smallFraction
+	free := a.limit - a.used - n
+	if !isSmall {
+		free -= reserved
 	}
-	free := a.limit - a.limit/smallFraction - a.used - n
 	if free < 0 {
 		return false
 	}
 	for _, o := range h.owners {
-		if a.owners[o]+n > shareFactor*free {
+		share := a.owners[o]
+		if isSmall && share.small+n > shareFactor*free+reserved || !isSmall && share.bytes+n > shareFactor*free {
 			return false
 		}
 	}
@@ -162,11 +173,24 @@
 }
 
 func (a *Account) add(h *Holding, n int64) {
+	small := -smallPart(h.bytes)
 	h.bytes += n
+	small += smallPart(h.bytes)
 	a.used += n
 	for _, o := range h.owners {
-		if a.owners[o] += n; a.owners[o] == 0 {
+		s := a.owners[o]
+		s.bytes += n
+		s.small += small
+		if a.owners[o] = s; s.bytes == 0 {
 			delete(a.owners, o)
 		}
 	}
 }
+
+// smallPart returns the size of a holding if it is small, or 0.
+func smallPart(bytes int64) int64 {
+	if bytes > SmallBytes {
+		return 0
+	}
+	return bytes
+}
--- a/io/rockmemory/account_test.go
+++ b/io/rockmemory/account_test.go
@@ -46,6 +46,37 @@
 	}
 }
 
+// Guards against an owner that takes the room of the others with many small holdings, each of which is below the size from
+// which its share counts.
+func TestSmallHoldingsLeaveRoom(t *testing.T) {
+	a := New(100 * mb)
+	var open []*Holding
+	for {
+		h := a.Open(guild)
+		if !h.Reserve(SmallBytes / 2) {
+			break
+		}
+		open = append(open, h)
+	}
+	if used := a.Used() / mb; used < 75 || used > 85 {
+		t.Errorf("a single owner got %d of 100 MB in small holdings, want about four fifths", used)
+	}
+	for i := range 100 {
+		if !a.Open(other).Reserve(SmallBytes / 2) {
+			t.Fatalf("small holding %d of another owner was refused", i)
+		}
+	}
+	if open[0].Reserve(SmallBytes) {
+		t.Error("a small holding grew to a large one beyond the share of its owner")
+	}
+	for _, h := range open {
+		h.Close()
+	}
+	if n := fill(a.Open(guild)); n < 60 {
+		t.Errorf("an owner got %d MB after its small holdings had ended, want at least 60", n)
+	}
+}
+
 // Guards against bytes that stay reserved, or are reserved after the end of what they were reserved for.
 func TestHoldingsEnd(t *testing.T) {
 	a := New(100 * mb)
