Release the parts of an answer that the caller has read

An answer that was held for a repeat of its call counted as a whole until its last byte was sent. A caller that read it slowly kept up to 16 MB of its own share and of that of the backend server, for up to 20 s a part.

Each part is released after it was written.

--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -190,13 +190,17 @@
 	return answer
 }
 
-// sendCallAnswer sends the last complete answer to a call.
+// sendCallAnswer sends the last complete answer to a call. What the caller has read is no longer held.
 func (x *exchange) sendCallAnswer() error {
 	x.sink.WriteHeader(x.callAnswer.status, x.callAnswer.header)
-	for _, chunk := range x.callAnswer.chunks {
+	for i, chunk := range x.callAnswer.chunks {
 		if err := x.sink.Write(chunk); err != nil {
 			return err
 		}
+		x.callAnswer.chunks[i] = nil
+		if i > 0 { // the first one is not counted
+			x.held.Shrink(int64(cap(chunk)))
+		}
 	}
 	return nil
 }
--- a/io/rockrelay/held_test.go
+++ b/io/rockrelay/held_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
@@ -243,3 +244,36 @@
 	b.sendAnswer(rocktable.Answer{Reason: rockreason.BackendFailed})
 	<-c.done
 }
+
+// Guards against an answer that is counted as a whole until a slow caller has read its end.
+func TestSentPartsOfAnAnswerAreReleased(t *testing.T) {
+	b := newFixture(t, rocktable.RouteConfig{Name: "read", Host: "a.example", Prefix: "/", Targets: calls.Targets, Repeatable: true, Attempts: 2})
+	b.Memory = rockmemory.New(64 << 20)
+	var c caller
+	c.done = make(chan struct{})
+	var left []int64 // counted bytes at each write
+	sink := Sink{
+		WriteHeader: func(int, http.Header) {},
+		Write:       func(p []byte) error { c.body.Write(p); left = append(left, b.Memory.Used()); return nil },
+		Refuse:      func(code rockreason.Code, _ time.Duration) { c.refused = code },
+	}
+	go func() {
+		defer close(c.done)
+		c.err = b.Serve(t.Context(), &Request{ID: "a", Host: "a.example", Path: "/x", ReceivedAt: time.Now()}, sink)
+	}()
+	waitFor(t, b, arrivals)
+	const size = 4 << 20
+	b.answers <- respond(io.NopCloser(strings.NewReader(strings.Repeat("x", size))))
+	b.startCall()
+	if e := waitFor(t, b, callEndings); e.Reason != "" {
+		t.Errorf("got end %q, want an answer", e.Reason)
+	}
+	b.sendAnswer(rocktable.Answer{Recorded: &rocktable.ClaimRow{}})
+	<-c.done
+	if c.err != nil || c.body.Len() != size {
+		t.Fatalf("caller got %d bytes, refusal %q and error %v", c.body.Len(), c.refused, c.err)
+	}
+	if n := len(left); left[0] < size || left[n/2] > size*5/8 || left[n-1] > 2*answerChunkBytes {
+		t.Errorf("%d, %d and %d bytes were counted at the first, middle and last of %d writes, want about %d, half of it and one part", left[0], left[n/2], left[n-1], n, size)
+	}
+}
