Close connections whose unread body does not arrive

net/http reads up to 256 KB of the body of a request that was answered without it, before it sends the answer, and has no limit of time for that. A caller that announced a body, was refused for its target or its token, and never sent the body kept its connection for good: neither the limit for heads nor that for idle connections holds then.

--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -83,7 +83,12 @@
 	switch state {
 	case http.StateIdle:
 		w.beginIdle()
-	case http.StateActive, http.StateHijacked, http.StateClosed:
+	case http.StateActive:
+		w.end()
+		// net/http reads the body of a request that was answered without it, and has no limit for that. ReadBody sets
+		// limits of its own and removes them at the end of the body.
+		_ = w.SetReadDeadline(time.Now().Add(bodyTimeout))
+	case http.StateHijacked, http.StateClosed:
 		w.end()
 	}
 }
--- a/io/rockhttp/connections_test.go
+++ b/io/rockhttp/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -29,18 +30,19 @@
 func (l pipeListener) Close() error   { return nil }
 func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// limitedServer serves an empty answer to each request, with limits that a test may change.
+// limitedServer serves an empty answer to each request, with limits and a handler that a test may change.
 type limitedServer struct {
 	t        *testing.T
 	limits   atomic.Pointer[rocktable.RequestLimits]
 	memory   *rockmemory.Account
 	listener pipeListener
+	handle   http.HandlerFunc
 }
 
 func startLimitedServer(t *testing.T) *limitedServer {
-	s := &limitedServer{t: t, memory: rockmemory.New(1 << 20), listener: pipeListener{make(chan net.Conn)}}
+	s := &limitedServer{t: t, memory: rockmemory.New(1 << 20), listener: pipeListener{make(chan net.Conn)}, handle: func(http.ResponseWriter, *http.Request) {}}
 	s.limits.Store(&rocktable.RequestLimits{HeadTimeoutMs: 3000, IdleTimeoutMs: 15000})
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(w, r) })}
 	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return *s.limits.Load() }, Memory: s.memory}
 	go func() { _ = server.Serve(connections.Watch(server, s.listener)) }()
 	t.Cleanup(func() {
@@ -170,3 +172,44 @@
 		}
 	})
 }
+
+// Guards against a caller whose request is answered without its body and that never sends it: net/http waits for the body
+// before it sends the answer, and the connection stayed open for good.
+func TestUnreadBodyEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimitedServer(t)
+		conn := s.dial()
+		if _, err := fmt.Fprint(conn, "POST / HTTP/1.1\r\nContent-Length: 10\r\n"+headEnd); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if used := s.memory.Used(); used != 0 {
+			t.Errorf("the connection counts %d bytes after a minute, want it closed", used)
+		}
+	})
+}
+
+// Guards against a limit for bodies that ends a request whose body has arrived, as if its caller had left.
+func TestLongRequestsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startLimitedServer(t)
+		s.handle = func(w http.ResponseWriter, r *http.Request) {
+			body, code, err := rockhttp.ReadBody(w, r, rocktable.RequestLimits{MaxBodyBytes: 10}, nil, nil)
+			if err != nil || code != "" {
+				t.Errorf("got body %q, code %q and error %v", body, code, err)
+			}
+			time.Sleep(5 * time.Minute)
+			if err := r.Context().Err(); err != nil {
+				t.Error("the request was canceled: ", err)
+			}
+		}
+		conn := s.dial()
+		for _, body := range []string{"", "body"} {
+			if !isServed(conn, headBegin+fmt.Sprintf("Content-Length: %d\r\n", len(body))+headEnd+body) {
+				t.Errorf("a request with body %q was not served", body)
+			}
+		}
+	})
+}
