Release what was read of a body that is given up

Reader left its reservation in the holding after an error. A call of the product's own interface has one holding for all its runs: after an answer that broke off or had no room, the next run found less room, and up to 16 MB of nothing counted until the call ended.

ReadAll now gives back what it reserved if it returns an error.

--- a/io/rockmemory/read.go
+++ b/io/rockmemory/read.go
@@ -32,8 +32,17 @@
 }
 
 // ReadAll returns the whole body. A negative length means that it was not declared. The errors are ErrNoRoom,
-// io.ErrUnexpectedEOF for a body that is shorter than declared, and those of the source.
+// io.ErrUnexpectedEOF for a body that is shorter than declared, and those of the source. After an error nothing stays
+// reserved.
 func (r *Reader) ReadAll(length int64) ([]byte, error) {
+	body, err := r.read(length)
+	if err != nil {
+		r.Held.Shrink(r.reserved)
+	}
+	return body, err
+}
+
+func (r *Reader) read(length int64) ([]byte, error) {
 	if length < 0 {
 		return r.readSteps()
 	}
--- a/io/rockmemory/read_test.go
+++ b/io/rockmemory/read_test.go
@@ -76,3 +76,25 @@
 		t.Errorf("without room: got %q and error %v", body, err)
 	}
 }
+
+// Guards against a body that is given up and still counts: the next run of the same call then finds less room.
+func TestGivenUpBodyIsReleased(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		source io.Reader
+		length int64
+	}{
+		{"broken off", io.MultiReader(strings.NewReader(strings.Repeat("x", mb/2)), iotest.ErrReader(io.ErrUnexpectedEOF)), mb},
+		{"broken off, not declared", io.MultiReader(strings.NewReader(strings.Repeat("x", mb/2)), iotest.ErrReader(io.ErrUnexpectedEOF)), -1},
+		{"no room", strings.NewReader(strings.Repeat("x", 20*mb)), 20 * mb},
+		{"no room, not declared", strings.NewReader(strings.Repeat("x", 20*mb)), -1},
+	} {
+		a := New(8 * mb)
+		h := a.Open()
+		h.Reserve(1000)
+		r := Reader{Source: c.source, Held: h}
+		if _, err := r.ReadAll(c.length); err == nil || a.Used() != 1000 {
+			t.Errorf("%s: got error %v and %d bytes counted, want an error and 1000", c.name, err, a.Used())
+		}
+	}
+}
