Take a refusal by its head, whatever becomes of its body

A backend server that refuses a call says so in the head of its answer. If the body broke off, or was too long to hold, the call counted as one that may have run: one that must not run twice ended with 502 instead of going to another backend server.

The body of a refusal is not read any more. runCall had grown to four jobs; taking the answer and sorting its end have functions of their own.

TestRefusalWithABrokenBodyIsNoRun failed before with outcomeUnknown.

--- a/io/rockrelay/call.go
+++ b/io/rockrelay/call.go
@@ -19,23 +19,48 @@
 	defer cancel()
 	x.runs++
 	resp, err := x.relay.Open(ctx, a)
-	e := rocktable.CallEnded{Request: x.id, Server: start.Server, Sent: true}
 	var answer callAnswer
-	if err == nil && resp.Origin != OriginServer {
+	if err == nil {
+		answer, err = x.takeAnswer(ctx, a, resp)
+	}
+	e := x.callEnd(ctx, start, resp, answer, err)
+	if !e.Sent {
+		x.runs--
+	}
+	if e.Reason != "" {
+		x.log("call failed", "reason", e.Reason, "server", a.ServerName, "sent", e.Sent, "status", answer.status, "error", err)
+	}
+	x.calledServer = 0
+	x.recordRun(e.Sent)
+	x.relay.Post(func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) })
+}
+
+// takeAnswer reads the answer to a call. The error tells why it cannot be passed on as the answer of the backend server. The
+// body of a refusal is not read: its head has said that the call did not run.
+func (x *exchange) takeAnswer(ctx context.Context, a Attempt, resp *Response) (callAnswer, error) {
+	if resp.Origin != OriginServer {
 		resp.Body.Close()
-		err, e.Foreign = unprovedError(resp), resp.Origin == OriginForeign
+		return callAnswer{status: resp.Status}, unprovedError(resp)
 	}
+	x.openHolding(a.ServerName)
+	if resp.NotRun {
+		resp.Body.Close()
+		return callAnswer{status: resp.Status}, nil
+	}
+	answer, err := x.readAnswer(resp)
 	if err == nil {
-		x.openHolding(a.ServerName)
-		answer, err = x.readAnswer(resp)
-		if err == nil && !resp.NotRun {
-			err = x.confirmEnd(ctx, a, resp)
-		}
-		if err != nil || resp.NotRun {
-			x.releaseHeld() // the answer is dropped
-		}
+		err = x.confirmEnd(ctx, a, resp)
+	}
+	if err != nil {
+		x.releaseHeld() // the answer is dropped
 	}
-	e.AnswerBegun = x.stream.headerSent
+	return answer, err
+}
+
+// callEnd returns the report of the end of a call for the control thread, and keeps an answer that may be passed on.
+func (x *exchange) callEnd(ctx context.Context, start rocktable.CallStart, resp *Response, answer callAnswer, err error) rocktable.CallEnded {
+	e := rocktable.CallEnded{Request: x.id, Server: start.Server, Sent: true, AnswerBegun: x.stream.headerSent}
+	e.Foreign = resp != nil && resp.Origin == OriginForeign
 	switch {
 	case errors.Is(err, errCallerWrite):
 		e.Reason = rockreason.CallerLeft
@@ -56,13 +81,5 @@
 		x.callAnswer = &answer
 		e.Status = answer.status
 	}
-	if !e.Sent || resp != nil && resp.NotRun {
-		x.runs--
-	}
-	if e.Reason != "" {
-		x.log("call failed", "reason", e.Reason, "server", a.ServerName, "sent", e.Sent, "status", answer.status, "error", err)
-	}
-	x.calledServer = 0
-	x.recordRun(e.Sent)
-	x.relay.Post(func(in *rocktable.Inbox) { in.CallsEnded = append(in.CallsEnded, e) })
+	return e
 }
--- a/io/rockrelay/promise_test.go
+++ b/io/rockrelay/promise_test.go
@@ -124,3 +124,22 @@
 	<-c.done
 	return c
 }
+
+// Guards against a refusal that counts as a run because its body breaks off: a call that must not run twice would end with
+// an unknown outcome instead of going to another backend server.
+func TestRefusalWithABrokenBodyIsNoRun(t *testing.T) {
+	b := newFixture(t, rocktable.RouteConfig{
+		Name: "pay", Host: "a.example", Prefix: "/", Attempts: 2, Targets: []rocktable.RouteTarget{{Name: "desk", Weight: 1}},
+	})
+	c := b.send(t.Context(), Request{ID: "a"})
+	waitFor(t, b, arrivals)
+	b.answers <- func() (*Response, error) {
+		return &Response{Status: 503, NotRun: true, Header: http.Header{}, Body: brokenBody("fu", errors.New("reset"))}, nil
+	}
+	b.Dispatch(rocktable.Outbox{CallStarts: []rocktable.CallStart{{Request: 1, Server: 1, Name: "d1", Address: "d1:80", Timeout: 1e9}}})
+	if e := waitFor(t, b, callEndings); e.Reason != rockreason.StageRefused || e.Sent {
+		t.Errorf("got reason %q and sent %t, want a refusal that was not run", e.Reason, e.Sent)
+	}
+	b.sendAnswer(rocktable.Answer{Reason: rockreason.NoServer})
+	<-c.done
+}
