--- a/io/rockmemory/account.go
+++ b/io/rockmemory/account.go
@@ -79,7 +79,8 @@
 	return &Holding{account: a, owners: owners}
 }
 
-// Holding is what the host holds for one request or answer. A nil Holding counts nothing and has no limit. Its methods are safe for concurrent use.
+// Holding is what the host holds for one request or answer. A nil Holding counts nothing and has no limit. Its methods are
+// safe for concurrent use.
 type Holding struct {
 	account *Account
 	owners  []Owner
--- a/io/rockmemory/process.go
+++ b/io/rockmemory/process.go
@@ -28,13 +28,13 @@
 // LimitHeap makes the garbage collector keep the heap below a stated part of the memory that the process may use. A lower
 // limit from the environment (GOMEMLIMIT) stays.
 func LimitHeap(processBytes int64) {
-	if limit := processBytes / 100 * heapPercent; limit < fromEnvironment {
+	if limit := processBytes / 100 * heapPercent; limit < environmentLimit {
 		debug.SetMemoryLimit(limit)
 	}
 }
 
-// fromEnvironment is the limit that the runtime took from the environment, or math.MaxInt64.
-var fromEnvironment = debug.SetMemoryLimit(-1)
+// environmentLimit is the limit that the runtime took from the environment, or math.MaxInt64.
+var environmentLimit = debug.SetMemoryLimit(-1)
 
 // ProcessBytes returns the memory that the process may use, in bytes: the setting, or if that is 0 the limit of the
 // process's group in the kernel, or DefaultProcessBytes.
