Agree on the tables of room and of load by data centre

Overload is to be decided from what all hosts have, and each host sees only about three requests a second. Nothing writes them yet.

--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -50,6 +50,12 @@
 	MemoryRefusalAt  time.Time     // last refusal that may be due to a lack of memory; zero if there was none
 	MemoryAtRefusal  float64       // ReservedMemory and PeerReservedMemory at that time
 
+	// UsableMemory is the fraction of its memory for requests that the hosts can use, learned from refusals; 0 until the
+	// first one. It concerns one start of the backend server.
+	UsableMemory            float64
+	UsableMemoryAt          time.Time // last update
+	UsableMemoryIncarnation uint64
+
 	// Failed attempts of this host.
 	ConnectionFailed  bool      // an attempt could not connect or lost its connection; no report has arrived since
 	FailureFraction   float64   // fraction of this host's recent attempts that failed because of it
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -57,6 +57,12 @@
 	Tallies     Table[ShareKey, Tally]
 	Changes     Table[string, PendingChange] // configuration changes in progress, by change id
 	LinkLoads   Table[LinkKey, LinkLoad]
+	Capacities  Table[PipelineID, Capacity]
+	CentreLoads Table[CentreLoadKey, CentreLoad]
+	RankLoads   Table[RankLoadKey, RankLoad]
+
+	CentreReports Table[DataCentreID, CentreReport]
+
 	Retries     Table[RetryKey, RetryWindow]
 	Claims      Table[RequestID, Claim]
 	HeldCalls   []RequestID              // calls that wait until they may be dispatched
