--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -63,12 +63,12 @@
 
 	CentreReports Table[DataCentreID, CentreReport]
 
-	Retries     Table[RetryKey, RetryWindow]
-	Claims      Table[RequestID, Claim]
-	HeldCalls   []RequestID              // calls that wait until they may be dispatched
-	SeenClaims  Table[string, SeenClaim] // by claim key
-	Lease       Lease
-	Gossip      Gossip
+	Retries    Table[RetryKey, RetryWindow]
+	Claims     Table[RequestID, Claim]
+	HeldCalls  []RequestID              // calls that wait until they may be dispatched
+	SeenClaims Table[string, SeenClaim] // by claim key
+	Lease      Lease
+	Gossip     Gossip
 
 	FollowedTables Table[FollowedTableID, FollowedTable] // empty unless the platform pushes its tables
 	Sources        Table[HostID, Source]
