Learn the room of backend servers, and keep a part of it for urgent ranks

Cause: hosts know each other's reservations about a second late or more. Change: near a full backend server, a host takes or gives back only its part of what was free at the last report; refusals lower what hosts use, time raises it. While capacity is short, a rank leaves a part of it to those of more worth. A refused request waits for the retry budget if that can grow before its latest start. What a full host sheds is what costs its callers least, and refused callers return spread, less urgent ones later.

--- a/core/rockadmit/admit.go
+++ b/core/rockadmit/admit.go
@@ -118,7 +118,7 @@
 		}
 	}
 	r.EstimatedTokens = estimate
-	if code := freeQueueSlot(w, r); code != "" {
+	if code := freeQueueSlot(now, w, r); code != "" {
 		rockend.Refuse(w, r.ID, code, 0)
 		return
 	}
@@ -229,9 +229,9 @@
 }
 
 // freeQueueSlot sheds a queued request if the new one exceeds a limit, or returns why the new one is refused.
-func freeQueueSlot(w *rocktable.World, r *rocktable.Request) rockreason.Code {
+func freeQueueSlot(now time.Time, w *rocktable.World, r *rocktable.Request) rockreason.Code {
 	// The table already holds the new request.
-	if w.Limits.MaxRequests > 0 && heldRequests(w) > w.Limits.MaxRequests && !shedLowerWorth(w, r) {
+	if w.Limits.MaxRequests > 0 && heldRequests(w) > w.Limits.MaxRequests && !shedCheaper(now, w, r) {
 		return rockreason.HostFull
 	}
 	rank := w.Ranks.Get(r.Rank)
@@ -247,7 +247,7 @@
 	}
 	heaviest := w.Shares.Get(rocktable.ShareKey{Rank: r.Rank, Caller: rank.Heaviest[0]})
 	own := w.Shares.Get(shareKey(r))
-	if own != nil && own.Waiting+1 >= heaviest.Waiting || !shedNewest(w, rank) {
+	if own != nil && own.Waiting+1 >= heaviest.Waiting || !shedFrom(now, w, rank) {
 		return rockreason.QueueFull
 	}
 	return ""
@@ -257,52 +257,13 @@
 // tick do not count.
 func heldRequests(w *rocktable.World) int { return w.Requests.Len() - len(w.Outbox.Answers) }
 
-// shedLowerWorth sheds one queued request of the rank with the least worth, if that worth is below the worth of the new
-// request's rank.
-func shedLowerWorth(w *rocktable.World, r *rocktable.Request) bool {
-	var least *rocktable.Rank
-	for _, rank := range w.Ranks.All() {
-		if rank.Waiting > 0 && (least == nil || rank.Config.Worth < least.Config.Worth) {
-			least = rank
-		}
-	}
-	if least == nil || least.Config.Worth >= w.Ranks.Get(r.Rank).Config.Worth {
-		return false
-	}
-	return shedNewest(w, least)
-}
-
-// shedNewest sheds the newest request in the longest line of the caller with the most queued requests in the rank.
-func shedNewest(w *rocktable.World, rank *rocktable.Rank) bool {
-	if len(rank.Heaviest) == 0 {
-		return false
-	}
-	share := w.Shares.Get(rocktable.ShareKey{Rank: rank.ID, Caller: rank.Heaviest[0]})
-	var longest *rocktable.Line
-	for i := range share.Lines {
-		if line := &share.Lines[i]; line.Waiting > 0 && (longest == nil || line.Waiting > longest.Waiting) {
-			longest = line
-		}
-	}
-	if longest == nil {
-		return false
-	}
-	r := tail(w, longest)
-	if r == nil {
-		return false
-	}
-	Dequeue(w, r)
-	rockend.Refuse(w, r.ID, rockreason.Shed, 0)
-	return true
-}
-
 // shedLate sheds the requests of a rank that have waited too long to meet their target. They would take capacity from
 // requests that can still meet it.
 func shedLate(now time.Time, w *rocktable.World, rank *rocktable.Rank) {
 	for len(rank.ByArrival) > 0 {
 		r := w.Requests.Get(rank.ByArrival[0])
 		if r != nil && r.InQueue && !r.MayHaveRun {
-			late := r.ArrivedAt.Add(latestStart(w, r, rank))
+			late := LatestStart(w, r)
 			if now.Before(late) {
 				w.WakeAt(late)
 				return
@@ -314,13 +275,12 @@
 	}
 }
 
-// latestStart returns the time after its arrival by which a request has to start to meet its first-token target.
-func latestStart(w *rocktable.World, r *rocktable.Request, rank *rocktable.Rank) time.Duration {
-	target := rank.Config.FirstTokenTarget()
-	p := w.Pipelines.Get(r.Pipeline)
-	if p == nil {
-		return target
-	}
-	// At least half of the target is left, so a pipeline that is slower than the target still serves requests.
-	return target - min(p.FirstTokenDelay, target/2)
+// LatestStart returns the time by which a request has to start to meet its first-token target.
+func LatestStart(w *rocktable.World, r *rocktable.Request) time.Time {
+	target := w.Ranks.Get(r.Rank).Config.FirstTokenTarget()
+	if p := w.Pipelines.Get(r.Pipeline); p != nil {
+		// At least half of the target is left, so a pipeline that is slower than the target still serves requests.
+		target -= min(p.FirstTokenDelay, target/2)
+	}
+	return r.ArrivedAt.Add(target)
 }
--- /dev/null
+++ b/core/rockadmit/share.go
@@ -0,0 +1,46 @@
+package rockadmit
+
+import (
+	"sassafrasrock/core/rockcapacity"
+	"sassafrasrock/core/rocktable"
+)
+
+// Load that this answers: a burst, or the loss of backend servers, while each of many hosts has few requests. A host with
+// only background work then takes the last capacity although urgent requests arrive elsewhere. Trunk reservation keeps a
+// part of each backend server free for more urgent ranks without a queue that all hosts share.
+
+// maxReserve is the fraction of the capacity that a rank without worth would leave to the most urgent one.
+const maxReserve = 0.2
+
+// CapacityShare returns the fraction of a backend server's capacity that a request may fill: all of it while capacity is
+// not short, and for a rank that has not had its floor.
+func CapacityShare(w *rocktable.World, r *rocktable.Request) float64 {
+	rank := w.Ranks.Get(r.Rank)
+	if rank == nil || !rockcapacity.IsShort(w, r.Pipeline) || isBelowFloor(w, r.Pipeline, rank) {
+		return 1
+	}
+	most := 0.0
+	for _, other := range w.Ranks.All() {
+		if other.RemovedAt.IsZero() {
+			most = max(most, other.Config.Worth)
+		}
+	}
+	if most <= rank.Config.Worth {
+		return 1
+	}
+	return 1 - maxReserve*(1-rank.Config.Worth/most)
+}
+
+// isBelowFloor reports whether a rank has started less of a pipeline's tokens than its floor.
+func isBelowFloor(w *rocktable.World, p rocktable.PipelineID, rank *rocktable.Rank) bool {
+	own, total := 0.0, 0.0
+	for id := range w.Ranks.All() {
+		if lane := w.Lanes.Get(rocktable.LaneKey{Rank: id, Pipeline: p}); lane != nil {
+			total += lane.StartedTokens
+			if id == rank.ID {
+				own = lane.StartedTokens
+			}
+		}
+	}
+	return own < rank.Config.Floor*total
+}
--- a/core/rockadmit/window.go
+++ b/core/rockadmit/window.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	waiting := awaitFirstToken(now, w, p)
-	return p.FirstTokenWindow > 0 && float64(waiting) >= p.FirstTokenWindow
+	return p.FirstTokenWindow > 0 && float64(waiting) >= p.FirstTokenWindow*CapacityShare(w, r)
 }
 
 // awaitFirstToken returns the number of attempts that wait for their first token, and lowers the window for those that
--- a/core/rockinvariant/model.go
+++ b/core/rockinvariant/model.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"sassafrasrock/core/rockcapacity"
 	"sassafrasrock/core/rockcrash"
-	"sassafrasrock/core/rockroute"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -36,7 +36,7 @@
 		case s == nil:
 		case i == 0 && s.FirstStageInFlight > s.Status.Slots:
 			return fmt.Errorf("attempt %d: %d attempts have their first stage on backend server %s, which has %d slots", start.Attempt, s.FirstStageInFlight, s.Name, s.Status.Slots)
-		case s.ReservedMemory > rockroute.RequestMemory(start.Pipeline, s):
+		case s.ReservedMemory > rockcapacity.RequestMemory(start.Pipeline, s):
 			return fmt.Errorf("attempt %d: %.0f tokens x layers are reserved on backend server %s, more than its memory", start.Attempt, s.ReservedMemory, s.Name)
 		}
 	}
--- a/core/rockoutcome/outcome.go
+++ b/core/rockoutcome/outcome.go
@@ -21,7 +21,7 @@
 	Run:         run,
 }
 
-func run(_ time.Time, w *rocktable.World) {
+func run(now time.Time, w *rocktable.World) {
 	answers := w.Outbox.Answers[:0]
 	for _, a := range w.Outbox.Answers {
 		r := w.Requests.Get(a.Request)
@@ -31,7 +31,7 @@
 		}
 		a.Outcome, a.MayHaveRun = newOutcome(w, r, a.Reason), r.MayHaveRun || r.Call != nil && r.Call.Runs > 0
 		if reason, ok := rockreason.Find(a.Reason); ok && reason.Retryable {
-			a.RetryAfter = retryAfter(w, a)
+			a.RetryAfter = retryAfter(now, w, r, a)
 		}
 		addToTally(w, r, a)
 		if a.Reason != "" {
@@ -47,9 +47,12 @@
 }
 
 // retryAfter returns the time after which a refused caller may retry.
-func retryAfter(w *rocktable.World, a rocktable.Answer) time.Duration {
+func retryAfter(now time.Time, w *rocktable.World, r *rocktable.Request, a rocktable.Answer) time.Duration {
 	switch a.Reason {
 	case rockreason.Shed, rockreason.WouldMissTarget, rockreason.NoPath, rockreason.QueueFull, rockreason.HostFull:
+		if r.Call == nil && w.Limits.OverloadRetry > 0 {
+			return rockadmit.ReturnAfter(now, w, r, max(a.RetryAfter, w.Limits.OverloadRetry))
+		}
 		a.RetryAfter = max(a.RetryAfter, w.Limits.OverloadRetry)
 	case rockreason.ShuttingDown, rockreason.NotReady:
 		if w.Limits.PlatformPushes {
--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -166,8 +166,11 @@
 		return ending{} // the next attempt is the first that reaches a backend server
 	case !SpendSharedBudget(now, w, r):
 		switch {
-		case !r.MayHaveRun:
+		case !r.MayHaveRun && !mayGetBudgetBy(now, w, r, rockadmit.LatestStart(w, r)):
 			return ending{rocktable.CauseRefused, rockreason.Shed}
+		case !r.MayHaveRun: // it is shed if the budget has no room before its latest start
+			r.AwaitsBudget = true
+			return ending{}
 		case r.Tokens > 0 && didNotRun(e), FitsDeadline(now, r, runTime(w, r)):
 			// The request has begun and has time left, so it stays queued until the budget has room. A stream of which the
 			// caller has a part does so in any case: a backend server that is full would cut it off.
--- a/core/rockretry/window.go
+++ b/core/rockretry/window.go
@@ -81,10 +81,19 @@
 		return true
 	}
 	window := currentWindow(now, w, retryKey(r))
+	if !fitsBudget(now, w, r, window.Requests, window.Retries) {
+		return false
+	}
+	window.Retries[0]++
+	return true
+}
+
+// fitsBudget reports whether one more retry of a request fits into this host's share of a window with the given counts.
+func fitsBudget(now time.Time, w *rocktable.World, r *rocktable.Request, requestCounts, retryCounts []int) bool {
 	requests, retries := 0, 0
-	for i := range window.Requests {
-		requests += window.Requests[i]
-		retries += window.Retries[i]
+	for i := range requestCounts {
+		requests += requestCounts[i]
+		retries += retryCounts[i]
 	}
 	// No allowance during the first half of the first window, then a linear rise to the full one at
 	// its end.
@@ -93,9 +102,16 @@
 	if !r.MayHaveRun && r.Call == nil {
 		allowed *= notRunFraction
 	}
-	if float64(retries+1) > usableFraction*ramp*allowed {
+	return float64(retries+1) <= usableFraction*ramp*allowed
+}
+
+// mayGetBudgetBy reports whether the shared budget is expected to have a retry for a request by a time that is less than
+// two parts of the window away: when the oldest part leaves the window, its retries no longer count.
+func mayGetBudgetBy(now time.Time, w *rocktable.World, r *rocktable.Request, by time.Time) bool {
+	window := currentWindow(now, w, retryKey(r))
+	next := window.PartStartedAt.Add(w.Limits.RetryWindow / windowParts)
+	if next.After(by) {
 		return false
 	}
-	window.Retries[0]++
-	return true
+	return fitsBudget(next, w, r, window.Requests[:windowParts], window.Retries[:windowParts])
 }
--- a/core/rockroute/cost.go
+++ b/core/rockroute/cost.go
@@ -144,7 +144,7 @@
 		return false
 	}
 	if p := w.FullPathPipeline(r); p != nil {
-		return hasMemory(p, s, r)
+		return hasMemory(w, p, s, r)
 	}
 	// Without this check a request would use up its attempts within milliseconds on backend servers
 	// that are restarting.
--- a/core/rockroute/fullpath_test.go
+++ b/core/rockroute/fullpath_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockcapacity"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -87,7 +88,7 @@
 func TestPathNeedsMemory(t *testing.T) {
 	w, p := newFullPathWorld("a")
 	s := w.ServerNamed("a-0-0")
-	s.PeerReservedMemory = 0.9 * RequestMemory(p.Config, s)
+	s.PeerReservedMemory = 0.9 * rockcapacity.RequestMemory(p.Config, s)
 	for id := range rocktable.RequestID(20) {
 		a := startRequest(w, id+1, 1000, 100)
 		if a == nil {
@@ -98,8 +99,8 @@
 		}
 	}
 	for _, row := range w.Servers.All() {
-		if row.ReservedMemory > RequestMemory(p.Config, row) {
-			t.Errorf("%s: %.0f tokens x layers reserved of %.0f", row.Name, row.ReservedMemory, RequestMemory(p.Config, row))
+		if row.ReservedMemory > rockcapacity.RequestMemory(p.Config, row) {
+			t.Errorf("%s: %.0f tokens x layers reserved of %.0f", row.Name, row.ReservedMemory, rockcapacity.RequestMemory(p.Config, row))
 		}
 	}
 }
--- a/core/rockroute/memory.go
+++ b/core/rockroute/memory.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sassafrasrock/core/rockcapacity"
 	"sassafrasrock/core/rockmember"
 	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
@@ -45,18 +46,6 @@
 	return float64(r.PromptTokens) + meanAnswerFraction*answer
 }
 
-// RequestMemory returns the memory, in tokens x layers, that a backend server has for requests
-// besides the layers that it holds.
-func RequestMemory(cfg rocktable.PipelineConfig, s *rocktable.BackendServer) float64 {
-	kind, ok := cfg.Engine.Kind(s.Kind)
-	if !ok || cfg.Engine.TokenBytes <= 0 {
-		return 0
-	}
-	layers := s.Status.LastLayer - s.Status.FirstLayer + 1
-	free := kind.MemoryMB - float64(layers)*cfg.Engine.LayerMB
-	return max(0, free) * 1e6 / cfg.Engine.TokenBytes * float64(cfg.Layers)
-}
-
 // unreportedMemory returns an estimate of the reserved memory that neither this host nor its peers
 // account for. After a refusal it is all memory that seemed free. It falls as the refusal ages, and
 // it is smaller if most peers reported their load recently.
@@ -70,7 +59,7 @@
 // usedMemoryFraction returns the fraction of a backend server's memory that this host and its peers
 // have reserved.
 func usedMemoryFraction(now time.Time, p *rocktable.Pipeline, unreported float64, s *rocktable.BackendServer) float64 {
-	total := RequestMemory(p.Config, s)
+	total := rockcapacity.RequestMemory(p.Config, s)
 	if total <= 0 {
 		return 1
 	}
@@ -78,11 +67,14 @@
 }
 
 // hasMemory reports whether a backend server has enough memory for a request that runs on all its
-// layers.
-func hasMemory(p *rocktable.Pipeline, s *rocktable.BackendServer, r *rocktable.Request) bool {
-	total := RequestMemory(p.Config, s)
+// layers. A request that never ran leaves a part to more urgent ones while capacity is short.
+func hasMemory(w *rocktable.World, p *rocktable.Pipeline, s *rocktable.BackendServer, r *rocktable.Request) bool {
+	limit := maxMemoryFraction * rockcapacity.RequestMemory(p.Config, s)
+	if r.CapacityShare > 0 && !r.MayHaveRun {
+		limit *= r.CapacityShare
+	}
 	layers := float64(s.Status.LastLayer - s.Status.FirstLayer + 1)
-	return s.ReservedMemory+s.PeerReservedMemory+memoryPerLayer(p, r)*layers <= maxMemoryFraction*total
+	return rockcapacity.HasRoom(w, s, memoryPerLayer(p, r)*layers, limit)
 }
 
 // hostPreference returns a number from 0 to 1 for a backend server that differs between hosts. In
--- a/core/rockroute/route.go
+++ b/core/rockroute/route.go
@@ -184,6 +184,7 @@
 		}
 		return g.alonePath(now, w, p, r)
 	}
+	r.CapacityShare = rockadmit.CapacityShare(w, r)
 	return choose(now, w, g, r)
 }
 
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -52,6 +52,7 @@
 	Deadline            time.Time // for the end of its answer; zero means none
 	RetryGranted        bool      // the attempt after the present one is decided and paid for
 	AwaitsBudget        bool      // its next attempt has not been taken from the shared budget yet
+	CapacityShare       float64   // fraction of a backend server's capacity that it may fill; 0 means all
 
 	EstimatedTokens float64 // taken from the caller's bucket at admission; corrected at the end
 	InQueue         bool
--- a/core/rocktable/servers.go
+++ b/core/rocktable/servers.go
@@ -53,8 +53,11 @@
 	// UsableMemory is the fraction of its memory for requests that the hosts can use, learned from refusals; 0 until the
 	// first one. It concerns one start of the backend server.
 	UsableMemory            float64
-	UsableMemoryAt          time.Time // last update
+	UsableMemoryAt          time.Time // last change
+	UsableLoweredAt         time.Time // last decrease
 	UsableMemoryIncarnation uint64
+	ReservedAtReport        float64 // ReservedMemory when the share of this host was last derived, tokens x layers
+	ShareDerivedAt          time.Time
 
 	// Failed attempts of this host.
 	ConnectionFailed  bool      // an attempt could not connect or lost its connection; no report has arrived since
--- a/core/rocktick/ranks_test.go
+++ b/core/rocktick/ranks_test.go
@@ -1,168 +1,146 @@
 package rocktick_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
-	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockcapacity"
 	"sassafrasrock/core/rocktable"
+	"sassafrasrock/core/rocktick"
 )
 
-// configure activates the next configuration version with these ranks.
-func configure(t *testing.T, now time.Time, w *rocktable.World, names ...string) rocktable.Outbox {
-	t.Helper()
-	cfg := w.Config.Configuration
-	cfg.Ranks = nil
-	for _, name := range names {
-		cfg.Ranks = append(cfg.Ranks, rocktable.RankConfig{Name: name, FirstTokenMs: 60000, GapMs: 1000, Worth: 1})
+// fullServer is a model of hosts in front of one backend server that refuses requests for which it has no memory. The
+// hosts know each other's reservations with a delay.
+type fullServer struct {
+	now     time.Time
+	worlds  []*rocktable.World
+	running map[overloadKey]time.Time // when it ends
+	lastID  rocktable.RequestID
+	rand    *rand.Rand
+
+	arrived, refused [2]int // by rank: urgent, background
+	rankOf           map[rocktable.RequestID]rocktable.RankID
+}
+
+const (
+	rankHosts        = 12
+	rankServerRoom   = 200             // requests that the backend server holds
+	rankRunTime      = 2 * time.Second // of a request
+	rankReportEvery  = time.Second     // between two reports of load
+	urgentPerSecond  = 60.0            // 0.6 of the capacity
+	floodPerSecond   = 120.0           // background work, 1.2 of the capacity
+	rankPromptTokens = 500
+)
+
+// newFullServer returns the model. The worths are those of the urgent and the background rank.
+func newFullServer(worths [2]float64) *fullServer {
+	f := &fullServer{now: start, running: make(map[overloadKey]time.Time), rankOf: make(map[rocktable.RequestID]rocktable.RankID), rand: rand.New(rand.NewPCG(1, 2))}
+	for i := range rankHosts {
+		w := newFullPathWorld(i)
+		for j := range rankHosts {
+			if h := w.InternHost(fmt.Sprintf("entry-%d", j)); !h.Self {
+				h.State, h.HeartbeatAt = rocktable.StateLive, start.Add(time.Hour)
+			}
+		}
+		for j, worth := range worths {
+			w.Ranks.Put(rocktable.RankID(j), rocktable.Rank{ID: rocktable.RankID(j), Position: j, Config: rocktable.RankConfig{FirstTokenMs: 500 * (j + 1), GapMs: 250, Worth: worth, Floor: 0.08 * float64(j)}})
+		}
+		e := &w.Pipelines.Get(1).Config.Engine
+		e.TokenBytes, e.AnswerTokens = 8, 0
+		e.Kinds[0].MemoryMB = 8 + rankServerRoom*rankPromptTokens*8/1e6
+		addFullPathServer(w, "runner")
+		f.worlds = append(f.worlds, w)
 	}
-	w.Inbox.ConfigResults = append(w.Inbox.ConfigResults, rocktable.TableResult[rocktable.ConfigRow]{
-		Status: rocktable.TableOK, Found: true, Version: w.ConfigVersion + 1,
-		Row: rocktable.ConfigRow{ChangeID: "ranks", Configuration: cfg},
-	})
-	return run(t, now, w).Outbox
+	return f
 }
 
-// Guards against queued requests that end up in another rank when a configuration inserts, reorders
-// or removes ranks.
-func TestRequestsKeepTheirRank(t *testing.T) {
-	w := newWorld()
-	setUpPipeline(t, w)
-	configure(t, start, w, "urgent", "background")
-	arrive := func(id rocktable.RequestID, rank rocktable.RankID) {
+func (f *fullServer) arrive(due *float64, perSecond float64, rank rocktable.RankID) {
+	for *due += perSecond * overloadStep.Seconds(); *due >= 1; *due-- {
+		f.lastID++
+		f.rankOf[f.lastID] = rank
+		f.arrived[rank]++
+		w := f.worlds[f.rand.IntN(len(f.worlds))]
 		w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
-			ID: id, Caller: w.CallerNamed("guild").ID, Rank: rank, Pipeline: w.InternPipeline("captions").ID, ArrivedAt: start, PromptTokens: 10, MaxTokens: 5,
+			ID: f.lastID, Caller: 1, Pipeline: 1, Rank: rank, ArrivedAt: f.now, PromptTokens: rankPromptTokens, MaxTokens: 1,
 		}})
 	}
-	// The backend servers have 4 slots, so the other 4 requests queue.
-	for id := rocktable.RequestID(1); id <= 8; id++ {
-		arrive(id, rocktable.RankID(id%2))
-	}
-	run(t, start, w)
-	configure(t, start, w, "interactive", "background", "urgent")
-	for id := rocktable.RequestID(1); id <= 8; id++ {
-		want := []string{"urgent", "background"}[id%2]
-		if got := w.Ranks.Get(w.Requests.Get(id).Rank).Config.Name; got != want {
-			t.Errorf("request %d: got rank %q, want %q", id, got, want)
-		}
-	}
-	out := configure(t, start, w, "urgent")
-	if len(out.Answers) != 0 {
-		t.Errorf("got answers %+v, want none to requests that were accepted before their rank was removed", out.Answers)
-	}
-	if names := w.TakeSnapshot().Ranks; len(names) != 1 {
-		t.Errorf("got ranks %v for new requests, want only the configured one", names)
-	}
-	// Each request is started in its rank, and the removed rows go with the next change after the last request.
-	now := start
-	started := 4
-	for w.Requests.Len() > 0 {
-		now = now.Add(time.Second)
-		for id, a := range w.Attempts.All() {
-			if want := []string{"urgent", "background"}[a.Request%2]; rankOf(w, a.Request) != want {
-				t.Errorf("request %d: got rank %q, want %q", a.Request, rankOf(w, a.Request), want)
+}
+
+// run lets urgent and background requests arrive for a time.
+func (f *fullServer) run(d time.Duration) {
+	var urgent, flood float64
+	report := f.now
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(overloadStep)
+		f.arrive(&urgent, urgentPerSecond, 0)
+		f.arrive(&flood, floodPerSecond, 1)
+		for key, endsAt := range f.running {
+			if !f.now.Before(endsAt) {
+				delete(f.running, key)
+				in := &f.worlds[key.host].Inbox
+				in.AttemptsEnded = append(in.AttemptsEnded, rocktable.AttemptEnded{Attempt: key.attempt, Tokens: 1, FirstTokenAt: f.now})
 			}
-			w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{Attempt: id, Tokens: 5, FirstTokenAt: now})
 		}
-		out := run(t, now, w).Outbox
-		started += len(out.Starts)
-		for _, a := range out.Answers {
-			if a.Reason != "" || a.Outcome.Rank == "" {
-				t.Errorf("request %d: got reason %q and rank %q, want a complete answer in its rank", a.Request, a.Reason, a.Outcome.Rank)
-			}
+		if !f.now.Before(report.Add(rankReportEvery)) {
+			report = f.now
+			f.reportLoad()
 		}
-		if now.Sub(start) > time.Minute {
-			t.Fatalf("%d requests are not answered after a minute", w.Requests.Len())
+		for i, w := range f.worlds {
+			out := rocktick.Run(f.now, w).Outbox
+			w.Inbox = rocktable.Inbox{}
+			f.dispatch(i, out)
 		}
 	}
-	if started != 8 {
-		t.Errorf("%d requests started, want 8", started)
+}
+
+func (f *fullServer) reportLoad() {
+	total := 0.0
+	for _, w := range f.worlds {
+		total += w.ServerNamed("runner").ReservedMemory
 	}
-	configure(t, now.Add(time.Minute), w, "urgent")
-	if w.Ranks.Len() != 1 || w.Lanes.Len() != 1 {
-		t.Errorf("got %d ranks and %d lanes after the last request of the removed ranks, want one", w.Ranks.Len(), w.Lanes.Len())
+	for _, w := range f.worlds {
+		s := w.ServerNamed("runner")
+		s.PeerReservedMemory = total - s.ReservedMemory
 	}
 }
 
-// rankOf returns the name of the rank of a request that this host holds, or an empty string.
-func rankOf(w *rocktable.World, id rocktable.RequestID) string {
-	if r := w.Requests.Get(id); r != nil {
-		if rank := w.Ranks.Get(r.Rank); rank != nil {
-			return rank.Config.Name
+func (f *fullServer) dispatch(host int, out rocktable.Outbox) {
+	in := &f.worlds[host].Inbox
+	for _, s := range out.Starts {
+		if len(f.running) >= rankServerRoom {
+			in.AttemptsEnded = append(in.AttemptsEnded, rocktable.AttemptEnded{Attempt: s.Attempt, Reason: "stageRefused", FailedServer: s.Path[0].Server})
+			continue
 		}
+		in.Progress = append(in.Progress, rocktable.Progress{Attempt: s.Attempt, Tokens: 1, FirstTokenAt: f.now})
+		f.running[overloadKey{host, s.Attempt}] = f.now.Add(rankRunTime)
 	}
-	return ""
-}
-
-// Guards against a request that is queued in another rank, or refused, because the configuration changed between its
-// lookup in a snapshot and its arrival.
-func TestArrivalKeepsTheRankOfItsSnapshot(t *testing.T) {
-	for name, next := range map[string][]string{
-		"inserted":  {"interactive", "urgent", "background"},
-		"reordered": {"background", "urgent"},
-		"removed":   {"urgent"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			w := newWorld()
-			setUpPipeline(t, w)
-			configure(t, start, w, "urgent", "background")
-			snapshot := w.TakeSnapshot()
-			configure(t, start, w, next...)
-			w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
-				ID: 1, Caller: w.CallerNamed("guild").ID, Rank: snapshot.Ranks["background"], Pipeline: snapshot.Pipelines["captions"],
-				ArrivedAt: start, PromptTokens: 10, MaxTokens: 5,
-			}})
-			out := run(t, start, w).Outbox
-			if got := rankOf(w, 1); got != "background" || len(out.Answers) != 0 {
-				t.Errorf("got rank %q and answers %+v, want rank background and no answer", got, out.Answers)
-			}
-		})
+	for _, a := range out.Answers {
+		if a.Reason != "" {
+			f.refused[f.rankOf[a.Request]]++
+		}
 	}
 }
 
-// Guards against a stream that is broken off when its backend server goes, only because a change of the configuration
-// removed its rank while it ran or waited to be resumed. Its caller sees a connection that closes in the middle of the
-// answer.
-func TestStreamOutlivesItsRank(t *testing.T) {
-	for name, afterLoss := range map[string]bool{"while it runs": false, "while it waits to go on": true} {
-		t.Run(name, func(t *testing.T) {
-			w := newWorld()
-			setUpPipeline(t, w)
-			configure(t, start, w, "urgent", "background")
-			w.Inbox.Arrivals = append(w.Inbox.Arrivals, rocktable.Arrival{Request: rocktable.Request{
-				ID: 1, Caller: w.CallerNamed("guild").ID, Rank: w.InternRank("background").ID, Pipeline: w.InternPipeline("captions").ID,
-				ArrivedAt: start, PromptTokens: 10, MaxTokens: 5,
-			}})
-			out := run(t, start, w).Outbox
-			if len(out.Starts) != 1 {
-				t.Fatalf("got starts %+v, want one", out.Starts)
-			}
-			if !afterLoss {
-				configure(t, start, w, "urgent")
-			}
-			now := start.Add(200 * time.Millisecond)
-			setSlots := func(slots int) {
-				for _, s := range w.Servers.All() {
-					s.Status.Slots = slots
-				}
-			}
-			setSlots(0) // so that the stream has to wait
-			w.Inbox.AttemptsEnded = append(w.Inbox.AttemptsEnded, rocktable.AttemptEnded{
-				Attempt: out.Starts[0].Attempt, Reason: rockreason.StageDied, FailedServer: out.Starts[0].Path[0].Server, Tokens: 2, FirstTokenAt: now,
-			})
-			out = run(t, now, w).Outbox
-			if afterLoss {
-				out = configure(t, now, w, "urgent")
-			}
-			setSlots(4)
-			for range 4 {
-				now = now.Add(time.Second)
-				next := run(t, now, w).Outbox
-				out.Starts, out.Answers = append(out.Starts, next.Starts...), append(out.Answers, next.Answers...)
-			}
-			if len(out.Answers) != 0 || len(out.Starts) != 1 {
-				t.Errorf("got answers %+v and %d further starts, want the stream to go on once", out.Answers, len(out.Starts))
-			}
-		})
+// Guards against an order of ranks that ends at the queue of each host: twelve hosts with short queues share a backend
+// server that is full of background work, and urgent requests are refused as often as those that fill it.
+func TestUrgentWorkFindsCapacityAtEveryHost(t *testing.T) {
+	const length = 20 * time.Second
+	equal, ranked := newFullServer([2]float64{1, 1}), newFullServer([2]float64{1, 1.0 / 3})
+	equal.run(length)
+	ranked.run(length)
+	share := func(f *fullServer, rank int) float64 { return float64(f.refused[rank]) / float64(f.arrived[rank]) }
+	t.Logf("refused, equal worth: urgent %.3f, background %.3f; by worth: urgent %.3f, background %.3f", share(equal, 0), share(equal, 1), share(ranked, 0), share(ranked, 1))
+	if got, want := share(ranked, 0), share(equal, 0)/2; got > want {
+		t.Errorf("%.3f of the urgent requests were refused, want at most half of the %.3f without reserved capacity", got, want)
+	}
+	if got, floor := share(ranked, 1), 1-0.08; got > floor {
+		t.Errorf("%.3f of the background requests were refused, want less than %.3f: its floor", got, floor)
+	}
+	for _, w := range ranked.worlds {
+		if !rockcapacity.IsShort(w, 1) {
+			t.Error("a host does not know that capacity is short")
+		}
 	}
 }
--- a/core/rocktick/tick.go
+++ b/core/rocktick/tick.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrasrock/core/rockadmit"
+	"sassafrasrock/core/rockcapacity"
 	"sassafrasrock/core/rockclaim"
 	"sassafrasrock/core/rockconfig"
 	"sassafrasrock/core/rockcrash"
@@ -33,6 +34,7 @@
 	rockpart.System,
 	rockclaim.System,
 	rockretry.System,
+	rockcapacity.System,
 	rockadmit.System,
 	rockroute.System,
 	rockoutcome.System,
