--- a/core/rockretry/window_test.go
+++ b/core/rockretry/window_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -96,3 +97,36 @@
 		t.Errorf("got %d retries at one host of six, want at most 10 of the 60 that all share", n)
 	}
 }
+
+// Guards against requests that are refused because this host's share of the budget is spent, although an old retry leaves
+// the window before their latest start, and against ones that wait although none does.
+func TestRefusedRequestWaitsForTheBudget(t *testing.T) {
+	limits := rocktable.DefaultLimits()
+	limits.RetryWindow, limits.RetryRatio, limits.RetryBurst = 10*time.Second, 0.2, 20
+	for name, c := range map[string]struct {
+		oldest   int           // retries of the oldest part of the window
+		untilEnd time.Duration // of the newest part
+		waits    bool
+	}{
+		"a retry leaves in time":    {4, 100 * time.Millisecond, true},
+		"a retry leaves too late":   {4, 900 * time.Millisecond, false},
+		"no retry leaves":           {0, 100 * time.Millisecond, false},
+		"too few leave for a retry": {1, 100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWorld(limits)
+			w.InternPipeline("pool")
+			w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{FirstTokenMs: 500, GapMs: 250, Worth: 1}})
+			now := startTime.Add(time.Minute)
+			window := currentWindow(now, w, rocktable.RetryKey{Pipeline: 1})
+			window.PartStartedAt = now.Add(c.untilEnd - time.Second)
+			window.Retries[windowParts], window.Retries[1] = c.oldest, 10-c.oldest // 7 are allowed
+			r := w.Requests.Put(1, rocktable.Request{ID: 1, Pipeline: 1, ArrivedAt: now, Attempts: 1, Deadline: now.Add(20 * time.Second)})
+			e := rocktable.AttemptEnded{Reason: rockreason.StageRefused, FailedServer: 1}
+			end := lastEnd(now, w, r, e, nil)
+			if c.waits != (end.code == "") || c.waits != r.AwaitsBudget {
+				t.Errorf("got end %q, waits for the budget %t, want waits %t", end.code, r.AwaitsBudget, c.waits)
+			}
+		})
+	}
+}
