--- a/core/rockadmit/overload_test.go
+++ b/core/rockadmit/overload_test.go
@@ -12,7 +12,7 @@
 // newWorld returns a host with an urgent rank 0 and a background rank 1, targets 500 ms and 2 s, and one pipeline.
 func newWorld(maxRequests int) *rocktable.World {
 	limits := rocktable.DefaultLimits()
-	limits.MaxRequests = maxRequests
+	limits.MaxRequests, limits.RankReserve = maxRequests, 0.2
 	w := rocktable.NewWorld(epoch, rocktable.Host{Name: "entry-1"}, rocktable.DataCentre{Name: "yoff"}, 1, rocktable.WithLimits(limits))
 	w.Ready = true
 	w.InternPipeline("pool").Config = rocktable.PipelineConfig{Name: "pool", Model: "m", Layers: 1}
--- a/core/rockadmit/share.go
+++ b/core/rockadmit/share.go
@@ -9,14 +9,11 @@
 // only background work then takes the last capacity although urgent requests arrive elsewhere. Trunk reservation keeps a
 // part of each backend server free for more urgent ranks without a queue that all hosts share.
 
-// maxReserve is the fraction of the capacity that a rank without worth would leave to the most urgent one.
-const maxReserve = 0.2
-
 // CapacityShare returns the fraction of a backend server's capacity that a request may fill: all of it while capacity is
-// not short, and for a rank that has not had its floor.
+// not short, for a rank that has not had its floor, and where the settings reserve none.
 func CapacityShare(w *rocktable.World, r *rocktable.Request) float64 {
 	rank := w.Ranks.Get(r.Rank)
-	if rank == nil || !rockcapacity.IsShort(w, r.Pipeline) || isBelowFloor(w, r.Pipeline, rank) {
+	if w.Limits.RankReserve == 0 || rank == nil || !rockcapacity.IsShort(w, r.Pipeline) || isBelowFloor(w, r.Pipeline, rank) {
 		return 1
 	}
 	most := 0.0
@@ -28,7 +25,7 @@
 	if most <= rank.Config.Worth {
 		return 1
 	}
-	return 1 - maxReserve*(1-rank.Config.Worth/most)
+	return 1 - w.Limits.RankReserve*(1-rank.Config.Worth/most)
 }
 
 // isBelowFloor reports whether a rank has started less of a pipeline's tokens than its floor.
--- a/core/rocktable/snapshot.go
+++ b/core/rocktable/snapshot.go
@@ -10,21 +10,22 @@
 // Snapshot holds the part of the control state that traffic goroutines read for each request. A new one is published
 // when that part changes; a published one is never written.
 type Snapshot struct {
-	Host          string
-	Ready         bool
-	Draining      bool
-	Stopping      bool      // the signal to stop has arrived; requests are still accepted until Draining
-	GraceEnd      time.Time // see World.GraceEnd
-	ConfigVersion uint64
-	Config        Configuration
-	Freshness     ConfigFreshness
-	Callers       map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
-	CallerConfigs map[CallerID]CallerConfig
-	Models        map[string]PipelineID
-	Ranks         map[string]RankID
-	Services      map[string]ServiceID
-	Pipelines     map[string]PipelineID // by name
-	Routes        RouteIndex
+	Host           string
+	Ready          bool
+	Draining       bool
+	Stopping       bool      // the signal to stop has arrived; requests are still accepted until Draining
+	GraceEnd       time.Time // see World.GraceEnd
+	ConfigVersion  uint64
+	Config         Configuration
+	Freshness      ConfigFreshness
+	Callers        map[string]CallerID // by lower-case SHA-256 of the token, in hexadecimal
+	CallerConfigs  map[CallerID]CallerConfig
+	Models         map[string]PipelineID
+	Ranks          map[string]RankID
+	Services       map[string]ServiceID
+	Pipelines      map[string]PipelineID // by name
+	Routes         RouteIndex
+	ShortPipelines int // pipelines whose capacity is short
 }
 
 // ConfigFreshness tells whether a newer configuration may exist. It is zero where the configuration does not come from a
@@ -42,15 +43,26 @@
 	if s.ConfigVersion != w.ConfigVersion || s.Ready != w.Ready || s.Draining != w.Draining || s.Stopping != stopping || !s.GraceEnd.Equal(w.GraceEnd()) {
 		return w.TakeSnapshot()
 	}
-	freshness := w.configFreshness()
-	if s.Freshness == freshness {
+	freshness, short := w.configFreshness(), w.shortPipelines()
+	if s.Freshness == freshness && s.ShortPipelines == short {
 		return s
 	}
 	updated := *s // the maps are shared: nobody writes them
-	updated.Freshness = freshness
+	updated.Freshness, updated.ShortPipelines = freshness, short
 	return &updated
 }
 
+// shortPipelines returns the number of pipelines whose capacity is short.
+func (w *World) shortPipelines() int {
+	n := 0
+	for _, c := range w.Capacities.All() {
+		if !c.ShortSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // configFreshness returns the freshness of the configuration that is active at this host.
 func (w *World) configFreshness() ConfigFreshness {
 	f := ConfigFreshness{Tracked: w.Limits.PlatformPushes}
@@ -63,21 +75,22 @@
 // TakeSnapshot returns a new snapshot of the World.
 func (w *World) TakeSnapshot() *Snapshot {
 	s := &Snapshot{
-		Host:          w.SelfHost().Name,
-		Ready:         w.Ready,
-		Draining:      w.Draining,
-		Stopping:      !w.StopSignalAt.IsZero(),
-		GraceEnd:      w.GraceEnd(),
-		ConfigVersion: w.ConfigVersion,
-		Config:        w.Config.Configuration,
-		Freshness:     w.configFreshness(),
-		Callers:       make(map[string]CallerID, w.Callers.Len()),
-		CallerConfigs: make(map[CallerID]CallerConfig, w.Callers.Len()),
-		Models:        make(map[string]PipelineID, w.Pipelines.Len()),
-		Ranks:         make(map[string]RankID, w.Ranks.Len()),
-		Services:      make(map[string]ServiceID, w.Services.Len()),
-		Pipelines:     make(map[string]PipelineID, w.Pipelines.Len()),
-		Routes:        NewRouteIndex(w.Config.Configuration.Routes),
+		Host:           w.SelfHost().Name,
+		Ready:          w.Ready,
+		Draining:       w.Draining,
+		Stopping:       !w.StopSignalAt.IsZero(),
+		GraceEnd:       w.GraceEnd(),
+		ConfigVersion:  w.ConfigVersion,
+		Config:         w.Config.Configuration,
+		Freshness:      w.configFreshness(),
+		Callers:        make(map[string]CallerID, w.Callers.Len()),
+		CallerConfigs:  make(map[CallerID]CallerConfig, w.Callers.Len()),
+		Models:         make(map[string]PipelineID, w.Pipelines.Len()),
+		Ranks:          make(map[string]RankID, w.Ranks.Len()),
+		Services:       make(map[string]ServiceID, w.Services.Len()),
+		Pipelines:      make(map[string]PipelineID, w.Pipelines.Len()),
+		Routes:         NewRouteIndex(w.Config.Configuration.Routes),
+		ShortPipelines: w.shortPipelines(),
 	}
 	for id, row := range w.Callers.All() {
 		if !row.RemovedAt.IsZero() {
--- a/core/rocktick/ranks_test.go
+++ b/core/rocktick/ranks_test.go
@@ -39,6 +39,7 @@
 	f := &fullServer{now: start, running: make(map[overloadKey]time.Time), rankOf: make(map[rocktable.RequestID]rocktable.RankID), rand: rand.New(rand.NewPCG(1, 2))}
 	for i := range rankHosts {
 		w := newFullPathWorld(i)
+		w.Limits.RankReserve = 0.2
 		for j := range rankHosts {
 			if h := w.InternHost(fmt.Sprintf("entry-%d", j)); !h.Self {
 				h.State, h.HeartbeatAt = rocktable.StateLive, start.Add(time.Hour)
--- a/io/rockmetric/metric.go
+++ b/io/rockmetric/metric.go
@@ -87,6 +87,7 @@
 	m.RegisterGauge("ready", func() int64 { return boolToInt(snapshot().Ready) })
 	m.RegisterGauge("draining", func() int64 { return boolToInt(snapshot().Draining) })
 	m.RegisterGauge("configVersion", func() int64 { return int64(snapshot().ConfigVersion) })
+	m.RegisterGauge("shortPipelines", func() int64 { return int64(snapshot().ShortPipelines) })
 	m.RegisterGauge("callers", func() int64 { return int64(len(snapshot().Callers)) })
 }
 
--- a/io/rocksettings/daemon.go
+++ b/io/rocksettings/daemon.go
@@ -68,6 +68,9 @@
 	RetryBurst   float64 `json:"retryBurst,omitempty" validate:"min=0,max=1000000"`
 	// Retry delay that is sent to callers whose requests are rejected under overload.
 	OverloadRetryMs Milliseconds `json:"overloadRetryMs,omitempty" validate:"milliseconds=600000"`
+	// Fraction of a backend server's capacity that a rank without worth leaves to the most urgent one while capacity is
+	// short; ranks in between leave less. 0 keeps none.
+	RankReserve float64 `json:"rankReserve,omitempty" validate:"min=0,max=0.9"`
 	// Time between the stop signal and the first rejection of new requests.
 	DrainNoticeMs Milliseconds `json:"drainNoticeMs,omitempty" validate:"milliseconds=60000"`
 	// Time between the stop signal and the end of the process from outside; 0 means that nothing ends it and it waits
@@ -100,6 +103,7 @@
 	override(&limits.OverloadRetry, l.OverloadRetryMs.Duration())
 	limits.LeaseTTL = limits.LeaseTTL.Truncate(time.Millisecond) // the row of the lease holds whole milliseconds
 	limits.RetryRatio, limits.RetryBurst, limits.PlatformPushes = l.RetryRatio, l.RetryBurst, l.PlatformPushes
+	limits.RankReserve = l.RankReserve
 	return limits
 }
 
