Tell full backend servers from ones that refuse everything; more of the retry budget for requests that never ran

Change: a refusal of a backend server that is mostly free opens the breaker as a lost connection does, and teaches nothing about memory. Requests that never ran may use three quarters of the budget; the sum stays as it was. Result: TestRefusalsOfEmptyServersOpenTheBreakerForLonger; not measured on a deployment yet.

--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"sassafrasrock/core/rockcapacity"
 	"sassafrasrock/core/rocktable"
 )
 
@@ -21,6 +22,8 @@
 	// the backend server may merely lack free memory.
 	minRefusalOpen = 100 * time.Millisecond
 	maxRefusalOpen = 2 * time.Second
+	// minFullFraction is the known use of a backend server's memory below which a refusal is not due to a lack of it.
+	minFullFraction = 0.3
 	// trialLimit is the longest time for which one attempt tests a backend server of a full path,
 	// or a data centre, whose circuit breaker was open. Other work is blocked meanwhile.
 	trialLimit = 1500 * time.Millisecond
@@ -72,12 +75,18 @@
 	}
 }
 
-// recordMemoryRefusal opens, for a short time, the circuit breaker of a backend server that refused
-// a request on a full path, and records the memory that this host knew to be reserved there. That
-// figure lacks what peers have reserved since their last reports.
-func recordMemoryRefusal(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt) {
+// recordRefusal opens the circuit breaker of a backend server that refused a request on a full path: for a short time if it
+// may lack memory, and as for a lost connection if most of its memory is free. One that is down, leaves or gives up its
+// layers refuses everything for seconds, and each host would try it many times.
+func recordRefusal(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt, p *rocktable.Pipeline) {
+	reserved := s.ReservedMemory + s.PeerReservedMemory
+	if reserved < minFullFraction*rockcapacity.RequestMemory(p.Config, s) {
+		trip(now, s, a, minBreakerOpen, maxBreakerOpen)
+		return
+	}
 	trip(now, s, a, minRefusalOpen, maxRefusalOpen)
-	s.MemoryRefusalAt, s.MemoryAtRefusal = now, s.ReservedMemory+s.PeerReservedMemory
+	// What peers have reserved since their last reports is missing.
+	s.MemoryRefusalAt, s.MemoryAtRefusal = now, reserved
 }
 
 func trip(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt, first, longest time.Duration) {
--- a/core/rockretry/refusal_test.go
+++ b/core/rockretry/refusal_test.go
@@ -62,3 +62,27 @@
 		t.Errorf("a request that was refused %d times got another attempt, want a reason", maxAttempts)
 	}
 }
+
+// Guards against a backend server that is down or gives up its layers and that each host tries ten times a second, and
+// against its refusals being taken for a lack of memory.
+func TestRefusalsOfEmptyServersOpenTheBreakerForLonger(t *testing.T) {
+	cfg := rocktable.PipelineConfig{Layers: 2, Engine: rocktable.EngineConfig{TokenBytes: 2e6, Kinds: []rocktable.KindConfig{{Name: "k", MemoryMB: 1000}}}}
+	for name, c := range map[string]struct {
+		own, peers float64 // of 1,000 tokens x layers
+		open       time.Duration
+		isFull     bool
+	}{"empty": {10, 100, minBreakerOpen, false}, "full": {50, 800, minRefusalOpen, true}} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWorld(rocktable.DefaultLimits())
+			s := w.InternServer("r")
+			s.Kind, s.ReservedMemory, s.PeerReservedMemory, s.Status = "k", c.own, c.peers, rocktable.EngineStatus{LastLayer: 1}
+			recordRefusal(startTime, w, s, &rocktable.Attempt{StartedAt: startTime}, &rocktable.Pipeline{Config: cfg})
+			if !s.BreakerOpenUntil.Equal(startTime.Add(c.open)) {
+				t.Errorf("the breaker is open for %s, want %s", s.BreakerOpenUntil.Sub(startTime), c.open)
+			}
+			if s.MemoryRefusalAt.Equal(startTime) != c.isFull {
+				t.Errorf("taken for a lack of memory: %t, want %t", !c.isFull, c.isFull)
+			}
+		})
+	}
+}
--- a/core/rockretry/retry.go
+++ b/core/rockretry/retry.go
@@ -167,7 +167,7 @@
 		RecordForeign(now, w, s)
 	}
 	if s := w.Servers.Get(e.FailedServer); s != nil && e.Reason == rockreason.StageRefused && w.FullPathPipeline(r) != nil {
-		recordMemoryRefusal(now, s, a)
+		recordRefusal(now, w, s, a, w.FullPathPipeline(r))
 	}
 	rockadmit.ReleaseAttempt(w, a)
 	r.Attempt = 0
--- a/core/rockretry/window.go
+++ b/core/rockretry/window.go
@@ -13,8 +13,9 @@
 	// usableFraction is the fraction of the shared budget that hosts use. The rest is a margin for
 	// the small differences between their counts, and between their views of the number of hosts.
 	usableFraction = 0.75
-	// notRunFraction is the fraction of the budget that requests that never ran may use.
-	notRunFraction = 0.5
+	// notRunFraction is the fraction of the budget that requests that never ran may use. The rest is for streams that
+	// callers already receive.
+	notRunFraction = 0.75
 )
 
 // retryKey returns the key of the shared budget that retries of the request use.
@@ -73,8 +74,7 @@
 }
 
 // SpendSharedBudget takes one retry from this host's share of the budget that all hosts share, and
-// reports whether there was one. Requests that never ran may use half of the share: the rest is for
-// streams that callers already receive. A host that has just started may have spent its share
+// reports whether there was one. Requests that never ran may use notRunFraction of the share. A host that has just started may have spent its share
 // before the restart, so its allowance grows during the first window.
 func SpendSharedBudget(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
 	if w.Limits.RetryWindow <= 0 {
--- a/core/rockretry/window_test.go
+++ b/core/rockretry/window_test.go
@@ -120,7 +120,8 @@
 			now := startTime.Add(time.Minute)
 			window := currentWindow(now, w, rocktable.RetryKey{Pipeline: 1})
 			window.PartStartedAt = now.Add(c.untilEnd - time.Second)
-			window.Retries[windowParts], window.Retries[1] = c.oldest, 10-c.oldest // 7 are allowed
+			spent := int(usableFraction*notRunFraction*limits.RetryBurst) + 2
+			window.Retries[windowParts], window.Retries[1] = c.oldest, spent-c.oldest
 			r := w.Requests.Put(1, rocktable.Request{ID: 1, Pipeline: 1, ArrivedAt: now, Attempts: 1, Deadline: now.Add(20 * time.Second)})
 			e := rocktable.AttemptEnded{Reason: rockreason.StageRefused, FailedServer: 1}
 			end := lastEnd(now, w, r, e, nil)
