Moves of a tick: urgent ranks first, one graph, one more try after a refusal

Moves were made in the order of the reports, so background work could take the last capacity beside a silent backend server. The graph was built anew for each stalled attempt. A refused move left the attempt counted on a path that it never took, and was not tried again.

Stalls are handled by rank. All of a tick share one graph for each pipeline. A report of a refused move takes it back, its load included, and asks once more for a path, without the stage that refused.

--- a/core/rockroute/repath.go
+++ b/core/rockroute/repath.go
@@ -1,6 +1,7 @@
 package rockroute
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -25,9 +26,12 @@
 // continueStalledAttempts lets each request whose attempt waits for a stalled backend server go on without it: on
 // another path, or with another attempt. An attempt whose request cannot go on keeps waiting.
 func continueStalledAttempts(now time.Time, w *rocktable.World) {
+	if len(w.Inbox.Stalls) == 0 {
+		return
+	}
 	graphs := make(map[rocktable.PipelineID]*Graph) // a silent server stalls many attempts of a pipeline at once
 	var reserved []reservedPath
-	for _, stall := range w.Inbox.Stalls {
+	for _, stall := range urgentFirst(w, w.Inbox.Stalls) {
 		r, a, p := stalledRequest(w, stall)
 		if r == nil {
 			continue
@@ -36,10 +40,13 @@
 			abandonSessions(now, w, r, a, stall.Server)
 			continue
 		}
+		if !acceptStall(w, a, stall) {
+			continue
+		}
+		if graphs[p.ID] == nil {
+			graphs[p.ID] = newGraphs(now, w, []*rocktable.Pipeline{p})[0]
+		}
 		if stall.Unmovable {
-			if graphs[p.ID] == nil {
-				graphs[p.ID] = newGraphs(now, w, []*rocktable.Pipeline{p})[0]
-			}
 			if path, abandoned := abandonAttempt(now, w, graphs[p.ID], r, a, stall.Server); abandoned {
 				// The next stalled attempts of this tick need room besides this one.
 				res := reservedPath{path, memoryPerLayer(p, r)}
@@ -51,7 +58,7 @@
 		if a.Repaths >= maxRepaths || a.Alone {
 			continue
 		}
-		if path := pathWithout(now, w, p, r, a, stall.Server); path != nil {
+		if path := pathWithout(now, w, graphs[p.ID], r, a, stall.Server, stall.RefusedBy); path != nil {
 			moveAttempt(now, w, p, r, a, path)
 		}
 	}
@@ -60,6 +67,44 @@
 	}
 }
 
+// urgentFirst returns the stalls in the order in which their attempts choose among the paths that are left: by rank, the
+// most urgent one first, and as reported within a rank.
+func urgentFirst(w *rocktable.World, stalls []rocktable.Stall) []rocktable.Stall {
+	position := func(stall rocktable.Stall) int {
+		if a := w.Attempts.Get(stall.Attempt); a != nil {
+			if r := w.Requests.Get(a.Request); r != nil {
+				if rank := w.Ranks.Get(r.Rank); rank != nil {
+					return rank.Position
+				}
+			}
+		}
+		return math.MaxInt
+	}
+	ordered := slices.Clone(stalls)
+	slices.SortStableFunc(ordered, func(a, b rocktable.Stall) int { return cmp.Compare(position(a), position(b)) })
+	return ordered
+}
+
+// acceptStall reports whether a stall asks for a new path, and takes back a move that it reports as refused. A refused move is
+// tried once more without the stage that refused it, since each order takes some of the time in which the stream has to
+// go on.
+func acceptStall(w *rocktable.World, a *rocktable.Attempt, stall rocktable.Stall) bool {
+	if stall.RefusedMove == 0 {
+		a.MoveRefused = false
+		return stall.Unmovable || uses(a.Path, stall.Server) // otherwise it has been moved away already
+	}
+	if stall.RefusedMove != a.Moves || a.PathBefore == nil {
+		return false // a later move replaced it
+	}
+	rockadmit.AdjustLoad(w, a.Path, a.Memory, -1)
+	rockadmit.AdjustLoad(w, a.PathBefore, a.Memory, 1)
+	a.Path, a.PathBefore = a.PathBefore, nil
+	a.Repaths--
+	again := !a.MoveRefused && stall.Server != 0 && stall.RefusedBy != 0
+	a.MoveRefused = true
+	return again
+}
+
 // stalledRequest returns the running request whose attempt a stall reports, the attempt and the pipeline, or nil if there
 // is none any more. The pipeline is nil for an attempt with sessions on single stages.
 func stalledRequest(w *rocktable.World, stall rocktable.Stall) (*rocktable.Request, *rocktable.Attempt, *rocktable.Pipeline) {
@@ -124,14 +169,13 @@
 	return path, true
 }
 
-// pathWithout returns a path that keeps the first stage of an attempt and excludes a backend
-// server, or nil.
-func pathWithout(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request, a *rocktable.Attempt, without rocktable.BackendServerID) []rocktable.Stage {
+// pathWithout returns a path that keeps the first stage of an attempt and excludes some backend
+// servers, or nil.
+func pathWithout(now time.Time, w *rocktable.World, g *Graph, r *rocktable.Request, a *rocktable.Attempt, without ...rocktable.BackendServerID) []rocktable.Stage {
 	first := a.Path[0]
-	if first.Server == without {
+	if slices.Contains(without, first.Server) {
 		return nil // only the engine of the first stage has the request
 	}
-	g := newGraphs(now, w, []*rocktable.Pipeline{p})[0]
 	prev := slices.IndexFunc(g.Servers, func(s *rocktable.BackendServer) bool { return s.ID == first.Server })
 	from, found := slices.BinarySearch(g.Boundaries, first.LastLayer+1)
 	if prev < 0 || !found {
@@ -142,7 +186,7 @@
 	g.serverCosts = g.serverCosts[:0]
 	for _, s := range g.Servers {
 		kept := uses(a.Path, s.ID)
-		if s.ID == without || !kept && !HasCapacity(w, s, r) {
+		if slices.Contains(without, s.ID) || !kept && !HasCapacity(w, s, r) {
 			g.serverCosts = append(g.serverCosts, serverCost{})
 			continue
 		}
@@ -165,8 +209,9 @@
 func moveAttempt(now time.Time, w *rocktable.World, p *rocktable.Pipeline, r *rocktable.Request, a *rocktable.Attempt, path []rocktable.Stage) {
 	rockadmit.AdjustLoad(w, a.Path, a.Memory, -1)
 	rockadmit.AdjustLoad(w, path, a.Memory, 1)
-	a.Path, a.ProgressAt = path, now
+	a.PathBefore, a.Path, a.ProgressAt = a.Path, path, now
 	a.Repaths++
+	a.Moves++
 	recordLinkLoad(now, w, p.Config.Engine, r, path)
-	w.Outbox.Repaths = append(w.Outbox.Repaths, rocktable.Repath{Request: r.ID, Attempt: a.ID, Pipeline: p.Config, Path: path})
+	w.Outbox.Repaths = append(w.Outbox.Repaths, rocktable.Repath{Request: r.ID, Attempt: a.ID, Pipeline: p.Config, Path: path, Move: a.Moves})
 }
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -55,6 +55,7 @@
 	Attempt  AttemptID
 	Pipeline PipelineConfig
 	Path     []Stage
+	Move     int // number of the move in its attempt, from 1
 }
 
 // Cancel ends an attempt early.
--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -58,6 +58,11 @@
 	Server    BackendServerID
 	Unmovable bool // the first stage does not answer, or a move did not help: only another attempt can go on
 	Session   bool // the attempt has a session on each stage; the stage may only be slow
+
+	// RefusedMove is the number of the move that was refused, so that the attempt is on its path before; 0 for none. Server
+	// is 0 if the attempt does not wait any more.
+	RefusedMove int
+	RefusedBy   BackendServerID // its new stage that is not there or has no capacity; 0 if it is not known
 }
 
 // AttemptEnded reports the end of an attempt.
--- a/core/rocktable/requests.go
+++ b/core/rocktable/requests.go
@@ -84,12 +84,16 @@
 	Tokens     int
 	Canceled   bool
 	Alone      bool      // its backend servers have no other work of this host
-	Repaths    int       // moves to another path
+	Repaths    int       // moves to another path that were not refused
 	Memory     float64   // reserved for each layer of its path, in tokens
 	Stalled    bool      // a backend server on its path did not answer
 	StuckSince time.Time // since when only another attempt can go on; zero if it is not known to be so
 	Abandoned  bool      // it was told to end because of a silent backend server
 	Late       bool      // its wait for the first token lowered Pipeline.FirstTokenWindow
+
+	Moves       int     // orders to move it to another path
+	PathBefore  []Stage // before the last move; nil if that was refused
+	MoveRefused bool    // a move was refused since the last new stall
 }
 
 // PartID is the hash of a part of a prompt, or of a whole content, the same at all hosts.
