Streams learn together of a silent backend server, after their own usual interval

When a backend server fell silent, each stream waited for 3/5 of the gap target and then asked its own first backend server. After a refused move, the relay took the new path for the present one: it did not find the silent backend server on it and blamed the first stage, whose circuit breaker opened.

A stream checks after the limit that its events give (rockstream.Intervals). The report that names a silent backend server also stalls the other streams on paths through it that are silent beyond their limits, in one message to the control thread, and spares those whose limit passes within 100 ms their query. A report older than the silence is asked again as soon as the least interval of 100 ms between two queries allows. A refused move is reported with its stage and with the backend server that the stream still waits for.

TestOneReportMovesAllStreamsOfADarkServer and TestRefusedMoveIsReported failed on the old relay (the latter with backend server 1 instead of 90 as the failed one); TestStreamsWithProgressStay passed there too. go test -race -count=15 ./io/rockrelay passes.

--- a/core/rockretry/limit.go
+++ b/core/rockretry/limit.go
@@ -53,9 +53,10 @@
 	return max(2*c.FirstTokenTarget(), minEventLimit)
 }
 
-// SilenceLimit returns the silence after which the backend servers of a full path are queried for
+// SilenceLimit returns the longest silence after which the backend servers of a full path are queried for
 // the failed one. It is short enough to move to another path within the target, and long enough to
-// make queries rare while the path works.
+// make queries rare while the path works. The limit of a stream with regular events is shorter, see
+// rockstream.Intervals.
 func SilenceLimit(c rocktable.RankConfig) time.Duration {
 	return max(c.GapTarget()*3/5, minSilenceLimit)
 }
--- a/core/rocktable/actions.go
+++ b/core/rocktable/actions.go
@@ -45,7 +45,7 @@
 	// WaitLimit is the longest wait for one step of one stage while the request cannot go on with another attempt. After
 	// StepLimit or FirstTokenLimit the stall is reported. 0 means that the attempt ends then.
 	WaitLimit    time.Duration
-	SilenceLimit time.Duration // silence after which the backend servers are queried for the failed one
+	SilenceLimit time.Duration // longest silence after which the backend servers are queried for the failed one
 	Deadline     time.Time     // of the request; zero means none
 }
 
--- a/io/rockrelay/event.go
+++ b/io/rockrelay/event.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockstream"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockexchange"
 )
@@ -74,8 +75,7 @@
 				return errNotStream
 			}
 			begun = true
-			watch.ProgressMade()
-			x.recordEvent(start)
+			x.recordEvent(start, watch)
 		case !begun:
 			if held, err = x.keepEvent(held, event); err != nil {
 				return err
@@ -204,9 +204,14 @@
 }
 
 // recordEvent records an event and reports the first one of an attempt to the control thread.
-func (x *exchange) recordEvent(start rocktable.Start) {
+func (x *exchange) recordEvent(start rocktable.Start, watch *rockexchange.Watch) {
 	now := x.relay.Now()
 	s := &x.stream
+	if watch.MovedFrom() != 0 {
+		s.intervals = rockstream.Intervals{} // the stall is no interval of its path, and another path may have others
+	}
+	s.intervals.Add(now)
+	watch.ProgressMadeWithin(s.intervals.SilenceLimit(start.SilenceLimit))
 	s.events++
 	if !s.lastEventAt.IsZero() {
 		if gap := now.Sub(s.lastEventAt); gap > s.longestGap {
--- a/io/rockrelay/exchange.go
+++ b/io/rockrelay/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +28,11 @@
 	dest  rocklookup.Destination
 	sink  Sink
 
-	mu        sync.Mutex
-	attemptID rocktable.AttemptID
-	attempt   Attempt // the current one
+	mu         sync.Mutex
+	attemptID  rocktable.AttemptID
+	attempt    Attempt             // the current one
+	pathBefore []rocktable.Stage   // of the current attempt, before its last move
+	watch      *rockexchange.Watch // of the current attempt
 
 	ran        rockreason.Ran      // what is known of the attempts and calls that have ended
 	runs       int                 // of the call, at backend servers that did not say that they had not run it
@@ -169,7 +173,20 @@
 func (x *exchange) setAttempt(id rocktable.AttemptID, a Attempt) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.attemptID, x.attempt = id, a
+	x.attemptID, x.attempt, x.pathBefore = id, a, nil
+}
+
+func (x *exchange) setWatch(watch *rockexchange.Watch) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.watch = watch
+}
+
+// current returns the current attempt with its path and the path before its last move.
+func (x *exchange) current() (id rocktable.AttemptID, path, pathBefore []rocktable.Stage) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.attemptID, x.attempt.Path, x.pathBefore
 }
 
 // move moves the running attempt to another path. The Watch reports again if no event follows.
@@ -177,9 +194,10 @@
 	x.mu.Lock()
 	a := x.attempt
 	stale := x.attemptID != to.Attempt || len(a.Path) == 0
+	pathBefore, watch := a.Path, x.watch
 	a.Path = to.Path
 	if !stale {
-		x.attempt = a
+		x.attempt, x.pathBefore = a, pathBefore
 	}
 	x.mu.Unlock()
 	if stale {
@@ -189,6 +207,39 @@
 	defer cancel()
 	err := x.relay.Move(ctx, a)
 	x.log("attempt moved", "attempt", to.Attempt, "path", formatPath(to.Path), "ok", err == nil, "error", err)
+	if refusal := (MoveRefusedError{}); errors.As(err, &refusal) {
+		x.reportRefusal(to, pathBefore, watch, refusal)
+	}
+}
+
+// reportRefusal reports to the control thread that the attempt is on its path before a move, and which backend server it
+// still waits for.
+func (x *exchange) reportRefusal(to rocktable.Repath, pathBefore []rocktable.Stage, watch *rockexchange.Watch, refusal MoveRefusedError) {
+	x.mu.Lock()
+	if x.attemptID == to.Attempt && slices.Equal(x.attempt.Path, to.Path) {
+		x.attempt.Path, x.pathBefore = pathBefore, nil
+	}
+	x.mu.Unlock()
+	stall := rocktable.Stall{Attempt: to.Attempt, RefusedMove: to.Move}
+	if refusal.Address != "" && refusal.Address != to.Path[0].Address {
+		stall.RefusedBy = serverAt(to.Path, refusal.Address)
+	}
+	if watch != nil && watch.MovedFrom() != 0 {
+		stall.Server = awaitedServer(watch)
+	}
+	x.Stall(stall)
+}
+
+// awaitedServer returns the backend server that a silent attempt whose move was refused still waits for, or 0.
+func awaitedServer(watch *rockexchange.Watch) rocktable.BackendServerID {
+	found := watch.FindCause()
+	switch server := watch.MovedFrom(); {
+	case server == 0: // an event arrived meanwhile
+		return 0
+	case found.CheckAgainIn > 0: // no newer report can be had yet
+		return server
+	}
+	return found.FailedServer
 }
 
 func (x *exchange) log(message string, args ...any) {
--- a/io/rockrelay/relay.go
+++ b/io/rockrelay/relay.go
@@ -27,6 +27,14 @@
 	ErrIncomplete = eris.New("answer ended before it was complete")
 )
 
+// MoveRefusedError is the refusal of a move because a stage of the new path is not there or has no capacity.
+type MoveRefusedError struct {
+	Address string // of that stage; empty if it is not known
+	Text    string
+}
+
+func (e MoveRefusedError) Error() string { return "move refused: " + e.Text }
+
 // Request is a caller's request as read by a front end.
 type Request struct {
 	ID           string // chosen by the caller; a retry by the caller has a new one
@@ -105,7 +113,7 @@
 	// listens at its address; after any other one it is not known whether the process still runs.
 	FetchProcess func(ctx context.Context, a Attempt) (rockstream.Process, error)
 	// Move moves a running request to another path with the same first stage. After an error it
-	// stays on its present path.
+	// stays on its present path. A refusal is a MoveRefusedError.
 	Move func(ctx context.Context, a Attempt) error
 
 	// Exchanges are the requests of the host, to which the control thread's decisions go.
@@ -120,6 +128,7 @@
 	Memory *rockmemory.Account
 
 	waitReports waitReports
+	running     runningStreams
 }
 
 // Serve answers a request and returns when the answer has ended. The error is ErrIncomplete, the
--- a/io/rockrelay/report.go
+++ b/io/rockrelay/report.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// waitReportMaxAge is the age up to which attempts with the same first backend server share one of its reports.
+// waitReportMaxAge is the age up to which attempts with the same first backend server share one of its reports, so that
+// the number of queries does not grow with that of silent attempts.
 const waitReportMaxAge = 100 * time.Millisecond
 
 // waitReports caches the last report of each backend server on the requests that wait for other backend servers.
@@ -24,10 +25,15 @@
 	err        error
 }
 
-// waitingFor returns the address of the backend server that a request is waiting for, or an empty
-// string if there is none. The parameter address names the backend server that runs the first stage
-// of the request.
-func (t *Relay) waitingFor(ctx context.Context, address, request string) (string, error) {
+// waitAnswer tells what a backend server reports on the request that asks.
+type waitAnswer struct {
+	address    string            // of the backend server that the request is waiting for; empty if there is none
+	waiting    map[string]string // the whole report
+	receivedAt time.Time
+}
+
+// waitingFor returns what the backend server at an address, which runs the first stage of a request, reports on it.
+func (t *Relay) waitingFor(ctx context.Context, address, request string) (waitAnswer, error) {
 	t.waitReports.mu.Lock()
 	if t.waitReports.byAddress == nil {
 		t.waitReports.byAddress = make(map[string]*waitReport)
@@ -40,12 +46,12 @@
 	t.waitReports.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now := t.Now(); r.receivedAt.IsZero() || now.Sub(r.receivedAt) > waitReportMaxAge {
+	if now := t.Now(); r.receivedAt.IsZero() || now.Sub(r.receivedAt) >= waitReportMaxAge {
 		// The attempt that asks may end at any moment; others share its report.
 		fetchCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 		defer cancel()
 		r.waiting, r.err = t.FetchWaiting(fetchCtx, address)
 		r.receivedAt = t.Now()
 	}
-	return r.waiting[request], r.err
+	return waitAnswer{r.waiting[request], r.waiting, r.receivedAt}, r.err
 }
--- a/io/rockrelay/stream.go
+++ b/io/rockrelay/stream.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"sassafrasrock/core/rockreason"
+	"sassafrasrock/core/rockstream"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockexchange"
 )
@@ -47,6 +50,8 @@
 	lastEventAt     time.Time
 	longestGap      time.Duration
 	eventsBeforeGap int // number of events before the longest gap
+
+	intervals rockstream.Intervals // of events on the present path
 }
 
 // firstEventMs returns the time to the first event in milliseconds, or -1 if there was none.
@@ -68,11 +73,13 @@
 	ctx, cancel := x.Begin(ctx, start.Attempt)
 	defer cancel()
 	x.log("attempt started", "attempt", start.Attempt, "path", formatPath(start.Path), "after", a.LastEventID)
-	x.stream.eventsBefore = x.stream.events
-	watch := &rockexchange.Watch{
-		Guard: x.relay.guard(), FindCause: x.silenceCheck(ctx, a), Report: x.stallReporter(start), SilenceLimit: start.SilenceLimit, MoveLimit: start.StepLimit,
-	}
+	x.stream.eventsBefore, x.stream.intervals = x.stream.events, rockstream.Intervals{}
+	watch := &rockexchange.Watch{Guard: x.relay.guard(), SilenceLimit: start.SilenceLimit, MoveLimit: start.StepLimit}
+	watch.FindCause, watch.Report = x.silenceCheck(ctx, a, watch), x.stallReporter(start)
 	watch.Start(max(start.SilenceLimit, start.FirstTokenLimit/firstCheckDivisor))
+	x.setWatch(watch)
+	x.relay.running.add(x)
+	defer x.relay.running.remove(x)
 	resp, err := x.relay.Open(ctx, a)
 	if err == nil {
 		x.openHolding(a.ServerName)
@@ -180,40 +187,59 @@
 
 // silenceCheck returns a function that finds the backend server that a silent attempt is waiting
 // for. It returns nil if the attempt cannot be resumed on another path.
-func (x *exchange) silenceCheck(ctx context.Context, a Attempt) func() rockexchange.SilenceCause {
+func (x *exchange) silenceCheck(ctx context.Context, a Attempt, watch *rockexchange.Watch) func() rockexchange.SilenceCause {
 	if !x.dest.Route.Resumable {
 		return nil
 	}
 	first := a.Path[0].Server
 	return func() rockexchange.SilenceCause {
+		begin := x.relay.Now()
+		_, path, pathBefore := x.current()
+		if watch.MovedFrom() == 0 {
+			if server := x.relay.running.silentOn(begin, path); server != 0 {
+				return rockexchange.SilenceCause{FailedServer: server}
+			}
+		}
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		address, err := x.relay.waitingFor(ctx, a.Address, a.Request.ID)
+		answer, err := x.relay.waitingFor(ctx, a.Address, a.Request.ID)
 		switch {
 		case err != nil:
 			x.log("no report of a silent attempt", "server", a.ServerName, "error", err.Error())
 			return rockexchange.SilenceCause{FailedServer: first, AtFirstStage: true} // the first backend server does not report either
-		case address == "":
+		case answer.address == "" && answer.receivedAt.Before(begin):
+			return rockexchange.SilenceCause{CheckAgainIn: waitReportMaxAge - begin.Sub(answer.receivedAt)}
+		case answer.address == "":
 			return rockexchange.SilenceCause{}
 		}
-		x.mu.Lock()
-		path := x.attempt.Path
-		x.mu.Unlock()
-		failedServer := serverAt(path, address)
+		// After a move that the first backend server has not followed, it names one that is only on the path before.
+		failedServer := serverAt(slices.Concat(path, pathBefore), answer.address)
+		if failedServer != first {
+			x.relay.running.recordSilent(failedServer, first, answer)
+		}
 		return rockexchange.SilenceCause{FailedServer: failedServer, AtFirstStage: failedServer == first}
 	}
 }
 
-// stallReporter returns a function that reports to the control thread which backend server does not answer.
+// stallReporter returns a function that reports to the control thread which backend server does not answer. It reports at
+// the same time the other attempts that wait for that one, so that all of them move in one tick.
 func (x *exchange) stallReporter(start rocktable.Start) func(rocktable.BackendServerID, bool) {
+	var mu sync.Mutex
 	var logged rocktable.Stall // a silent attempt is reported again and again
 	return func(failedServer rocktable.BackendServerID, unmovable bool) {
 		stall := rocktable.Stall{Attempt: start.Attempt, Server: failedServer, Unmovable: unmovable}
-		if stall != logged {
+		mu.Lock()
+		isNew := stall != logged
+		logged = stall
+		mu.Unlock()
+		if isNew {
 			x.log("attempt stalled", "attempt", start.Attempt, "fault", serverName(start.Path, failedServer), "unmovable", unmovable)
-			logged = stall
 		}
-		x.Stall(stall)
+		stalls := []rocktable.Stall{stall}
+		if !unmovable {
+			stalls = append(stalls, x.relay.running.takeStalls(x.relay.Now(), failedServer)...)
+		}
+		x.Post(func(in *rocktable.Inbox) { in.Stalls = append(in.Stalls, stalls...) })
 	}
 }
 
