--- a/core/rocklease/lease_test.go
+++ b/core/rocklease/lease_test.go
@@ -144,3 +144,56 @@
 		t.Error("the address counts as that of the engine")
 	}
 }
+
+// Guards against orders that an engine refuses because it has not ended the last one, and against a fixed wait after a
+// refusal although the engine has reported since.
+func TestOrderFitsTheLastReport(t *testing.T) {
+	first, second := rocktable.Placement{Server: "runner-1", Model: "m", LastLayer: 3}, rocktable.Placement{Server: "runner-1", Model: "m", LastLayer: 7}
+	for name, c := range map[string]struct {
+		ok     bool // the first order is accepted
+		next   rocktable.Placement
+		report func(s *rocktable.BackendServer) // 0.5 s after the first order
+		wait   time.Duration                    // after the report until the next order; 0 for none within 4 s
+	}{
+		"begun, other plan":                {true, second, nil, 0},
+		"begun, same plan":                 {true, first, nil, 0},
+		"begun, other plan, carried out":   {true, second, func(s *rocktable.BackendServer) { s.Status.Model, s.Status.LastLayer = "m", 3 }, reconcileInterval},
+		"begun, restarted":                 {true, first, func(s *rocktable.BackendServer) { s.Incarnation++ }, reconcileInterval},
+		"refused, nothing new":             {false, first, nil, 0},
+		"refused, other layers":            {false, first, func(s *rocktable.BackendServer) { s.Status.Model, s.Status.LastLayer = "m", 1 }, reconcileInterval},
+		"refused, entry written again":     {false, first, func(s *rocktable.BackendServer) { s.ListedSequence++ }, orderRetryDelay},
+		"refused, other plan, nothing new": {false, second, nil, 0},
+		"refused, other layers, but it leaves": {false, first, func(s *rocktable.BackendServer) {
+			s.Status.Model, s.Status.LastLayer, s.State = "m", 1, rocktable.StateLeaving
+		}, 0},
+	} {
+		w := candidate(rocktable.DefaultLimits())
+		w.Lease.Held, w.Lease.Fencing, w.Lease.Until = true, 1, startTime.Add(time.Hour)
+		s := w.InternServer("runner-1")
+		s.State, s.StatusAt, s.Status, s.DataCentre = rocktable.StateLive, startTime, rocktable.EngineStatus{ChecksFencing: true, LastLayer: -1}, w.SelfHost().DataCentre
+		w.Plan.Put(s.ID, first)
+		run(startTime, w)
+		if len(w.Outbox.Orders) != 1 {
+			t.Fatalf("%s: got %d first orders, want 1", name, len(w.Outbox.Orders))
+		}
+		w.Inbox.OrdersEnded = []rocktable.OrderEnded{{Server: s.ID, Fencing: 1, OK: c.ok}}
+		wait := time.Duration(0)
+		for ms := time.Duration(50); ms <= 4500 && wait == 0; ms += 50 {
+			w.Outbox = rocktable.Outbox{}
+			if ms == 500 {
+				w.Plan.Put(s.ID, c.next)
+				if c.report != nil {
+					c.report(s)
+				}
+			}
+			run(startTime.Add(ms*time.Millisecond), w)
+			w.Inbox = rocktable.Inbox{}
+			if len(w.Outbox.Orders) > 0 {
+				wait = max((ms-500)*time.Millisecond, 1)
+			}
+		}
+		if (wait > 0) != (c.wait > 0) || wait > c.wait {
+			t.Errorf("%s: next order after %s, want within %s", name, wait, c.wait)
+		}
+	}
+}
