Give a backend server that joins the layers with the least room left

It got the layers whose holders have the least memory for requests, used or not. Memory that requests of this host and its peers have reserved, and that hosts have learned not to use (UsableMemory, which nothing writes yet), now counts as taken. Without load the plan is as before.

--- a/core/rockplace/orders_test.go
+++ b/core/rockplace/orders_test.go
@@ -172,3 +172,17 @@
 		}
 	}
 }
+
+// Guards against a backend server that joins where there is room, while the requests wait for layers whose holders are
+// full.
+func TestJoinedServerTakesTheFullestLayers(t *testing.T) {
+	tr := newOrderTrial(map[string]int{"fast": 1, "middle": 10, "slow": 4})
+	full := tr.w.ServerNamed("middle-7")
+	full.PeerReservedMemory = 1e12
+	tr.join("middle", "joined")
+	tr.run(time.Second)
+	p := tr.w.Plan.Get(tr.w.ServerNamed("joined").ID)
+	if p == nil || p.LastLayer < full.Status.FirstLayer || p.FirstLayer > full.Status.LastLayer {
+		t.Errorf("the joined backend server gets %+v, want layers of %d to %d", p, full.Status.FirstLayer, full.Status.LastLayer)
+	}
+}
--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -66,6 +66,7 @@
 	lapsed   bool // its entry has been missing for less than lapseTimeout; it may still hold its layers and return
 	ordered  bool // an order to it is in progress, so it would refuse another one
 	loaded   layerRange
+	reserved float64 // memory, in MB, that requests have reserved, and memory that hosts have learned not to use
 }
 
 // layerRange is a range of layers; to is exclusive.
@@ -135,6 +136,7 @@
 		}
 		if holdsLayers {
 			h.loaded = layerRange{s.Status.FirstLayer, s.Status.LastLayer + 1}
+			h.reserved = reservedMB(p.Config, s)
 		}
 		all = append(all, h)
 		if s.DataCentre == home {
--- a/core/rockplace/repair.go
+++ b/core/rockplace/repair.go
@@ -73,14 +73,14 @@
 }
 
 // leastCovered returns the first of the n consecutive layers that most need another holder: layers
-// without a holder, then those whose holders have the least memory.
+// without a holder, then those whose holders have the least room left.
 func leastCovered(cfg rocktable.PipelineConfig, group []*holder, n int) int {
 	need := make([]float64, cfg.Layers)
 	for l := range need {
 		memory := 0.0
 		for _, h := range group {
 			if h.from <= l && l < h.to && !h.lapsed {
-				memory += (h.memoryMB - float64(h.layers())*cfg.Engine.LayerMB) / float64(h.layers())
+				memory += room(cfg, h)
 			}
 		}
 		need[l] = 1 / max(1, memory)
