Bound what callers' connections cost before their requests exist

Cause: the account counted the bytes of a head, not what its lines cost once parsed (map entries, strings) and copied towards the backend server, and net/http parsed up to 132 KB whatever maxHeadBytes says. A refused request kept its parsed head without being counted, up to 2 s. Connections had no limit, so that idle ones used up the descriptors.

Change: connections count the lines of a head before net/http parses them (also those that net/http has buffered behind an earlier request), refuse what is beyond maxHeadBytes with 431 while it is received, and hold the memory of the parsed head until the handler counts it or the connection ends. The handler counts 512 bytes for each line beyond 64. When the account or a share is short, heads and bodies below 16 KB/s after 1 s are ended, those with most bytes times seconds first, and refused with 503; requests that may be at a backend server are never ended. Connections are limited to 40% of the descriptors, a source address to four times what is free; slow and then idle ones are closed for new ones. A slow body gets 408. New codes: connectionsFull, requestTooSlow. A trailer is dropped.

--- a/core/rockreason/all.go
+++ b/core/rockreason/all.go
@@ -7,6 +7,7 @@
 	HeadTooLong       Code = "headTooLong"
 	BodyTooLong       Code = "bodyTooLong"
 	BrokenBody        Code = "brokenBody"
+	RequestTooSlow    Code = "requestTooSlow"
 	BadJSON           Code = "badJSON"
 	BadField          Code = "badField"
 	BadTarget         Code = "badTarget"
@@ -20,6 +21,7 @@
 	ShuttingDown      Code = "shuttingDown"
 	HostFull          Code = "hostFull"
 	MemoryFull        Code = "memoryFull"
+	ConnectionsFull   Code = "connectionsFull"
 	QueueFull         Code = "queueFull"
 	WouldMissTarget   Code = "wouldMissTarget"
 	Shed              Code = "shed"
@@ -100,6 +102,12 @@
 		Text:           "The encoding of the request body is broken, for instance the length of a chunk.",
 		OperatorAction: "None.",
 	},
+	{
+		Code: RequestTooSlow, Kind: BadInput, Status: 408, Ran: NotRun, Retryable: true,
+		Title:          "Request too slow",
+		Text:           "The head or the body of the request did not arrive in its time.",
+		OperatorAction: "None.",
+	},
 	{
 		Code: BadJSON, Kind: BadInput, Status: 400, Ran: NotRun, Retryable: false,
 		Title:          "Broken JSON",
@@ -178,6 +186,12 @@
 		Text:           "The host has no memory for the request now, or the caller uses its share of it.",
 		OperatorAction: "Add entry hosts, or raise memoryMb if the machine has more memory.",
 	},
+	{
+		Code: ConnectionsFull, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
+		Title:          "Connections full",
+		Text:           "The host has as many connections open as its descriptors allow, or the source address uses its share of them.",
+		OperatorAction: "Add entry hosts, or raise the limit of descriptors of the process.",
+	},
 	{
 		Code: QueueFull, Kind: Refusal, Status: 503, Ran: NotRun, Retryable: true,
 		Title:          "Queue full",
--- a/io/rockdaemon/daemon.go
+++ b/io/rockdaemon/daemon.go
@@ -63,7 +63,7 @@
 	service         *rockservice.Client
 	relay           *rockrelay.Relay             // nil unless engines run the full path
 	callersFront    func(d *Daemon) CallersFront // nil for the product's own interface
-	refuseHead      func(w http.ResponseWriter)
+	refuseHead      func(w http.ResponseWriter, code rockreason.Code)
 	tasks           []func(ctx context.Context, d *Daemon)
 	tableDecoder    TableDecoder // of the followed tables; nil unless the platform pushes them
 	tableChanges    *tableChanges
@@ -102,8 +102,8 @@
 // CallersFront serves callers' requests. Its fields must be safe for concurrent use.
 type CallersFront struct {
 	Handler http.Handler
-	// RefuseHead refuses a request whose head the host has no memory for.
-	RefuseHead func(w http.ResponseWriter)
+	// RefuseHead refuses a request before the end of its head.
+	RefuseHead func(w http.ResponseWriter, code rockreason.Code)
 }
 
 // WithCallersFront replaces the product's own interface for callers.
@@ -302,7 +302,7 @@
 	}
 	connections := &rockhttp.Connections{
 		Limits: func() rocktable.RequestLimits { return d.control.Snapshot().Config.RequestLimits }, Memory: d.memory,
-		RefuseHead: d.refuseHead,
+		RefuseHead: d.refuseHead, MaxOpen: rockmemory.ConnectionLimit(rockmemory.Descriptors()),
 	}
 	listener := connections.Watch(d.callersServer, d.callersListener)
 	go func() { failed <- d.callersServer.Serve(listener) }()
--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -39,10 +39,10 @@
 
 // ReadBody reads the body of a request into memory that it reserves from the holding before it reads, together with that
 // for the head and for the request itself. Its caller closes the holding, also after a code or an error. ReadBody returns a
-// code if the head or the body is too long, the encoding of the body is invalid, the holding has no room, or the host
-// refuses new requests before the body has ended, which the context closing tells; the connection is then closed after the
-// answer, and DropBody has to be called for what is left of the body. It returns an error if the connection is broken or
-// too slow, in which case an answer would not reach the caller.
+// code if the head or the body is too long, the body is too slow, its encoding is invalid, the holding has no room or it is
+// needed for others, or the host refuses new requests before the body has ended, which the context closing tells; the
+// connection is then closed after the answer, and DropBody has to be called for what is left of the body. It returns an
+// error if the connection is broken, in which case an answer would not reach the caller.
 func ReadBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding, closing context.Context) ([]byte, rockreason.Code, error) {
 	body, code, err := readBody(w, r, limits, held, closing)
 	if code != "" {
@@ -53,12 +53,13 @@
 
 func readBody(w http.ResponseWriter, r *http.Request, limits rocktable.RequestLimits, held *rockmemory.Holding, closing context.Context) ([]byte, rockreason.Code, error) {
 	head := headLength(r)
+	conn := connectionOf(r)
 	switch {
 	case head > cmp.Or(limits.MaxHeadBytes, defaultHeadBytes):
 		return nil, rockreason.HeadTooLong, nil
 	case r.ContentLength > limits.MaxBodyBytes:
 		return nil, rockreason.BodyTooLong, nil
-	case !held.Reserve(requestBytes + head):
+	case !conn.takeHead(held, requestBytes+head+lineBytes(headLines(r), requestLineBytes)):
 		return nil, rockreason.MemoryFull, nil
 	case r.Body == http.NoBody:
 		return nil, "", nil // without a deadline: net/http reads already, to notice that the caller leaves
@@ -68,17 +69,26 @@
 	begin := time.Now()
 	reader := rockmemory.Reader{
 		Source: http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes), Held: held,
+		MakeRoom:   func(n int64) bool { return conn.makeRoom(held, n) },
 		BeforeStep: func(received, n int) { deadline.setStep(stepDeadline(begin, time.Now(), r.ContentLength, received, n)) },
 	}
+	conn.beginBody(held)
 	body, err := reader.ReadAll(r.ContentLength)
+	if isEvicted := conn.endBody(); isEvicted && err != nil {
+		return nil, rockreason.MemoryFull, nil
+	}
+	r.Trailer = nil // it is not used, and may have as many lines as fit into the buffer of the connection
 	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
 		return nil, rockreason.BodyTooLong, nil
 	}
 	if errors.Is(err, rockmemory.ErrNoRoom) {
 		return nil, rockreason.MemoryFull, nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && deadline.isClosing() {
-		return nil, rockreason.ShuttingDown, nil
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if deadline.isClosing() {
+			return nil, rockreason.ShuttingDown, nil
+		}
+		return nil, rockreason.RequestTooSlow, nil
 	}
 	if netErr := net.Error(nil); errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || r.Context().Err() != nil {
 		return nil, "", errors.Join(err, r.Context().Err())
@@ -122,3 +132,12 @@
 	}
 	return int64(n)
 }
+
+// headLines returns the number of header fields of a request.
+func headLines(r *http.Request) int {
+	n := 0
+	for _, values := range r.Header {
+		n += len(values)
+	}
+	return n
+}
--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -1,12 +1,18 @@
 package rockhttp
 
 import (
+	"bytes"
+	"cmp"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockmemory"
 )
@@ -24,17 +30,11 @@
 	defaultIdleTimeout = 2 * time.Minute
 )
 
-const (
-	// connectionBytes is the memory for a connection without a request: its buffers and its goroutine.
-	connectionBytes = 8 << 10
-	// shortHeadBytes is the length of a head that fits into the buffers of its connection.
-	shortHeadBytes = 4 << 10
-	// headCopies is the memory for a byte of a longer head: net/http holds its lines, and copies them while they grow.
-	headCopies = 2
-)
+// connectionBytes is the memory for a connection without a request: its buffers and its goroutine.
+const connectionBytes = 8 << 10
 
-// errNoRoomForHead ends a connection. net/http answers errors of reading that are no net.OpError with status 400.
-var errNoRoomForHead = &net.OpError{Op: "read", Net: "tcp", Err: rockmemory.ErrNoRoom}
+// errRefusedHead ends a connection. net/http answers errors of reading that are no net.OpError with status 400.
+var errRefusedHead = &net.OpError{Op: "read", Net: "tcp", Err: eris.New("request refused before the end of its head")}
 
 // Connections closes callers' connections that are idle, or that take longer to send the head of a request, than the
 // configuration allows. A limit that is lowered holds from the next period on. One that is raised holds at once: a caller that
@@ -44,18 +44,48 @@
 	Limits func() rocktable.RequestLimits
 	// Memory counts the connections and the heads that they receive; nil means that they are not counted.
 	Memory *rockmemory.Account
-	// RefuseHead answers a request whose head Memory has no room for; nil means that its connection is only closed. It
-	// must be safe for concurrent use.
-	RefuseHead func(w http.ResponseWriter)
+	// RefuseHead answers a request whose head is too long or has no room, and counts requests whose head is too slow and
+	// connections closed because of MaxOpen; nil means that their connections are only closed. It must be safe for
+	// concurrent use and not block.
+	RefuseHead func(w http.ResponseWriter, code rockreason.Code)
+	// MaxOpen limits the number of connections; 0 means no limit.
+	MaxOpen int
+
+	mu           sync.Mutex
+	open         map[*watchedConn]struct{}
+	byAddress    map[string]int // open connections by source address
+	noVictimTill time.Time      // no connection can be closed for others before
 }
 
 // Watch returns a listener whose connections are limited while server serves it.
 func (c *Connections) Watch(server *http.Server, l net.Listener) net.Listener {
+	c.open, c.byAddress = make(map[*watchedConn]struct{}), make(map[string]int)
 	server.ReadHeaderTimeout, server.IdleTimeout = longestHeadTimeout, longestIdleTimeout
 	server.ConnState = changeState
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}
 	return watchedListener{Listener: l, connections: c}
 }
 
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// connectionOf returns the connection of a request, or nil if it is not watched.
+func connectionOf(r *http.Request) *watchedConn {
+	w, _ := r.Context().Value(connectionKey{}).(*watchedConn)
+	return w
+}
+
+// note counts what ended a connection that gets no answer.
+func (c *Connections) note(code rockreason.Code) {
+	if c.RefuseHead != nil {
+		c.RefuseHead(&headRefusal{header: make(http.Header)}, code)
+	}
+}
+
+func (c *Connections) maxHeadBytes() int64 { return cmp.Or(c.Limits().MaxHeadBytes, defaultHeadBytes) }
+
 func (c *Connections) headTimeout() time.Duration {
 	if d := c.Limits().HeadTimeout(); d > 0 {
 		return d
@@ -75,19 +105,20 @@
 	connections *Connections
 }
 
-// Accept returns a connection that is closed if no request begins within the limit for idle ones.
+// Accept returns a connection that is closed if no request begins within the limit for idle ones. It closes connections
+// beyond the limit of their number.
 func (l watchedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	w := &watchedConn{
-		Conn: conn, connections: l.connections, held: l.connections.Memory.Open(),
-		head: l.connections.Memory.Open(rockmemory.Owner{Kind: rockmemory.Caller}),
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if w := l.connections.admit(conn); w != nil {
+			return w, nil
+		}
+		l.connections.note(rockreason.ConnectionsFull)
+		_ = conn.Close()
 	}
-	w.held.Add(connectionBytes)
-	w.beginIdle()
-	return w, nil
 }
 
 // changeState is told by net/http when a head is complete, when a connection has become idle and when it ends.
@@ -100,41 +131,76 @@
 	case http.StateIdle:
 		w.beginIdle()
 	case http.StateActive:
-		w.end()
+		w.beginRequest()
 		// net/http reads the body of a request that was answered without it, and has no limit for that. ReadBody sets
 		// limits of its own and removes them at the end of the body.
 		_ = w.SetReadDeadline(time.Now().Add(bodyTimeout))
 	case http.StateHijacked, http.StateClosed:
-		w.end()
+		w.beginRequest()
+		w.head.Release()
 	}
 }
 
+// phase is what a connection is doing.
+type phase int
+
+const (
+	phaseIdle phase = iota
+	phaseHead
+	phaseBody    // of a request that no backend server has
+	phaseRequest // the request may be at a backend server, or is being answered
+)
+
 // watchedConn is a connection of a caller. Its timer closes it while it is idle or receives a head.
 type watchedConn struct {
 	net.Conn
 	connections *Connections
-	held        *rockmemory.Holding
-	head        *rockmemory.Holding // of the head that is being received; its caller is not known yet
+	address     string              // source, without the port
+	held        *rockmemory.Holding // of the connection
+	head        *rockmemory.Holding // of the head, until the handler counts it; its caller is not known before
 
-	mu       sync.Mutex
-	isIdle   bool
-	received int         // bytes of the head that is being received
-	period   int         // number of the present time limit; a timer of an earlier one has no effect
-	timer    *time.Timer // nil while a request is handled
+	mu        sync.Mutex
+	phase     phase
+	isUsed    bool // a head has begun
+	isEvicted bool // its memory is needed for others; cleared when the request is refused
+	count     headCount
+	tailLines int // in the last data that net/http has read, which may be the begin of the next head
+	progress  progress
+	body      *rockmemory.Holding // of the request whose body is being received
+	period    int                 // number of the present time limit; a timer of an earlier one has no effect
+	timer     *time.Timer         // nil while a request is handled
 }
 
-// Read notices the first byte of a head, and refuses a head that there is no room for.
+// Read counts the lines of a head before net/http parses them, and refuses a head that is too long or that there is no room
+// for.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
-	if n > 0 && !w.receive(n) {
-		w.refuseHead()
-		return 0, errNoRoomForHead
+	if n > 0 {
+		if code := w.receive(p[:n], len(p) == 1); code != "" {
+			w.refuseHead(code)
+			return 0, errRefusedHead
+		}
+	}
+	if err != nil && w.isEvictedIn(phaseHead) {
+		w.refuseHead(rockreason.MemoryFull)
+		return 0, errRefusedHead
 	}
 	return n, err
 }
 
+// SetReadDeadline has no effect on a connection whose reads have been ended to make room.
+func (w *watchedConn) SetReadDeadline(t time.Time) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isEvicted {
+		return nil
+	}
+	return w.Conn.SetReadDeadline(t)
+}
+
 // Close closes the connection, which then no longer counts.
 func (w *watchedConn) Close() error {
+	w.connections.forget(w)
 	w.head.Close()
 	w.held.Close()
 	return w.Conn.Close()
@@ -157,55 +223,126 @@
 	}
 }
 
+// beginIdle begins the time between two requests. Lines that net/http has read with the request before may belong to the
+// next head, which it then parses without another read.
 func (w *watchedConn) beginIdle() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isIdle = true
+	w.head.Release()
+	w.phase, w.count, w.body = phaseIdle, headCount{lines: w.tailLines}, nil
+	w.progress = beginProgress(time.Now())
+	if !w.head.Reserve(w.count.parsedBytes()) {
+		_ = w.Conn.Close()
+		return
+	}
 	w.limit(w.connections.idleTimeout)
 }
 
-// receive counts n bytes of a head, if one is being received, and reports whether there is room for it.
-func (w *watchedConn) receive(n int) bool {
+// beginRequest ends the time limit of a head or of an idle connection. The head counts until the handler counts it.
+func (w *watchedConn) beginRequest() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.phase, w.isEvicted = phaseRequest, false
+	w.stopTimer()
+}
+
+// takeHead reserves memory for a request, instead of that for its parsed head, which counts again if there is no room.
+func (w *watchedConn) takeHead(held *rockmemory.Holding, n int64) bool {
+	if w == nil {
+		return held.Reserve(n)
+	}
+	parsed := w.head.Bytes()
+	w.head.Release()
+	if held.Reserve(n) || w.makeRoom(held, n) && held.Reserve(n) {
+		return true
+	}
+	w.head.Add(parsed)
+	return false
+}
+
+// beginBody makes the connection one that may be closed for others until endBody.
+func (w *watchedConn) beginBody(held *rockmemory.Holding) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.phase, w.body, w.progress = phaseBody, held, beginProgress(time.Now())
+}
+
+// endBody reports whether the body was ended to make room for others.
+func (w *watchedConn) endBody() (isEvicted bool) {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	isEvicted = w.isEvicted
+	w.phase, w.body, w.isEvicted = phaseRequest, nil, false
+	return isEvicted
+}
+
+// makeRoom is Connections.makeRoom for the request of this connection.
+func (w *watchedConn) makeRoom(held *rockmemory.Holding, n int64) bool {
+	return w != nil && w.connections.makeRoom(w, held, n)
+}
+
+func (w *watchedConn) isEvictedIn(p phase) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isEvicted && w.phase == p
+}
+
+// receive counts received data and returns a code if it is part of a head that is refused. Background tells that net/http
+// reads a single byte while a request is handled, which it keeps with what it has read before.
+func (w *watchedConn) receive(data []byte, background bool) rockreason.Code {
+	missing, code := w.countData(data, background)
+	if code != "" || missing <= 0 || w.head.Reserve(missing) || w.makeRoom(w.head, missing) && w.head.Reserve(missing) {
+		return code
+	}
+	return rockreason.MemoryFull
+}
+
+// countData counts received data and returns the memory that the head needs beside what is reserved for it.
+func (w *watchedConn) countData(data []byte, background bool) (missing int64, code rockreason.Code) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.isIdle {
-		w.isIdle = false
+	now := time.Now()
+	if w.phase == phaseIdle {
+		w.phase, w.isUsed, w.progress = phaseHead, true, beginProgress(now)
 		w.limit(w.connections.headTimeout)
 	}
-	if w.timer == nil {
-		return true // the body of a request that is handled
+	w.progress.add(now, len(data))
+	if w.phase == phaseHead && !w.count.ended {
+		data, background = w.count.add(data), false
+		if w.count.isTooLong(w.connections.maxHeadBytes()) {
+			return 0, rockreason.HeadTooLong
+		}
+		missing = w.count.parsedBytes() - w.head.Bytes()
 	}
-	w.received += n
-	if long := int64(w.received-shortHeadBytes) * headCopies; long > w.head.Bytes() {
-		return w.head.Reserve(long - w.head.Bytes())
+	lines := bytes.Count(data, []byte{'\n'})
+	if background {
+		lines += w.tailLines
 	}
-	return true
+	w.tailLines = lines
+	return missing, ""
 }
 
 // refuseHead answers a request whose head is not complete, and reads on for a while: a caller that still sends when the
-// connection closes may see only that.
-func (w *watchedConn) refuseHead() {
-	w.end()
+// connection closes may see only that. The head counts until the connection is closed, as net/http still holds its lines.
+func (w *watchedConn) refuseHead(code rockreason.Code) {
+	w.beginRequest()
 	if w.connections.RefuseHead == nil {
 		return
 	}
 	refusal := headRefusal{header: http.Header{"Connection": {"close"}}}
-	w.connections.RefuseHead(&refusal)
+	w.connections.RefuseHead(&refusal, code)
 	_ = w.Conn.SetDeadline(time.Now().Add(dropTimeout))
 	if refusal.writeTo(w.Conn) == nil {
 		_, _ = io.Copy(io.Discard, w.Conn)
 	}
 }
 
-// end ends the time limit of a head or of an idle connection. The memory of a head is counted by the handler from now on.
-func (w *watchedConn) end() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.isIdle, w.received = false, 0
-	w.head.Release()
-	w.stopTimer()
-}
-
 // limit closes the connection after the timeout unless another period begins before.
 func (w *watchedConn) limit(timeout func() time.Duration) {
 	w.stopTimer()
@@ -224,6 +361,9 @@
 		w.timer.Reset(left)
 		return
 	}
+	if w.phase == phaseHead {
+		go w.connections.note(rockreason.RequestTooSlow) // not under the mutex
+	}
 	_ = w.Conn.Close()
 }
 
--- a/io/rockhttp/refusal.go
+++ b/io/rockhttp/refusal.go
@@ -71,10 +71,10 @@
 	s.writeError(c, status, body)
 }
 
-// RefuseHead refuses a request whose head the host has no memory for.
-func (s *Server) RefuseHead(w http.ResponseWriter) {
-	s.Count(rockreason.MemoryFull)
-	body, status := newError(rockreason.MemoryFull, "", 0)
+// RefuseHead refuses a request before the end of its head.
+func (s *Server) RefuseHead(w http.ResponseWriter, code rockreason.Code) {
+	s.Count(code)
+	body, status := newError(code, "", 0)
 	setErrorHeader(w.Header(), status, body)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/io/rockmemory/account.go
+++ b/io/rockmemory/account.go
@@ -27,9 +27,11 @@
 	Caller OwnerKind = iota + 1
 	Server
 	Peer
+	Address
 )
 
-// Owner is a caller, a backend server or another host for which the host holds bytes. All unknown callers are one owner.
+// Owner is a caller, a backend server, another host or the source address of connections for which the host holds bytes.
+// All unknown callers are one owner.
 type Owner struct {
 	Kind OwnerKind
 	Name string
@@ -117,13 +119,39 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if h.closed || !a.hasRoom(h, n) {
+	if h.closed {
+		return false
+	}
+	if _, isShort := a.shortage(h, n); isShort {
 		return false
 	}
 	a.add(h, n)
 	return true
 }
 
+// Shortage returns the owner whose share has no room for n more bytes, or the zero Owner if the account has none. It
+// reports false if there is room.
+func (h *Holding) Shortage(n int64) (Owner, bool) {
+	if h == nil {
+		return Owner{}, false
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.shortage(h, n)
+}
+
+// BelongsTo reports whether the holding counts towards the share of an owner; all count towards that of the zero Owner.
+func (h *Holding) BelongsTo(o Owner) bool {
+	if h == nil {
+		return false
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return o == (Owner{}) || slices.Contains(h.owners, o)
+}
+
 // Add adds n bytes to the holding without asking for room, for what is held in any case. It leaves less room for the rest.
 func (h *Holding) Add(n int64) {
 	if h == nil {
@@ -174,7 +202,8 @@
 	return h.bytes
 }
 
-func (a *Account) hasRoom(h *Holding, n int64) bool {
+// shortage is like Holding.Shortage. The mutex must be held.
+func (a *Account) shortage(h *Holding, n int64) (Owner, bool) {
 	isSmall := h.bytes+n <= SmallBytes
 	reserved := a.limit / smallFraction
 	free := a.limit - a.used - n
@@ -182,15 +211,15 @@
 		free -= reserved
 	}
 	if free < 0 {
-		return false
+		return Owner{}, true
 	}
 	for _, o := range h.owners {
 		share := a.owners[o]
 		if isSmall && share.small+n > shareFactor*free+reserved || !isSmall && share.bytes+n > shareFactor*free {
-			return false
+			return o, true
 		}
 	}
-	return true
+	return Owner{}, false
 }
 
 func (a *Account) add(h *Holding, n int64) {
--- a/io/rockmemory/process.go
+++ b/io/rockmemory/process.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 )
 
 const (
@@ -24,6 +25,11 @@
 	// heapPercent is the part of the process's memory that the Go runtime may use, garbage included. The rest is for the
 	// program itself and for data in the kernel's socket buffers.
 	heapPercent = 75
+	// connectionPercent is the part of the process's descriptors that connections of callers may use. Each request that runs
+	// needs another one for its backend server; the rest is for the host's own work.
+	connectionPercent = 40
+	// defaultDescriptors is assumed if the kernel does not tell the limit.
+	defaultDescriptors = 1024
 	// cgroupRoot is where the kernel shows the limits of process groups.
 	cgroupRoot = "/sys/fs/cgroup"
 )
@@ -37,6 +43,18 @@
 // OutcomeLimit returns the limit, in bytes, of the answers that wait for their record in such a process.
 func OutcomeLimit(processBytes int64) int64 { return processBytes / 100 * outcomePercent }
 
+// ConnectionLimit returns how many connections callers may have open in a process with so many descriptors.
+func ConnectionLimit(descriptors int) int { return descriptors * connectionPercent / 100 }
+
+// Descriptors returns the number of descriptors that the process may have open.
+func Descriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // LimitHeap makes the garbage collector keep the heap below a stated part of the memory that the process may use. A lower
 // limit from the environment (GOMEMLIMIT) stays.
 func LimitHeap(processBytes int64) {
--- a/io/rockmemory/read.go
+++ b/io/rockmemory/read.go
@@ -24,6 +24,8 @@
 	Held   *Holding
 	// BeforeStep is called before each part of n bytes, with the number of bytes received so far; nil for none.
 	BeforeStep func(received, n int)
+	// MakeRoom is called when there is no room for n bytes, and reports whether to try once more; nil means no.
+	MakeRoom func(n int64) bool
 	// Prepaid is the number of first bytes for which memory has been reserved before.
 	Prepaid int64
 
@@ -104,11 +106,12 @@
 // reserve reserves n bytes, or what the prepaid ones do not cover.
 func (r *Reader) reserve(n int64) bool {
 	covered := min(n, r.Prepaid)
-	if !r.Held.Reserve(n - covered) {
+	missing := n - covered
+	if !r.Held.Reserve(missing) && (r.MakeRoom == nil || !r.MakeRoom(missing) || !r.Held.Reserve(missing)) {
 		return false
 	}
 	r.Prepaid -= covered
-	r.reserved += n - covered
+	r.reserved += missing
 	return true
 }
 
