A call whose caller leaves in the same tick is not started

Cause: rockclaim dispatches calls before rockretry handles callers that have left. Of a call that arrived, or was to run again, in the batch in which its caller left, the start stayed in the outbox while its row was removed. No goroutine takes such a start, so that nothing ran, but the invariant atMostOnce was violated, and the backend server counted a call in flight for good, as no end of it is ever posted.

Change: dispatch leaves calls without a claim whose caller has left in this tick to rockretry, which ends them.

--- a/core/rockclaim/claim.go
+++ b/core/rockclaim/claim.go
@@ -156,6 +156,9 @@
 // dispatch sends a call to a backend server. It holds a call that has to wait, and ends one for which no backend server or
 // no time is left.
 func dispatch(now time.Time, w *rocktable.World, r *rocktable.Request) {
+	if hasLeft(w, r) {
+		return
+	}
 	service := w.Services.Get(r.Call.Service)
 	var s *rocktable.BackendServer
 	if service != nil {
@@ -203,6 +206,11 @@
 	w.Outbox.CallStarts = append(w.Outbox.CallStarts, rocktable.CallStart{Request: r.ID, Server: s.ID, Run: run, Name: s.Name, Address: s.Address, Timeout: left})
 }
 
+// hasLeft reports whether the caller of a call without a claim has left. rockretry, which runs later in the tick, ends it.
+func hasLeft(w *rocktable.World, r *rocktable.Request) bool {
+	return r.Call.NeedsNoClaim && slices.Contains(w.Inbox.CallerDisconnects, rocktable.CallerDisconnect{Request: r.ID})
+}
+
 // mayWaitForServer reports whether a call waits for a backend server that could not take it before. One failed connection or
 // refusal does not show that the server cannot serve the call in its time. Calls that have not begun leave room for others.
 func mayWaitForServer(now time.Time, w *rocktable.World, r *rocktable.Request, service *rocktable.Service) bool {
