Refuse unfinished heads at twice the limit, and give up what is parsed

Change: a head is refused before its end at twice maxHeadBytes; up to there it is counted, and the handler decides. A refused head is answered in a goroutine while net/http gives up what it has parsed; a refused request gives up its header before its body is dropped.

--- a/io/rockhttp/body.go
+++ b/io/rockhttp/body.go
@@ -100,11 +100,12 @@
 	return body, "", nil
 }
 
-// DropBody reads the rest of the body of a request that is answered, without holding it. If the connection were closed
+// DropBody reads the rest of the body of a request that is answered, without holding it or the header of the request. If the connection were closed
 // while the caller sends, some callers would see only a failed write and not the answer.
 func DropBody(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
 	_ = control.Flush()
+	connectionOf(r).dropHead(r)
 	_ = control.SetReadDeadline(time.Now().Add(dropTimeout))
 	_, _ = io.Copy(io.Discard, r.Body) // net/http closes the connection in any case
 }
--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -159,6 +160,8 @@
 	held        *rockmemory.Holding // of the connection
 	head        *rockmemory.Holding // of the head, until the handler counts it; its caller is not known before
 
+	isRefused atomic.Bool // its head was refused
+
 	mu        sync.Mutex
 	phase     phase
 	isUsed    bool // a head has begun
@@ -188,20 +191,37 @@
 	return n, err
 }
 
-// SetReadDeadline has no effect on a connection whose reads have been ended to make room.
+// SetReadDeadline has no effect on a connection whose reads have been ended to make room, or whose head was refused.
 func (w *watchedConn) SetReadDeadline(t time.Time) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.isEvicted {
+	if w.isEvicted || w.isRefused.Load() {
 		return nil
 	}
 	return w.Conn.SetReadDeadline(t)
 }
 
-// Close closes the connection, which then no longer counts.
+// Write drops what net/http answers to a head that was refused.
+func (w *watchedConn) Write(p []byte) (int, error) {
+	if w.isRefused.Load() {
+		return 0, net.ErrClosed
+	}
+	return w.Conn.Write(p)
+}
+
+// Close closes the connection, which then no longer counts. A connection whose head was refused stays open until its caller
+// has had time to read the answer.
 func (w *watchedConn) Close() error {
-	w.connections.forget(w)
 	w.head.Close()
+	if w.isRefused.Load() {
+		return nil
+	}
+	return w.end()
+}
+
+// end closes the connection in any case.
+func (w *watchedConn) end() error {
+	w.connections.forget(w)
 	w.held.Close()
 	return w.Conn.Close()
 }
@@ -260,6 +280,14 @@
 	return false
 }
 
+// dropHead gives up the header of a request that is refused.
+func (w *watchedConn) dropHead(r *http.Request) {
+	r.Header = nil
+	if w != nil {
+		w.head.Release()
+	}
+}
+
 // beginBody makes the connection one that may be closed for others until endBody.
 func (w *watchedConn) beginBody(held *rockmemory.Holding) {
 	if w == nil {
@@ -329,18 +357,22 @@
 }
 
 // refuseHead answers a request whose head is not complete, and reads on for a while: a caller that still sends when the
-// connection closes may see only that. The head counts until the connection is closed, as net/http still holds its lines.
+// connection closes may see only that. It does so in a goroutine, so that net/http gives up what it has parsed.
 func (w *watchedConn) refuseHead(code rockreason.Code) {
 	w.beginRequest()
 	if w.connections.RefuseHead == nil {
 		return
 	}
+	w.isRefused.Store(true)
 	refusal := headRefusal{header: http.Header{"Connection": {"close"}}}
 	w.connections.RefuseHead(&refusal, code)
 	_ = w.Conn.SetDeadline(time.Now().Add(dropTimeout))
-	if refusal.writeTo(w.Conn) == nil {
-		_, _ = io.Copy(io.Discard, w.Conn)
-	}
+	go func() {
+		defer w.end()
+		if refusal.writeTo(w.Conn) == nil {
+			_, _ = io.Copy(io.Discard, w.Conn)
+		}
+	}()
 }
 
 // limit closes the connection after the timeout unless another period begins before.
--- a/io/rockhttp/headcount.go
+++ b/io/rockhttp/headcount.go
@@ -14,15 +14,16 @@
 	requestLineBytes = 512
 	// fieldOverhead is what headLength adds to the name, the colon and the value of a field.
 	fieldOverhead = len(" \r\n")
-	// removedFieldBytes is for fields that headLength does not count, because net/http removes them from the header.
-	removedFieldBytes = 1 << 10
+	// unfinishedHeadFactor is the multiple of the limit at which a head is refused before its end. Up to there its memory is
+	// counted, and the handler decides by headLength, which leaves out the fields that net/http removes.
+	unfinishedHeadFactor = 2
 )
 
 // headCount counts the lines of a head while it is received, before net/http parses it.
 type headCount struct {
 	received   int // bytes
 	lines      int // after the request line, without folded ones
-	fieldBytes int // at most what headLength will count, beside removedFieldBytes
+	fieldBytes int // at most what headLength will count, beside fields that net/http removes
 	begun      bool
 	ended      bool
 
@@ -69,10 +70,10 @@
 	c.lineBytes, c.folded = 0, false
 }
 
-// isTooLong reports whether the header fields are longer than a limit in bytes. A field has at least a name of one byte and
-// a colon, so that this limits the lines as well.
+// isTooLong reports whether the header fields are so far beyond a limit in bytes that the head is refused before its end. A
+// field counts at least five bytes, so that this limits the lines as well.
 func (c *headCount) isTooLong(limit int64) bool {
-	return int64(c.fieldBytes) > limit+removedFieldBytes
+	return int64(c.fieldBytes) > limit*unfinishedHeadFactor
 }
 
 // parsedBytes returns the memory for what net/http has parsed.
