A head or body that stops makes room after a second

The speed of a connection was an average over the time since its last burst, so that a body that stopped just short was fast for minutes. And after a refusal inside a line, net/http read on and kept what it had parsed for 2 s, because bufio keeps the first error to itself when it has a part of a line.

Change: the speed is 0 after a pause of 1 s, and reads fail each time after a refusal.

--- a/io/rockhttp/connections.go
+++ b/io/rockhttp/connections.go
@@ -175,8 +175,11 @@
 }
 
 // Read counts the lines of a head before net/http parses them, and refuses a head that is too long or that there is no room
-// for.
+// for. After a refusal it fails each time, as bufio keeps the first error to itself when it has a part of a line.
 func (w *watchedConn) Read(p []byte) (int, error) {
+	if w.isRefused.Load() {
+		return 0, errRefusedHead
+	}
 	n, err := w.Conn.Read(p)
 	if n > 0 {
 		if code := w.receive(p[:n], len(p) == 1); code != "" {
--- a/io/rockhttp/connections_test.go
+++ b/io/rockhttp/connections_test.go
@@ -39,6 +39,8 @@
 	memory   *rockmemory.Account
 	listener pipeListener
 	handle   http.HandlerFunc
+
+	connections *rockhttp.Connections
 }
 
 func startLimitedServer(t *testing.T) *limitedServer {
@@ -47,6 +49,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(w, r) })}
 	front := &rockhttp.Server{Count: func(rockreason.Code) {}}
 	connections := &rockhttp.Connections{Limits: func() rocktable.RequestLimits { return *s.limits.Load() }, Memory: s.memory, RefuseHead: front.RefuseHead}
+	s.connections = connections
 	go func() { _ = server.Serve(connections.Watch(server, s.listener)) }()
 	t.Cleanup(func() {
 		close(s.listener.conns)
--- a/io/rockhttp/evict.go
+++ b/io/rockhttp/evict.go
@@ -33,21 +33,27 @@
 	begin       time.Time
 	windowBegin time.Time
 	windowBytes int
-	lastRate    float64 // bytes a second of the window before
+	lastAt      time.Time // when the last bytes came
+	lastRate    float64   // bytes a second of the window before
 }
 
-func beginProgress(now time.Time) progress { return progress{begin: now, windowBegin: now} }
+func beginProgress(now time.Time) progress {
+	return progress{begin: now, windowBegin: now, lastAt: now}
+}
 
 func (p *progress) add(now time.Time, n int) {
 	if elapsed := now.Sub(p.windowBegin); elapsed >= evictGrace {
 		p.lastRate = float64(p.windowBytes) / elapsed.Seconds()
 		p.windowBegin, p.windowBytes = now, 0
 	}
-	p.windowBytes += n
+	p.windowBytes, p.lastAt = p.windowBytes+n, now
 }
 
-// rate returns the speed in bytes a second.
+// rate returns the speed in bytes a second. It is 0 after a pause of evictGrace, however much came before.
 func (p *progress) rate(now time.Time) float64 {
+	if now.Sub(p.lastAt) >= evictGrace {
+		return 0
+	}
 	if elapsed := now.Sub(p.windowBegin); elapsed >= evictGrace {
 		return float64(p.windowBytes) / elapsed.Seconds()
 	}
