Let begun requests fill all capacity

Cause: a request whose attempt failed before its first token was held by the reduced first-token window of its rank while capacity was short, because IsFirstTokenWindowFull exempts only requests that have sent tokens. Change: CapacityShare returns 1 for a request that may have run.

--- a/core/rockadmit/share.go
+++ b/core/rockadmit/share.go
@@ -10,8 +10,11 @@
 // part of each backend server free for more urgent ranks without a queue that all hosts share.
 
 // CapacityShare returns the fraction of a backend server's capacity that a request may fill: all of it while capacity is
-// not short, for a rank that has not had its floor, and where the settings reserve none.
+// not short, for a rank that has not had its floor, for a request that has begun, and where the settings reserve none.
 func CapacityShare(w *rocktable.World, r *rocktable.Request) float64 {
+	if r.MayHaveRun {
+		return 1
+	}
 	rank := w.Ranks.Get(r.Rank)
 	if w.Limits.RankReserve == 0 || rank == nil || !rockcapacity.IsShort(w, r.Pipeline) || isBelowFloor(w, r.Pipeline, rank) {
 		return 1
