--- a/core/rockadmit/return.go
+++ b/core/rockadmit/return.go
@@ -16,11 +16,15 @@
 	returnStep = 0.2
 	// maxReturnFraction is the fraction of its remaining time after which a caller does not return any more.
 	maxReturnFraction = 1.0 / 3
+	// minReturn is the shortest time. The front end would put its default, which is longer, in place of 0.
+	minReturn = 10 * time.Millisecond
+	// maxReturn bounds the time of callers without a deadline. A long backlog is mostly refused before it is served.
+	maxReturn = time.Minute
 )
 
 // ReturnAfter returns the time after which the caller of a request that is refused for lack of capacity may return: at
-// least the given time and the one in which the queue ahead of it is served, later for less urgent ranks, spread, and
-// within the time that its deadline leaves.
+// least the given time and the one in which the queue ahead of it is served, later for less urgent ranks, spread, but
+// within the time that its deadline leaves and from minReturn to maxReturn.
 func ReturnAfter(now time.Time, w *rocktable.World, r *rocktable.Request, least time.Duration) time.Duration {
 	after := least.Seconds()
 	if rank, p := w.Ranks.Get(r.Rank), w.Pipelines.Get(r.Pipeline); rank != nil && p != nil {
@@ -32,7 +36,8 @@
 		latest := maxReturnFraction * r.Deadline.Sub(now).Seconds()
 		after = min(after, latest*(1-returnSpread/2*w.Rand.Float64()))
 	}
-	return time.Duration(after * float64(time.Second))
+	// The setting of the operator may exceed maxReturn.
+	return max(minReturn, min(time.Duration(after*float64(time.Second)), max(least, maxReturn)))
 }
 
 // moreUrgentRanks returns the number of configured ranks with more worth than a rank.
