Let a host without a reservation start one request that fits

Cause: at 100 hosts, a host's part of a nearly full backend server, or of one with a lowered usable fraction, may be smaller than one request. A host without a reservation there then starts none, even on an empty backend server, until the fraction is back at 1 (12 s from the lowest value). A request that needs no memory got a part of 0/0. Change: a host without a reservation may make one that fits by what it knows; the divisor of the part is at least 1.

--- a/core/rockcapacity/capacity.go
+++ b/core/rockcapacity/capacity.go
@@ -103,9 +103,10 @@
 // HasRoom reports whether a backend server has room for a further reservation of this host, if the hosts together may fill
 // the given part of its memory. All are in tokens x layers.
 //
-// While the backend server is nearly full or refuses requests, each host takes, or gives back, only its part of the difference between the
-// limit and what all had reserved at the last report. Otherwise all hosts would fill the same free memory until the next
-// report, and then wait until everything above the limit has ended.
+// While the backend server is nearly full, or its usable fraction is lowered, each host takes, or gives back, only its part
+// of the difference between the limit and what all had reserved at the last report. Otherwise all hosts would fill the same
+// free memory until the next report, and then wait until everything above the limit has ended. A host without a
+// reservation there may make one that fits.
 func HasRoom(w *rocktable.World, s *rocktable.BackendServer, need, limit float64) bool {
 	limit *= UsableFraction(s)
 	own, peers := s.ReservedAtReport, s.PeerReservedMemory
@@ -113,8 +114,12 @@
 	if isCalm || s.ShareDerivedAt.IsZero() {
 		return s.ReservedMemory+peers+need <= limit
 	}
+	if s.ReservedMemory < 1 && peers+need <= limit {
+		// In a large fleet each host's part may be smaller than one request, and no host would start any.
+		return true
+	}
 	hosts := liveHosts(w)
-	part := (own + need) / (own + peers + hosts*need)
+	part := (own + need) / max(1, own+peers+hosts*need)
 	share := own + (limit-own-peers)*part
 	if own+peers <= limit {
 		// A host below an even share may start requests up to it. Otherwise busy peers would exclude it for good.
--- a/core/rockcapacity/capacity_test.go
+++ b/core/rockcapacity/capacity_test.go
@@ -133,3 +133,39 @@
 		t.Error("still short after the refusal was forgotten")
 	}
 }
+
+// Guards against a request that no host can start: each host's part of the free memory is smaller than the request.
+func TestHostWithoutRequestsStartsOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		peers, need float64
+		want        bool
+	}{
+		"empty, refused lately":  {0, 50, true},
+		"room for one":           {300, 50, true},
+		"no room":                {370, 50, false},
+		"no memory needed":       {0, 0, true},
+		"second one of the host": {0, 50, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, s := newWorld(100)
+			s.PeerReservedMemory = 100
+			refuse(epoch.Add(shareInterval), w, s) // to minUsable
+			s.PeerReservedMemory = c.peers
+			if name == "second one of the host" {
+				s.ReservedMemory = c.need
+			}
+			if got := HasRoom(w, s, c.need, 1000); got != c.want {
+				t.Errorf("got room for %.0f: %t, want %t", c.need, got, c.want)
+			}
+		})
+	}
+}
+
+func BenchmarkHasRoom(b *testing.B) {
+	w, s := newWorld(100)
+	s.ReservedMemory, s.PeerReservedMemory = 10, 850
+	run(epoch.Add(shareInterval), w)
+	for b.Loop() {
+		HasRoom(w, s, 10, 1000)
+	}
+}
