Delete the capacity row of a pipeline without full paths

Cause: if the configuration changes to engines that run no full paths, the row was neither updated nor deleted, and a shortage was reported for good. Change: the row is deleted. Result: TestCapacityRowEndsWithFullPaths failed before and passes.

--- a/core/rockcapacity/capacity.go
+++ b/core/rockcapacity/capacity.go
@@ -53,6 +53,7 @@
 	}
 	for id, p := range w.Pipelines.All() {
 		if !p.Config.Engine.RunsFullPath() {
+			w.Capacities.Delete(id) // the configuration may have changed
 			continue
 		}
 		if c := w.Capacities.GetOrPut(id); refused || now.Sub(c.UpdatedAt) >= updateInterval {
--- a/core/rockcapacity/capacity_test.go
+++ b/core/rockcapacity/capacity_test.go
@@ -169,3 +169,19 @@
 		HasRoom(w, s, 10, 1000)
 	}
 }
+
+// Guards against a shortage that is reported for good after a change of the configuration.
+func TestCapacityRowEndsWithFullPaths(t *testing.T) {
+	w, s := newWorld(2)
+	s.ReservedMemory = 900
+	now := epoch.Add(updateInterval)
+	run(now, w)
+	if !IsShort(w, 1) {
+		t.Fatal("not short")
+	}
+	w.Pipelines.Get(1).Config.Engine.Kinds = nil
+	run(now.Add(updateInterval), w)
+	if w.Capacities.Len() != 0 {
+		t.Error("the row remains although the engines run no full paths")
+	}
+}
