Learn capacity from refusals at a host without reports

A host that is cut off from its peers knows only its own small part of the use, so that it took every full backend server for a failed one. Change: the rule does not apply if there are other hosts and none has reported its load recently.

--- a/core/rockretry/failures.go
+++ b/core/rockretry/failures.go
@@ -76,11 +76,11 @@
 }
 
 // recordRefusal opens the circuit breaker of a backend server that refused a request on a full path: for a short time if it
-// may lack memory, and as for a lost connection if most of its memory is free. One that is down, leaves or gives up its
+// may lack memory, and as for a lost connection if most of its memory is known to be free. One that is down, leaves or gives up its
 // layers refuses everything for seconds, and each host would try it many times.
 func recordRefusal(now time.Time, w *rocktable.World, s *rocktable.BackendServer, a *rocktable.Attempt, p *rocktable.Pipeline) {
 	reserved := s.ReservedMemory + s.PeerReservedMemory
-	if reserved < minFullFraction*rockcapacity.RequestMemory(p.Config, s) {
+	if !isCutOff(w) && reserved < minFullFraction*rockcapacity.RequestMemory(p.Config, s) {
 		trip(now, s, a, minBreakerOpen, maxBreakerOpen)
 		return
 	}
@@ -89,6 +89,10 @@
 	s.MemoryRefusalAt, s.MemoryAtRefusal = now, reserved
 }
 
+// isCutOff reports whether there are other hosts and none of them reported its load recently, so that the known use of
+// backend servers says nothing.
+func isCutOff(w *rocktable.World) bool { return w.Hosts.Len() > 1 && w.Gossip.UnreportedFraction == 1 }
+
 func trip(now time.Time, s *rocktable.BackendServer, a *rocktable.Attempt, first, longest time.Duration) {
 	// Attempts that began before the last trip add no information.
 	if !a.StartedAt.Before(s.BreakerTrippedAt) {
--- a/core/rockretry/refusal_test.go
+++ b/core/rockretry/refusal_test.go
@@ -86,3 +86,28 @@
 		})
 	}
 }
+
+// Guards against a host that learns nothing of full backend servers while it is cut off: it knows only its own small part
+// of their use, and takes each refusal for a failure.
+func TestRefusalsAtHostsWithoutReports(t *testing.T) {
+	cfg := rocktable.PipelineConfig{Layers: 2, Engine: rocktable.EngineConfig{TokenBytes: 2e6, Kinds: []rocktable.KindConfig{{Name: "k", MemoryMB: 1000}}}}
+	for name, c := range map[string]struct {
+		peers      int
+		unreported float64
+		isFull     bool
+	}{"cut off": {3, 1, true}, "some report": {3, 0.7, false}, "alone": {0, 1, false}} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWorld(rocktable.DefaultLimits())
+			for i := range c.peers {
+				w.InternHost(string(rune('a' + i))).State = rocktable.StateDown
+			}
+			w.Gossip.UnreportedFraction = c.unreported
+			s := w.InternServer("r")
+			s.Kind, s.ReservedMemory, s.Status = "k", 10, rocktable.EngineStatus{LastLayer: 1}
+			recordRefusal(startTime, w, s, &rocktable.Attempt{StartedAt: startTime}, &rocktable.Pipeline{Config: cfg})
+			if s.MemoryRefusalAt.Equal(startTime) != c.isFull {
+				t.Errorf("taken for a lack of memory: %t, want %t", !c.isFull, c.isFull)
+			}
+		})
+	}
+}
