End the wait for the retry budget at the latest start

Cause: a refused request that never ran waits for the shared budget until its latest start. If it was the oldest of its rank while its attempt ran, rockadmit has removed it from the requests that it sheds, and it went on waiting for the limit of a first token. Change: expireRequeued ends the wait at the latest start. Result: the case "never ran" of TestWaitForTheBudgetEndsAtTheLatestStart got no answer before; all cases pass.

--- a/core/rockretry/decision.go
+++ b/core/rockretry/decision.go
@@ -194,7 +194,8 @@
 }
 
 // expireRequeued ends requeued requests that waited for free capacity for longer than the limit for
-// the first token. A request that has begun and has a deadline waits until then.
+// the first token. One that never ran waits for the shared budget only until its latest start. One that has begun and has a
+// deadline waits until then.
 func expireRequeued(now time.Time, w *rocktable.World, key rocktable.LaneKey, lane *rocktable.Lane) {
 	limit := FirstTokenLimit(w.Ranks.Get(key.Rank).Config)
 	for i := len(lane.FrontQueue) - 1; i >= 0; i-- {
@@ -205,7 +206,11 @@
 		if r.MayHaveRun && !r.Deadline.IsZero() {
 			continue
 		}
-		if end := r.QueuedAt.Add(limit); now.Before(end) {
+		end := r.QueuedAt.Add(limit)
+		if latest := rockadmit.LatestStart(w, r); r.AwaitsBudget && !r.MayHaveRun && latest.Before(end) {
+			end = latest
+		}
+		if now.Before(end) {
 			w.WakeAt(end)
 			continue
 		}
--- a/core/rockretry/window_test.go
+++ b/core/rockretry/window_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"sassafrasrock/core/rockadmit"
 	"sassafrasrock/core/rockreason"
 	"sassafrasrock/core/rocktable"
 )
@@ -131,3 +132,27 @@
 		})
 	}
 }
+
+// Guards against a refused request that goes on waiting for the shared budget after its latest start. rockadmit no longer
+// has it among the requests that it sheds, because it ran when it was the oldest one.
+func TestWaitForTheBudgetEndsAtTheLatestStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		awaitsBudget, mayHaveRun bool
+		want                     int // answers
+	}{"never ran": {true, false, 1}, "has begun": {true, true, 0}, "waits for capacity": {false, false, 0}} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWorld(rocktable.DefaultLimits())
+			w.InternPipeline("pool")
+			w.InternCaller("guild")
+			w.Ranks.Put(0, rocktable.Rank{Config: rocktable.RankConfig{Name: "r", FirstTokenMs: 1000, GapMs: 250}})
+			w.Requests.Put(1, rocktable.Request{ID: 1, Pipeline: 1, Caller: 1, ArrivedAt: startTime, Requeued: true, AwaitsBudget: c.awaitsBudget, MayHaveRun: c.mayHaveRun})
+			r := w.Requests.Get(1)
+			rockadmit.Requeue(startTime.Add(100*time.Millisecond), w, r)
+			key := rocktable.LaneKey{Pipeline: 1}
+			expireRequeued(rockadmit.LatestStart(w, r), w, key, w.Lanes.Get(key))
+			if got := len(w.Outbox.Answers); got != c.want {
+				t.Errorf("got %d answers at the latest start, want %d", got, c.want)
+			}
+		})
+	}
+}
