--- a/core/rockretry/window.go
+++ b/core/rockretry/window.go
@@ -74,8 +74,9 @@
 }
 
 // SpendSharedBudget takes one retry from this host's share of the budget that all hosts share, and
-// reports whether there was one. Requests that never ran may use notRunFraction of the share. A host that has just started may have spent its share
-// before the restart, so its allowance grows during the first window.
+// reports whether there was one. Requests that never ran may use notRunFraction of the share. A host
+// that has just started may have spent its share before the restart, so its allowance grows during
+// the first window.
 func SpendSharedBudget(now time.Time, w *rocktable.World, r *rocktable.Request) bool {
 	if w.Limits.RetryWindow <= 0 {
 		return true
