Give a rank its floor at a host without other work

Cause: the floor of a rank is a fraction of what its host starts. At a host that starts only background work its fraction is always 1, so that the rank was kept below the threshold while urgent work of other hosts filled everything up to it. Change: a rank with a floor that has started less than one token, after decay, may fill all capacity.

--- a/core/rockadmit/share.go
+++ b/core/rockadmit/share.go
@@ -31,7 +31,8 @@
 	return 1 - w.Limits.RankReserve*(1-rank.Config.Worth/most)
 }
 
-// isBelowFloor reports whether a rank has started less of a pipeline's tokens than its floor.
+// isBelowFloor reports whether a rank has started less of a pipeline's tokens at this host than its floor, or, if it has a
+// floor, less than one token. A host without other work would never find it below a fraction of what it starts.
 func isBelowFloor(w *rocktable.World, p rocktable.PipelineID, rank *rocktable.Rank) bool {
 	own, total := 0.0, 0.0
 	for id := range w.Ranks.All() {
@@ -42,5 +43,5 @@
 			}
 		}
 	}
-	return own < rank.Config.Floor*total
+	return own < rank.Config.Floor*total || rank.Config.Floor > 0 && own < 1
 }
--- a/core/rockadmit/begun_test.go
+++ b/core/rockadmit/share_test.go
@@ -29,3 +29,24 @@
 		}
 	}
 }
+
+// Guards against a rank that gets no floor at a host without other work, because all that the host starts is of that rank.
+func TestHostWithOneRankGivesItsFloor(t *testing.T) {
+	for name, c := range map[string]struct {
+		floor, started, want float64
+	}{
+		"none started lately":  {0.2, 0.5, 1},
+		"some started lately":  {0.2, 500, 0.9},
+		"a rank without floor": {0, 0, 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(10)
+			w.Capacities.GetOrPut(1).ShortSince = epoch
+			w.Ranks.Get(1).Config.Floor = c.floor
+			w.Lanes.GetOrPut(rocktable.LaneKey{Rank: 1, Pipeline: 1}).StartedTokens = c.started
+			if got := CapacityShare(w, &rocktable.Request{Rank: 1, Pipeline: 1}); got != c.want {
+				t.Errorf("got share %v, want %v", got, c.want)
+			}
+		})
+	}
+}
