--- a/core/rockcapacity/capacity.go
+++ b/core/rockcapacity/capacity.go
@@ -53,6 +53,7 @@
 	}
 	for id, p := range w.Pipelines.All() {
 		if !p.Config.Engine.RunsFullPath() {
+			w.Capacities.Delete(id) // the configuration may have changed
 			continue
 		}
 		if c := w.Capacities.GetOrPut(id); refused || now.Sub(c.UpdatedAt) >= updateInterval {
@@ -103,9 +104,10 @@
 // HasRoom reports whether a backend server has room for a further reservation of this host, if the hosts together may fill
 // the given part of its memory. All are in tokens x layers.
 //
-// While the backend server is nearly full or refuses requests, each host takes, or gives back, only its part of the difference between the
-// limit and what all had reserved at the last report. Otherwise all hosts would fill the same free memory until the next
-// report, and then wait until everything above the limit has ended.
+// While the backend server is nearly full, or its usable fraction is lowered, each host takes, or gives back, only its part
+// of the difference between the limit and what all had reserved at the last report. Otherwise all hosts would fill the same
+// free memory until the next report, and then wait until everything above the limit has ended. A host without a
+// reservation there may make one that fits.
 func HasRoom(w *rocktable.World, s *rocktable.BackendServer, need, limit float64) bool {
 	limit *= UsableFraction(s)
 	own, peers := s.ReservedAtReport, s.PeerReservedMemory
@@ -113,8 +115,12 @@
 	if isCalm || s.ShareDerivedAt.IsZero() {
 		return s.ReservedMemory+peers+need <= limit
 	}
+	if s.ReservedMemory < 1 && peers+need <= limit {
+		// In a large fleet each host's part may be smaller than one request, and no host would start any.
+		return true
+	}
 	hosts := liveHosts(w)
-	part := (own + need) / (own + peers + hosts*need)
+	part := (own + need) / max(1, own+peers+hosts*need)
 	share := own + (limit-own-peers)*part
 	if own+peers <= limit {
 		// A host below an even share may start requests up to it. Otherwise busy peers would exclude it for good.
@@ -196,6 +202,8 @@
 func usedFraction(w *rocktable.World, cfg rocktable.PipelineConfig) float64 {
 	// Sums over the backend servers that hold a layer, in tokens: differences at the first layer and after the last one.
 	used, usable := make([]float64, cfg.Layers+1), make([]float64, cfg.Layers+1)
+	// The sums at a layer that no backend server holds are not exactly 0.
+	holders := make([]int, cfg.Layers+1)
 	for _, s := range w.Servers.All() {
 		if s.State != rocktable.StateLive || s.Drained || !holdsLayers(cfg, s) {
 			continue
@@ -206,13 +214,16 @@
 		used[s.Status.LastLayer+1] -= inUse
 		usable[s.Status.FirstLayer] += limit
 		usable[s.Status.LastLayer+1] -= limit
+		holders[s.Status.FirstLayer]++
+		holders[s.Status.LastLayer+1]--
 	}
 	fractions := make([]float64, cfg.Layers)
-	inUse, limit := 0.0, 0.0
+	inUse, limit, held := 0.0, 0.0, 0
 	for layer := range cfg.Layers {
 		inUse += used[layer]
 		limit += usable[layer]
-		if limit > 0 {
+		held += holders[layer]
+		if held > 0 && limit > 0 {
 			fractions[layer] = max(0, inUse) / limit
 		}
 	}
