Delete an unused function of lines

Cause: no code calls tail since requests are shed by cost, and the linter reports it. Change: deleted. Result: staticcheck of the package reports nothing; its tests pass.

--- a/core/rockadmit/queue.go
+++ b/core/rockadmit/queue.go
@@ -122,17 +122,6 @@
 	return nil
 }
 
-// tail returns the last queued request of a line, or nil.
-func tail(w *rocktable.World, line *rocktable.Line) *rocktable.Request {
-	for n := len(line.Queue); n > 0; n-- {
-		if isInLine(w, line.Queue[n-1]) {
-			return w.Requests.Get(line.Queue[n-1])
-		}
-		line.Queue = line.Queue[:n-1]
-	}
-	return nil
-}
-
 // lowestWeightedTokens returns the lowest Share.WeightedTokens among the callers with queued requests in the rank, or
 // Rank.WeightedTokensFloor if there are none. A caller that returns starts from it and thus earns no credit for idle
 // time.
