--- a/core/rocktable/events.go
+++ b/core/rocktable/events.go
@@ -155,8 +155,6 @@
 	StoreReached      bool         // its last read succeeded; neither is set before its first read has ended
 	Tables            []TableUpdate
 	TableRequests     []TableRequest
-	RankLoads         []RankLoadUpdate // work of the sender; complete if ReportsLoad
-	Centres           []CentreUpdate   // sums of data centres that the sender knows
 }
 
 // ReportsLoad reports whether Loads and Demands are complete: those that are missing are zero.
--- a/core/rocktable/world.go
+++ b/core/rocktable/world.go
@@ -58,10 +58,6 @@
 	Changes     Table[string, PendingChange] // configuration changes in progress, by change id
 	LinkLoads   Table[LinkKey, LinkLoad]
 	Capacities  Table[PipelineID, Capacity]
-	CentreLoads Table[CentreLoadKey, CentreLoad]
-	RankLoads   Table[RankLoadKey, RankLoad]
-
-	CentreReports Table[DataCentreID, CentreReport]
 
 	Retries    Table[RetryKey, RetryWindow]
 	Claims     Table[RequestID, Claim]
