--- a/core/rocklease/order.go
+++ b/core/rocklease/order.go
@@ -32,13 +32,13 @@
 			w.Count(rockreason.LateEvent)
 			continue
 		}
-		o.Pending, o.EndedAt = false, now
+		o.Pending = false
 		if s := w.Servers.Get(e.Server); s != nil && e.Foreign {
 			rockretry.RecordForeign(now, w, s)
 		}
 		switch {
 		case e.OK:
-			o.FailedAttempts, o.NextSend, o.Begun = 0, now.Add(orderReportDelay), o.FullPath
+			o.FailedAttempts, o.NextSend = 0, now.Add(orderReportDelay)
 		case e.Refused:
 			w.Count(rockreason.OrderFenced)
 			scheduleRetry(now, o)
@@ -55,7 +55,7 @@
 	}
 	for _, o := range w.Orders.All() {
 		if o.Pending && now.Sub(o.SentAt) >= 2*w.Limits.OrderTimeout {
-			o.Pending, o.EndedAt = false, now
+			o.Pending = false
 			scheduleRetry(now, o)
 		}
 	}
@@ -90,7 +90,7 @@
 	w.WakeAt(w.Lease.ReconcileAt)
 	wanted := wantedPlacements(w)
 	for id, o := range w.Orders.All() {
-		if _, ok := wanted[id]; !ok && !o.Pending && !now.Before(o.MayRunUntil) && !isAwaitingReport(now, o, w.Servers.Get(id)) {
+		if _, ok := wanted[id]; !ok && !o.Pending && !now.Before(o.MayRunUntil) {
 			w.Orders.Delete(id)
 		}
 	}
@@ -159,14 +159,6 @@
 	if o.Pending {
 		return false
 	}
-	if isAwaitingReport(now, o, s) {
-		w.WakeAt(latestReport(o))
-		return false
-	}
-	if o.FullPath && !o.Begun && o.FailedAttempts > 0 || isRestarted(o, s) {
-		// The report that was awaited is here, or the time for it is over.
-		o.NextSend, o.MayRunUntil = now, time.Time{}
-	}
 	if o.Placement != p {
 		o.Placement, o.FailedAttempts, o.NextSend = p, 0, now
 	}
@@ -179,7 +171,6 @@
 		return false
 	}
 	o.Server, o.Fencing, o.SentAt, o.Pending = s.ID, l.Fencing, now, true
-	o.FullPath, o.Begun, o.Incarnation, o.Reported, o.ReportedSequence = w.Plan.Get(s.ID) != nil, false, s.Incarnation, s.Status, s.ListedSequence
 	w.Outbox.Orders = append(w.Outbox.Orders, rocktable.OrderSend{
 		Server: s.ID, Name: s.Name, Address: s.Address, Placement: p, Fencing: l.Fencing, Incarnation: s.Incarnation, Until: until,
 	})
--- a/core/rockplace/capacity.go
+++ b/core/rockplace/capacity.go
@@ -49,28 +49,6 @@
 	return min(cfg.Layers, int(h.memoryMB/each))
 }
 
-// minRoomFraction is the lower limit of the free fraction of a backend server's memory for requests in the plan. Layers
-// whose holders are full still need another one less than layers without a holder.
-const minRoomFraction = 0.05
-
-// reservedMB returns the part of a backend server's memory for requests, in MB, that is reserved or that hosts have
-// learned not to use.
-func reservedMB(cfg rocktable.PipelineConfig, s *rocktable.BackendServer) float64 {
-	kind, _ := cfg.Engine.Kind(s.Kind)
-	total := kind.MemoryMB - float64(s.Status.LastLayer-s.Status.FirstLayer+1)*cfg.Engine.LayerMB
-	mb := (s.ReservedMemory + s.PeerReservedMemory) * cfg.Engine.TokenBytes / 1e6 / float64(cfg.Layers)
-	if s.UsableMemory > 0 && s.UsableMemoryIncarnation == s.Incarnation {
-		mb += (1 - s.UsableMemory) * max(0, total)
-	}
-	return mb
-}
-
-// room returns the memory, in MB for each of its layers, that a backend server has left for requests.
-func room(cfg rocktable.PipelineConfig, h *holder) float64 {
-	total := h.memoryMB - float64(h.layers())*cfg.Engine.LayerMB
-	return max(total-h.reserved, minRoomFraction*total) / float64(h.layers())
-}
-
 // evenRequestMemory returns the memory for requests, in tokens, that each backend server keeps in
 // the most even plan. In that plan the group holds as many copies of the layers as leave each
 // backend server the memory of minMeanRequests, and at least one copy.
--- a/core/rockplace/place.go
+++ b/core/rockplace/place.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"sassafrasrock/core/rocklease"
 	"sassafrasrock/core/rockretry"
 	"sassafrasrock/core/rocktable"
 )
@@ -64,23 +63,10 @@
 	from     int
 	to       int  // exclusive; equal to from if it holds none
 	lapsed   bool // its entry has been missing for less than lapseTimeout; it may still hold its layers and return
-	ordered  bool // an order to it is in progress, so it would refuse another one
-	loaded   layerRange
-	reserved float64 // memory, in MB, that requests have reserved, and memory that hosts have learned not to use
 }
 
-// layerRange is a range of layers; to is exclusive.
-type layerRange struct{ from, to int }
-
 func (h *holder) layers() int { return h.to - h.from }
 
-func (h *holder) keeps(layer int) bool { return h.from <= layer && layer < h.to }
-
-// hasLoaded reports whether a backend server reports a layer that it is to keep.
-func (h *holder) hasLoaded(layer int) bool {
-	return h.keeps(layer) && h.loaded.from <= layer && layer < h.loaded.to
-}
-
 // planPipeline adapts the plan of a pipeline to the backend servers that groupOf returns.
 func planPipeline(now time.Time, w *rocktable.World, p *rocktable.Pipeline) {
 	st := &w.PlanState
@@ -119,25 +105,17 @@
 		if !ok || s.ListedService != p.Config.Name || s.State != rocktable.StateLive && !lapsed || rockretry.IsForeign(now, s) {
 			continue
 		}
-		order := rocklease.OrderInProgress(now, w, s)
-		h := &holder{server: s, memoryMB: kind.MemoryMB, lapsed: lapsed, ordered: order != nil}
+		h := &holder{server: s, memoryMB: kind.MemoryMB, lapsed: lapsed}
 		holdsLayers := s.Status.Model == p.Config.Model && s.Status.LastLayer >= s.Status.FirstLayer
 		planned := w.Plan.Get(s.ID)
 		switch {
 		case holdsLayers && !s.Status.IsWithin(p.Config.Layers):
 			continue // the entry of another writer, which names no backend server
-		case planned != nil && planned.LastLayer < p.Config.Layers && !(holdsLayers && rocklease.IsSuperseded(w, s)):
+		case planned != nil && planned.LastLayer < p.Config.Layers:
 			h.from, h.to = planned.FirstLayer, planned.LastLayer+1
-		case order != nil && order.Begun && order.Fencing == w.Lease.Fencing && order.Placement.Model == p.Config.Model && order.Placement.LastLayer < p.Config.Layers:
-			// This host has not used the lease for a while, which deleted its plan, but no other host has had it since.
-			h.from, h.to = order.Placement.FirstLayer, order.Placement.LastLayer+1
 		case holdsLayers:
 			h.from, h.to = s.Status.FirstLayer, s.Status.LastLayer+1
 		}
-		if holdsLayers {
-			h.loaded = layerRange{s.Status.FirstLayer, s.Status.LastLayer + 1}
-			h.reserved = reservedMB(p.Config, s)
-		}
 		all = append(all, h)
 		if s.DataCentre == home {
 			own = append(own, h)
@@ -195,9 +173,6 @@
 			left -= n
 		}
 	}
-	for _, h := range group {
-		h.loaded = layerRange{h.from, h.to} // nobody holds layers yet, so those that are planned count
-	}
 	repair(cfg, group, tokens)
 }
 
--- a/core/rockplace/repair.go
+++ b/core/rockplace/repair.go
@@ -25,7 +25,7 @@
 	}
 	for range cfg.Layers {
 		from, to := firstGap(cfg, group)
-		if from == to || !fillGap(cfg, group, from, to, tokens) {
+		if from == to || !moveToGap(cfg, group, from, to, tokens) && !extendIntoGap(cfg, group, from, to, tokens) {
 			break
 		}
 	}
@@ -34,21 +34,11 @@
 	}
 }
 
-// fillGap assigns a gap, or a part of it, and reports whether it could. The layers that a backend server gives up are best
-// loaded by others; otherwise they have no holder for a while. One with an order in progress comes last: it would refuse
-// another order until it has carried out this one.
-func fillGap(cfg rocktable.PipelineConfig, group []*holder, from, to int, tokens float64) bool {
-	idle := slices.DeleteFunc(slices.Clone(group), func(h *holder) bool { return h.ordered })
-	return moveToGap(cfg, group, idle, from, to, tokens, (*holder).hasLoaded) || extendIntoGap(cfg, idle, from, to, tokens) ||
-		moveToGap(cfg, group, idle, from, to, tokens, (*holder).keeps) ||
-		moveToGap(cfg, group, group, from, to, tokens, (*holder).keeps) || extendIntoGap(cfg, group, from, to, tokens)
-}
-
 // trim removes layers from the ends of the range of a backend server that holds more layers than
 // its planned memory for requests allows, as long as another one reports that it holds them. It
 // took these layers over from a backend server that is back or was replaced.
 func trim(cfg rocktable.PipelineConfig, group []*holder, h *holder, tokens float64) {
-	for !h.lapsed && !h.ordered && h.layers() > max(1, layerCapacity(cfg, h, tokens)) {
+	for !h.lapsed && h.layers() > max(1, layerCapacity(cfg, h, tokens)) {
 		switch {
 		case isReportedByAnother(group, h, h.from):
 			h.from++
@@ -73,14 +63,14 @@
 }
 
 // leastCovered returns the first of the n consecutive layers that most need another holder: layers
-// without a holder, then those whose holders have the least room left.
+// without a holder, then those whose holders have the least memory.
 func leastCovered(cfg rocktable.PipelineConfig, group []*holder, n int) int {
 	need := make([]float64, cfg.Layers)
 	for l := range need {
 		memory := 0.0
 		for _, h := range group {
 			if h.from <= l && l < h.to && !h.lapsed {
-				memory += room(cfg, h)
+				memory += (h.memoryMB - float64(h.layers())*cfg.Engine.LayerMB) / float64(h.layers())
 			}
 		}
 		need[l] = 1 / max(1, memory)
@@ -115,17 +105,16 @@
 	return from, to
 }
 
-// moveToGap assigns a gap to the candidate whose layers all have other holders, the one with the
-// most of them. It reports whether there is one. The argument holds tells who counts as a holder of a
-// layer.
-func moveToGap(cfg rocktable.PipelineConfig, group, candidates []*holder, from, to int, tokens float64, holds func(*holder, int) bool) bool {
+// moveToGap assigns a gap to a backend server whose layers all have other holders, the one with the
+// most of them. It reports whether there is one.
+func moveToGap(cfg rocktable.PipelineConfig, group []*holder, from, to int, tokens float64) bool {
 	var best *holder
 	most := 0
-	for _, h := range candidates {
+	for _, h := range group {
 		if h.lapsed || h.layers() == 0 || layerCapacity(cfg, h, tokens) == 0 {
 			continue
 		}
-		if n := minOtherHolders(group, h, holds); n > most {
+		if n := minOtherHolders(group, h); n > most {
 			best, most = h, n
 		}
 	}
@@ -137,12 +126,12 @@
 }
 
 // minOtherHolders returns the least number of other holders over the layers of a backend server.
-func minOtherHolders(group []*holder, h *holder, holds func(*holder, int) bool) int {
+func minOtherHolders(group []*holder, h *holder) int {
 	fewest := len(group)
 	for l := h.from; l < h.to; l++ {
 		n := 0
 		for _, o := range group {
-			if o != h && !o.lapsed && holds(o, l) {
+			if o != h && !o.lapsed && o.from <= l && l < o.to {
 				n++
 			}
 		}
--- a/core/rocktable/leases.go
+++ b/core/rocktable/leases.go
@@ -43,13 +43,4 @@
 	FailedAttempts int       // in a row
 	NextSend       time.Time // earliest time of the next order
 	MayRunUntil    time.Time // until then the engine may carry out an order whose answer was lost
-
-	// Orders to engines that run a full path. They accept an order before they have loaded the layers, refuse any other
-	// one until then, and compare the number of accepted orders.
-	FullPath         bool
-	Begun            bool         // the engine accepted the order
-	EndedAt          time.Time    // of the answer
-	Incarnation      uint64       // of the engine when the order was sent
-	Reported         EngineStatus // of the engine when the order was sent
-	ReportedSequence uint64       // ListedSequence when the order was sent
 }
