--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -59,7 +60,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{dir: dir, store: s, record: &record{f: f, start: time.Now()}, runs: make(map[string][]string), entries: make(map[string]map[string]any)}, nil
+	fl := &fleet{dir: dir, store: s, record: &record{f: f, start: time.Now()}, runs: make(map[string][]string), entries: make(map[string]map[string]any)}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stop
+		fl.close()
+		os.Exit(2)
+	}()
+	return fl, nil
 }
 
 // close ends all processes that the fleet started.
