Reject interim responses that are not valid HTTP

What callers saw: a final answer behind an interim response (status 1xx) in whose head the name of a field held a space reached them as an answer.

Cause: net/http reads interim responses and tells nobody; the check of rockresponse saw the final one only.

Change: the transport checks the names of interim responses as well. net/http drops its limit for them where they are examined, so the transport counts them: all of a request together have the limit of one head.

--- a/io/rockresponse/check_test.go
+++ b/io/rockresponse/check_test.go
@@ -64,6 +64,8 @@
 	"name of spaces":                headAndBody("HTTP/1.1 200 OK", "X-Y: 1", "Z: 1", "Y z : 1"),
 	"space after a length":          "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more",
 	"space after a transfer coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"interim response":              "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + headAndBody("HTTP/1.1 200 OK"),
+	"second interim response":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX-Y : 1\r\n\r\n" + headAndBody("HTTP/1.1 200 OK"),
 }
 
 // Guards against a head that is not valid HTTP and that is taken for that of an answer.
@@ -155,3 +157,20 @@
 		}
 	}
 }
+
+// Guards against interim responses without end, for which net/http has no limit where they are checked.
+func TestInterimResponsesAreLimited(t *testing.T) {
+	for name, interim := range map[string]string{
+		"without fields": "HTTP/1.1 102 Processing\r\n\r\n",
+		"with fields":    "HTTP/1.1 102 Processing\r\nX-Fill: " + strings.Repeat("x", 1000) + "\r\n\r\n",
+	} {
+		text := strings.Repeat(interim, 1+MaxHeadBytes/interimBytes) + headAndBody("HTTP/1.1 200 OK")
+		if _, _, err := request(t, newRawClient(t, text), http.MethodGet); !errors.Is(err, ErrTooLong) {
+			t.Errorf("%s: got error %v, want ErrTooLong", name, err)
+		}
+		text = strings.Repeat(interim, 10) + headAndBody("HTTP/1.1 200 OK")
+		if _, body, err := request(t, newRawClient(t, text), http.MethodGet); err != nil || body != "ok" {
+			t.Errorf("ten interim responses %s: got body %q and error %v, want \"ok\"", name, body, err)
+		}
+	}
+}
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/rotisserie/eris"
 )
@@ -42,7 +43,9 @@
 
 // RoundTrip sends one request. Its errors are ErrMalformed and those of http.Transport.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r)
+	interim := &interimResponses{left: t.base.MaxResponseHeaderBytes}
+	trace := &httptrace.ClientTrace{Got1xxResponse: interim.check}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
