Reject answers whose trailer is not valid HTTP

What callers saw: an answer in chunks whose trailer has a space in the name of a field reached them as a complete one, while net/http itself breaks off an answer with a control byte or without a colon there.

Cause: as for heads, net/http accepts spaces in names; trailers arrive after the check of the head.

Change: the end of a body in chunks is an error if the name of a received trailer field is not valid. Names that the head only announces do not count, as they are a value there.

Evidence: without the change, TestMalformedTrailers (three cases) and the cases with a trailer of TestMalformedAnswerOfACall and TestMalformedAnswerIsReplaced fail with 200 and the body; with it they pass, as do valid trailers, announced or not.

--- a/io/rockresponse/body.go
+++ b/io/rockresponse/body.go
@@ -1,6 +1,10 @@
 package rockresponse
 
-import "io"
+import (
+	"errors"
+	"io"
+	"net/http"
+)
 
 // limitedBody is the body of a response, of which at most left bytes may still be read.
 type limitedBody struct {
@@ -20,3 +24,35 @@
 	b.left -= int64(n)
 	return n, err
 }
+
+// trailedBody is the body of a response that trailer fields may follow.
+type trailedBody struct {
+	io.ReadCloser
+	resp      *http.Response
+	transport *http.Transport
+}
+
+// Read returns ErrMalformed instead of io.EOF if the name of a trailer field is invalid.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if malformed := checkNames(receivedFields(b.resp.Trailer)); malformed != nil {
+		b.transport.CloseIdleConnections()
+		return n, malformed
+	}
+	return n, err
+}
+
+// receivedFields returns the fields of a trailer that has arrived. net/http also lists those that the head announced, with
+// nil values.
+func receivedFields(trailer http.Header) http.Header {
+	received := make(http.Header)
+	for name, values := range trailer {
+		if values != nil {
+			received[name] = values
+		}
+	}
+	return received
+}
--- a/io/rockresponse/check_test.go
+++ b/io/rockresponse/check_test.go
@@ -122,6 +122,29 @@
 	}
 }
 
+// Guards against a trailer that is not valid HTTP and that ends an answer as complete.
+func TestMalformedTrailers(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	const chunks = "\r\n2\r\nok\r\n0\r\n"
+	for name, c := range map[string]struct {
+		text string
+		want error
+	}{
+		"none":                  {begin + chunks + "\r\n", nil},
+		"valid":                 {begin + "Trailer: X-Sum\r\n" + chunks + "X-Sum: 1\r\n\r\n", nil},
+		"not announced":         {begin + chunks + "X-Sum: 1\r\n\r\n", nil},
+		"announced, not sent":   {begin + "Trailer: X Sum\r\n" + chunks + "\r\n", nil},
+		"space in a name":       {begin + chunks + "X-Sum: 1\r\nX Y: 1\r\n\r\n", ErrMalformed},
+		"space after a name":    {begin + "Trailer: X-Sum\r\n" + chunks + "X-Sum : 1\r\n\r\n", ErrMalformed},
+		"announced with spaces": {begin + "Trailer: X Sum\r\n" + chunks + "X Sum: 1\r\n\r\n", ErrMalformed},
+	} {
+		_, body, err := request(t, newRawClient(t, c.text), http.MethodGet)
+		if !errors.Is(err, c.want) || body != "ok" {
+			t.Errorf("%s: got body %q and error %v, want \"ok\" and %v", name, body, err, c.want)
+		}
+	}
+}
+
 // Guards against an answer that is refused or changed although it is only unusual.
 func TestUnusualResponsesStayUnchanged(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -55,12 +55,22 @@
 		t.base.CloseIdleConnections()
 		return nil, err
 	}
-	if t.maxBodyBytes > 0 && resp.Body != http.NoBody { // callers compare with it
-		resp.Body = &limitedBody{ReadCloser: resp.Body, left: t.maxBodyBytes}
+	if resp.Body != http.NoBody { // callers compare with it
+		t.wrapBody(resp)
 	}
 	return resp, nil
 }
 
+// wrapBody makes the body of a response end with an error if its trailer is invalid or it is longer than allowed.
+func (t *Transport) wrapBody(resp *http.Response) {
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, transport: t.base}
+	}
+	if t.maxBodyBytes > 0 {
+		resp.Body = &limitedBody{ReadCloser: resp.Body, left: t.maxBodyBytes}
+	}
+}
+
 // majorVersion returns the major version of HTTP that the connection of a response speaks. The version in a response of
 // HTTP/1 is only a text of its server.
 func (t *Transport) majorVersion(resp *http.Response) int {
