Reject answers of services that are not valid HTTP on the product's own interface

What callers saw: an application's answer with a space in the name of a field, or with version 2.0, reached them and was recorded as the outcome of the call, for each repeat with the same key: 200 with the body, or 201 with another length. An answer with a status below 200 or above 599 was recorded, too; only the front end turned it into 502, so that a call that may be repeated was not, and the backend server's failure did not count.

Cause: io/rockservice has a transport of its own, which trusts net/http.

Change: it sends through rockresponse.Transport. ErrMalformed comes with ErrLost: the call may have run, its outcome is recorded as unknown, and the run counts as one that the backend server lost. Health probes are read in the same way. The stand-in has a fault rawAnswer: a call or a write takes effect, and a given text is sent as it is.

--- /dev/null
+++ b/io/rockdaemon/malformed_test.go
@@ -0,0 +1,119 @@
+package rockdaemon
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"sassafrasrock/io/rockresponse"
+	"sassafrasrock/io/rockservice"
+	"sassafrasrock/io/rockstandin"
+)
+
+// rawBody is a valid body of each answer that the tests of this file ask for.
+const rawBody = `{"state":"live","incarnation":1,"hosts":[],"version":7}`
+
+// malformedAnswers are answers that are not valid HTTP, by what is wrong with them, and that net/http accepts.
+var malformedAnswers = map[string]string{
+	"status 000":           "HTTP/1.1 000 None\r\n\r\n" + rawBody,
+	"status 099":           "HTTP/1.1 099 None\r\n\r\n" + rawBody,
+	"status 101":           "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + rawBody,
+	"status 600":           "HTTP/1.1 600 None\r\n\r\n" + rawBody,
+	"version 2.0":          "HTTP/2.0 200 OK\r\n\r\n" + rawBody,
+	"space in a name":      "HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n" + rawBody,
+	"space after a length": "HTTP/1.1 201 Created\r\nContent-Length : 2\r\n\r\n" + rawBody,
+	"refusal":              "HTTP/1.1 503 Service Unavailable\r\nX Y: 1\r\n\r\n" + rawBody,
+	"conflict":             "HTTP/1.1 409 Conflict\r\nX Y: 1\r\n\r\n" + rawBody,
+	"interim response":     "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + rawBody,
+	"trailer":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n37\r\n" + rawBody + "\r\n0\r\nX Y: 1\r\n\r\n",
+}
+
+// Guards against an answer of an application that is not valid HTTP and that is recorded as the outcome of a call: its
+// caller gets it, and each repeat with the same key.
+func TestMalformedAnswerIsNoOutcome(t *testing.T) {
+	f := newFleet(t, 1)
+	for name, text := range malformedAnswers {
+		key := "k-" + strings.ReplaceAll(name, " ", "-")
+		f.injectFault(rockstandin.Fault{Target: "yoff", Kind: rockstandin.FaultRawAnswer, Text: text})
+		for _, when := range []string{"", ", sent again"} {
+			status, body, code := f.callService(f.daemons[0], key, 7)
+			if status != http.StatusBadGateway || code != "outcomeUnknown" {
+				t.Errorf("%s%s: got status %d and body %q, want 502 and outcomeUnknown", name, when, status, body)
+			}
+		}
+		if n := f.standin.Counts().Runs[key]; n != 1 {
+			t.Errorf("%s: the call ran %d times, want 1", name, n)
+		}
+	}
+	f.injectFault(rockstandin.Fault{Target: "yoff", Kind: rockstandin.FaultRawAnswer, Lift: true})
+	if status, body, _ := f.callService(f.daemons[0], "k-sound", 7); status != http.StatusCreated {
+		t.Errorf("the next call got status %d and body %q, want 201", status, body)
+	}
+}
+
+// startRawServer starts a server that answers one request on each connection with a text.
+func startRawServer(t *testing.T, text string) string {
+	t.Helper()
+	return startServer(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+}
+
+// startServer starts a server that handles each connection with a function and then closes it.
+func startServer(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against an answer that is not valid HTTP and that a client of the product's own interface takes as one, or as the
+// word of its server that a request did not run.
+func TestClientsRejectMalformedAnswers(t *testing.T) {
+	for name, text := range malformedAnswers {
+		address := startRawServer(t, text)
+		service := rockservice.New()
+		calls := map[string]struct {
+			want error
+			call func(ctx context.Context) error
+		}{
+			"call": {rockservice.ErrLost, func(ctx context.Context) error {
+				_, err := service.Do(ctx, address, rockservice.Call{Method: http.MethodPost, Path: "/x"})
+				return err
+			}},
+			"probe": {rockservice.ErrLost, func(ctx context.Context) error {
+				_, err := service.Probe(ctx, address)
+				return err
+			}},
+		}
+		for kind, c := range calls {
+			ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+			if err := c.call(ctx); !errors.Is(err, c.want) || !errors.Is(err, rockresponse.ErrMalformed) {
+				t.Errorf("%s, %s: got error %v, want ErrMalformed and %v", name, kind, err, c.want)
+			}
+			cancel()
+		}
+	}
+}
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -17,6 +17,7 @@
 	"sassafrasrock/core/rockstream"
 	"sassafrasrock/io/rockliveness"
 	"sassafrasrock/io/rockmemory"
+	"sassafrasrock/io/rockresponse"
 	"sassafrasrock/io/rocktarget"
 )
 
@@ -52,7 +53,7 @@
 // client implements the functions of a Client.
 type client struct {
 	options   Options
-	transport *http.Transport
+	transport *rockresponse.Transport
 }
 
 // New returns a Client that uses HTTP/1.1.
@@ -63,7 +64,7 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	c := &client{options: o, transport: &http.Transport{
+	c := &client{options: o, transport: rockresponse.New(&http.Transport{
 		DialContext: rocktarget.DialContext((&net.Dialer{Timeout: o.DialTimeout}).DialContext),
 		Protocols:   protocols,
 		// net/http retries a request with an Idempotency-Key header when a reused connection breaks, so
@@ -71,7 +72,7 @@
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: o.MaxHeadBytes,
-	}}
+	})}
 	return &Client{Do: c.do, Probe: c.probe}
 }
 
--- a/io/rockstandin/calls.go
+++ b/io/rockstandin/calls.go
@@ -56,6 +56,9 @@
 		return true
 	}
 	reply.DropAnswer = isPost && triggerFault(s, FaultLostAnswer)
+	if isPost {
+		reply.RawAnswer = takeRawAnswer(s)
+	}
 	event.Reply(reply)
 	return false
 }
--- a/io/rockstandin/faults.go
+++ b/io/rockstandin/faults.go
@@ -18,7 +18,7 @@
 	Lift    bool    `json:"lift,omitempty"`
 	ForMs   int     `json:"forMs,omitempty"`   // lifted after this time; 0 means never
 	Times   int     `json:"times,omitempty"`   // lifted after this many activations; 0 means never
-	Text    string  `json:"text,omitempty"`    // of FaultCrash: the engine crashes on prompts that contain it
+	Text    string  `json:"text,omitempty"`    // of FaultCrash: the engine crashes on prompts that contain it; of FaultRawAnswer: the bytes that are sent
 	Factor  float64 `json:"factor,omitempty"`  // of FaultSlow, for the times of batches, calls and operations
 	DelayMs int     `json:"delayMs,omitempty"` // of FaultSlow, FaultLag, FaultOldReads and FaultRestart
 	Refuse  bool    `json:"refuse,omitempty"`  // of FaultLeaving: refuse new sessions
@@ -39,6 +39,7 @@
 	FaultLag         = "lag"         // the lag of the host list increases
 	FaultLostAnswer  = "lostAnswer"  // a write, a call or a step takes effect, but its answer is lost
 	FaultOldReads    = "oldReads"    // for DelayMs after a write (0: always), reads return the row before it
+	FaultRawAnswer   = "rawAnswer"   // a write or a call takes effect, and the text is sent instead of its answer
 	FaultCrashBefore = "crashBefore" // an application server crashes before it executes a call
 	FaultCrashAfter  = "crashAfter"  // an application server crashes after it has executed a call
 )
@@ -58,6 +59,7 @@
 	FaultLag:         {RolePlatform},
 	FaultLostAnswer:  {RolePlatform, RoleModel, RoleApplication},
 	FaultOldReads:    {RolePlatform},
+	FaultRawAnswer:   {RolePlatform, RoleApplication},
 	FaultCrashBefore: {RoleApplication},
 	FaultCrashAfter:  {RoleApplication},
 }
@@ -90,7 +92,7 @@
 	if !ok {
 		return fmt.Errorf("%w: kind %q", ErrFault, f.Kind)
 	}
-	if f.Kind == FaultCrash && f.Text == "" && !f.Lift {
+	if (f.Kind == FaultCrash || f.Kind == FaultRawAnswer) && f.Text == "" && !f.Lift {
 		return fmt.Errorf("%w: kind %q without a text", ErrFault, f.Kind)
 	}
 	found := false
@@ -200,6 +202,14 @@
 	return true
 }
 
+// takeRawAnswer returns the text of a FaultRawAnswer that is in effect, or an empty string, and uses up one of its
+// activations.
+func takeRawAnswer(s *Server) string {
+	text := s.Faults[FaultRawAnswer].Fault.Text
+	triggerFault(s, FaultRawAnswer)
+	return text
+}
+
 // hasFault reports whether a fault is in effect.
 func (s *Server) hasFault(kind string) bool {
 	_, ok := s.Faults[kind]
--- a/io/rockstandin/handlers.go
+++ b/io/rockstandin/handlers.go
@@ -68,6 +68,16 @@
 // stream.
 func abort() { panic(http.ErrAbortHandler) }
 
+// sendRaw sends a text as it is on an HTTP/1 connection, and closes it.
+func sendRaw(rw http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		abort()
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, text) // a write fails only if the client has closed the connection
+}
+
 // sleepOrDone waits for d, or until the client cancels the request. It reports whether the request is
 // still active.
 func sleepOrDone(r *http.Request, d time.Duration) bool {
@@ -319,6 +329,10 @@
 	if err != nil || !sleepOrDone(r, reply.Delay) || reply.DropAnswer {
 		abort()
 	}
+	if reply.RawAnswer != "" {
+		sendRaw(rw, reply.RawAnswer)
+		return
+	}
 	writeJSON(rw, reply.Status, reply.Row)
 }
 
@@ -376,6 +390,10 @@
 	if err != nil || reply.DropAnswer {
 		abort()
 	}
+	if reply.RawAnswer != "" {
+		sendRaw(rw, reply.RawAnswer)
+		return
+	}
 	writeJSON(rw, reply.Status, reply.Body)
 }
 
--- a/io/rockstandin/platform.go
+++ b/io/rockstandin/platform.go
@@ -86,6 +86,7 @@
 		Status:     http.StatusOK,
 		Row:        rockplatform.Row{Version: current.Version + 1},
 		DropAnswer: triggerFault(s, FaultLostAnswer),
+		RawAnswer:  takeRawAnswer(s),
 	}
 }
 
--- a/io/rockstandin/world.go
+++ b/io/rockstandin/world.go
@@ -171,7 +171,8 @@
 type RowReply struct {
 	Status     int // HTTP status
 	Row        rockplatform.Row
-	DropAnswer bool // abort the request instead of answering
+	DropAnswer bool   // abort the request instead of answering
+	RawAnswer  string // sent instead of the answer unless empty
 	Delay      time.Duration
 }
 
@@ -197,7 +198,8 @@
 type CallReply struct {
 	Status     int
 	Body       any
-	DropAnswer bool // abort the request instead of answering
+	DropAnswer bool   // abort the request instead of answering
+	RawAnswer  string // sent instead of the answer unless empty
 }
 
 // HostEvent adds, replaces or removes a host of the platform's list.
