Do not take an engine's answer with an invalid status for a refusal

What callers saw: nothing of the answer itself, but an engine that answered an order, a session or a status request with :status 000, 99 or 600 was taken to have refused it, after which nothing has run; "+200" and "0200" were taken for 200.

Cause: each status but 200 was ErrNotStarted, and net/http reads the status of HTTP/2 as any number.

Change: io/rockengine sends through rockresponse.Transport, so that such an answer is ErrLost.

Evidence: without the change TestMalformedAnswerOfAnEngineIsLost fails for the five statuses, for sessions, status requests and orders each; with it it passes. Names with a space, a capital or a control byte and line breaks in values passed before: net/http checks them in HTTP/2, and the test keeps that.

--- a/io/rockdaemon/malformed_test.go
+++ b/io/rockdaemon/malformed_test.go
@@ -10,6 +10,10 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockresponse"
 	"sassafrasrock/io/rockservice"
 	"sassafrasrock/io/rockstandin"
@@ -117,3 +121,77 @@
 		}
 	}
 }
+
+// startEngineServer starts a server that speaks HTTP/2 and answers each request with header fields and the body.
+func startEngineServer(t *testing.T, fields []hpack.HeaderField, body string) string {
+	t.Helper()
+	return startServer(t, func(conn net.Conn) {
+		if _, err := io.ReadFull(conn, make([]byte, len(http2.ClientPreface))); err != nil {
+			return
+		}
+		framer := http2.NewFramer(conn, conn)
+		_ = framer.WriteSettings()
+		for {
+			frame, err := framer.ReadFrame()
+			if err != nil {
+				return
+			}
+			switch frame := frame.(type) {
+			case *http2.SettingsFrame:
+				if !frame.IsAck() {
+					_ = framer.WriteSettingsAck()
+				}
+			case *http2.HeadersFrame:
+				var block strings.Builder
+				encoder := hpack.NewEncoder(&block)
+				for _, f := range fields {
+					_ = encoder.WriteField(f)
+				}
+				_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: frame.StreamID, BlockFragment: []byte(block.String()), EndHeaders: true})
+				_ = framer.WriteData(frame.StreamID, true, []byte(body))
+			}
+		}
+	})
+}
+
+// Guards against an answer of an engine that is not valid HTTP and that counts as a refusal, after which nothing has run.
+func TestMalformedAnswerOfAnEngineIsLost(t *testing.T) {
+	const body = `{"accepted":true,"ok":true,"name":"r1","slots":8}` + "\n"
+	for name, c := range map[string]struct {
+		fields []hpack.HeaderField
+		valid  bool
+	}{
+		"valid":                  {[]hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "x-y", Value: "1"}}, true},
+		"status 000":             {[]hpack.HeaderField{{Name: ":status", Value: "000"}}, false},
+		"status 99":              {[]hpack.HeaderField{{Name: ":status", Value: "99"}}, false},
+		"status 600":             {[]hpack.HeaderField{{Name: ":status", Value: "600"}}, false},
+		"status with a sign":     {[]hpack.HeaderField{{Name: ":status", Value: "+200"}}, false},
+		"status of four digits":  {[]hpack.HeaderField{{Name: ":status", Value: "0200"}}, false},
+		"no status":              {[]hpack.HeaderField{{Name: "x-y", Value: "1"}}, false},
+		"space in a name":        {[]hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "x y", Value: "1"}}, false},
+		"space after a name":     {[]hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "x-y ", Value: "1"}}, false},
+		"capital in a name":      {[]hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "X-y", Value: "1"}}, false},
+		"control byte in a name": {[]hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "x-\x01y", Value: "1"}}, false},
+		"line break in a value":  {[]hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: "x-y", Value: "1\r\nx-z: 1"}}, false},
+	} {
+		address := startEngineServer(t, c.fields, body)
+		engine := rockengine.New()
+		ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+		session, openErr := engine.Open(ctx, address, rockengine.OpenRequest{Request: "r"})
+		if openErr == nil {
+			session.Close()
+		}
+		_, _, statusErr := engine.Status(ctx, address)
+		_, orderErr := engine.Order(ctx, address, rockengine.OrderRequest{})
+		for kind, err := range map[string]error{"session": openErr, "status": statusErr, "order": orderErr} {
+			switch {
+			case c.valid && err != nil:
+				t.Errorf("%s, %s: got error %v, want none", name, kind, err)
+			case !c.valid && (!errors.Is(err, rockengine.ErrLost) || errors.Is(err, rockengine.ErrNotStarted)):
+				t.Errorf("%s, %s: got error %v, want ErrLost", name, kind, err)
+			}
+		}
+		engine.Close()
+		cancel()
+	}
+}
--- a/io/rockengine/client.go
+++ b/io/rockengine/client.go
@@ -18,6 +18,7 @@
 
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockmemory"
+	"sassafrasrock/io/rockresponse"
 )
 
 // Options holds the limits of a client.
@@ -73,7 +74,7 @@
 	options Options
 
 	mu         sync.Mutex
-	transports map[string]*http.Transport // by address; replaced when a session is resumed or a status request failed
+	transports map[string]*rockresponse.Transport // by address; replaced when a session is resumed or a status request failed
 }
 
 // New returns an Engine that uses HTTP/2 without TLS.
@@ -82,7 +83,7 @@
 	for _, option := range options {
 		option(&o)
 	}
-	c := &client{options: o, transports: make(map[string]*http.Transport)}
+	c := &client{options: o, transports: make(map[string]*rockresponse.Transport)}
 	return &Engine{
 		Open:        c.open,
 		Status:      c.status,
@@ -94,10 +95,10 @@
 	}
 }
 
-func newTransport(o Options) *http.Transport {
+func newTransport(o Options) *rockresponse.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
+	return rockresponse.New(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
 		Protocols:   protocols,
 		HTTP2: &http.HTTP2Config{
@@ -108,17 +109,17 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: o.MaxHeadBytes,
-	}
+	})
 }
 
 // transport returns the transport for new requests to an address, creating it if there is none.
-func (c *client) transport(address string) *http.Transport {
+func (c *client) transport(address string) *rockresponse.Transport {
 	return c.replaceTransport(address, nil)
 }
 
 // replaceTransport replaces the transport for an address, unless it is no longer the one that failed, and returns the
 // current one. Many sessions on one lost connection thereby share one new connection.
-func (c *client) replaceTransport(address string, failed *http.Transport) *http.Transport {
+func (c *client) replaceTransport(address string, failed *rockresponse.Transport) *rockresponse.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.transports[address] == failed {
@@ -169,7 +170,7 @@
 	return doJSONWith[Q, R](ctx, c.transport(address), method, address, path, q, limit)
 }
 
-func doJSONWith[Q, R any](ctx context.Context, transport *http.Transport, method, address, path string, q *Q, limit int) (R, time.Duration, error) {
+func doJSONWith[Q, R any](ctx context.Context, transport *rockresponse.Transport, method, address, path string, q *Q, limit int) (R, time.Duration, error) {
 	var reply R
 	ctx, trace := withTrace(ctx)
 	var body io.Reader
--- a/io/rockengine/session.go
+++ b/io/rockengine/session.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"sassafrasrock/io/rockmemory"
+	"sassafrasrock/io/rockresponse"
 )
 
 const (
@@ -24,7 +25,7 @@
 type stream struct {
 	client       *client
 	address      string
-	transport    *http.Transport
+	transport    *rockresponse.Transport
 	req          OpenRequest
 	checkOpened  func(OpenReply) error
 	maxLineBytes int
