Do not take a store's answer that is not valid HTTP for one to a write

What callers saw: nothing in a test; a write of a claim, a lease or the configuration whose answer had status 000 and that had taken effect counted as one without effect, and one with a space in the name of a field as confirmed or as a conflict. Work guarded by such a row could run twice or be refused.

Cause: the clients of the platform's store (platform, io/rockplatform) have transports of their own. A status that they did not expect, other than a failure of the server, was the store's word that it did nothing.

A write with such an answer has an unknown outcome, so that its row is read back; a read has failed.

--- a/io/rockdaemon/malformed_test.go
+++ b/io/rockdaemon/malformed_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"sassafrasrock/io/rockengine"
+	"sassafrasrock/io/rockplatform"
 	"sassafrasrock/io/rockresponse"
 	"sassafrasrock/io/rockservice"
 	"sassafrasrock/io/rockstandin"
@@ -98,7 +99,7 @@
 func TestClientsRejectMalformedAnswers(t *testing.T) {
 	for name, text := range malformedAnswers {
 		address := startRawServer(t, text)
-		service := rockservice.New()
+		service, platform := rockservice.New(), rockplatform.New("http://"+address)
 		calls := map[string]struct {
 			want error
 			call func(ctx context.Context) error
@@ -111,6 +112,18 @@
 				_, err := service.Probe(ctx, address)
 				return err
 			}},
+			"host list": {rockplatform.ErrUnavailable, func(ctx context.Context) error {
+				_, err := platform.Hosts(ctx)
+				return err
+			}},
+			"read of a row": {rockplatform.ErrUnavailable, func(ctx context.Context) error {
+				_, err := platform.Get(ctx, "t", "k")
+				return err
+			}},
+			"write of a row": {rockplatform.ErrOutcomeUnknown, func(ctx context.Context) error {
+				_, err := platform.Put(ctx, "t", "k", rockplatform.PutRequest{Value: []byte("1")})
+				return err
+			}},
 		}
 		for kind, c := range calls {
 			ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
--- a/io/rockplatform/client.go
+++ b/io/rockplatform/client.go
@@ -17,6 +17,7 @@
 
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockmemory"
+	"sassafrasrock/io/rockresponse"
 )
 
 // Options are the limits of a client.
@@ -49,7 +50,7 @@
 type client struct {
 	base      string
 	options   Options
-	transport *http.Transport
+	transport *rockresponse.Transport
 }
 
 // New returns a Platform whose function fields send requests to the URL.
@@ -61,12 +62,12 @@
 	c := &client{
 		base:    strings.TrimSuffix(url, "/"),
 		options: o,
-		transport: &http.Transport{
+		transport: rockresponse.New(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
 			MaxIdleConnsPerHost:    8,
 			IdleConnTimeout:        30 * time.Second,
 			MaxResponseHeaderBytes: o.MaxHeadBytes,
-		},
+		}),
 	}
 	return &Platform{
 		Hosts:     c.hosts,
