Name the backend server of an answer that is not valid HTTP in the log of sassafrasrockd

Cause: on the product's own interface an error of a call or of an opening session became a reason code; nothing told which server had sent what.

Change: rocktraffic writes one line for each such answer, with the request, the backend server and the fault. As backend servers decide how many there are, sassafrasrockd now writes its log through rocklog, which is bounded and never blocks, as sassafrasrock-entry does.

Evidence: TestMalformedAnswersAreLogged finds no line without the change of call.go and attempt.go, and one for the call and one for the session with it.

--- a/io/rockdaemon/main.go
+++ b/io/rockdaemon/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"sassafrasrock/io/rocklog"
 	"sassafrasrock/io/rockmemory"
 	"sassafrasrock/io/rocksettings"
 )
@@ -74,7 +75,9 @@
 			return err
 		}
 	}
-	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level}))
+	lines := rocklog.New(stderr)
+	defer lines.Close()
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
 	d, err := New(settings, WithLogger(log), WithSettingsFile(file))
 	if err != nil {
 		return err
--- a/io/rocktraffic/attempt.go
+++ b/io/rocktraffic/attempt.go
@@ -91,6 +91,7 @@
 		FirstLayer: stage.FirstLayer, LastLayer: stage.LastLayer, Priority: a.start.Priority,
 		Fingerprint: Fingerprint(a.chat.req.Prompt), Alone: a.start.Alone, MaxTokens: a.chat.req.MaxTokens - len(a.replay),
 	})
+	a.chat.traffic.logMalformed(a.chat.name(), stage.Name, err)
 	switch {
 	case err == nil:
 		return s, nil
--- a/io/rocktraffic/call.go
+++ b/io/rocktraffic/call.go
@@ -72,6 +72,7 @@
 	reply, err := c.traffic.Service.Do(ctx, start.Address, rockservice.Call{
 		Method: c.req.Method, Path: c.req.Path, ContentType: c.req.ContentType, IdempotencyKey: c.req.IdempotencyKey, AttemptID: c.attemptName, Body: c.req.Body, Held: c.req.Held, Prepaid: shortAnswerBytes,
 	})
+	c.traffic.logMalformed(c.attemptName, start.Name, err)
 	e := rocktable.CallEnded{Request: c.ID, Server: start.Server, Run: start.Run, Sent: true}
 	switch {
 	case err == nil:
--- a/io/rocktraffic/traffic.go
+++ b/io/rocktraffic/traffic.go
@@ -1,6 +1,7 @@
 package rocktraffic
 
 import (
+	"errors"
 	"log/slog"
 	"time"
 
@@ -9,6 +10,7 @@
 	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockexchange"
 	"sassafrasrock/io/rockguard"
+	"sassafrasrock/io/rockresponse"
 	"sassafrasrock/io/rockservice"
 )
 
@@ -25,4 +27,11 @@
 	Log       *slog.Logger
 }
 
+// logMalformed logs an answer that is not valid HTTP, with the backend server that sent it. Other errors have no line.
+func (t *Traffic) logMalformed(request, server string, err error) {
+	if errors.Is(err, rockresponse.ErrMalformed) {
+		t.Log.Warn("answer is not valid HTTP", "request", request, "server", server, "error", err.Error())
+	}
+}
+
 func (t *Traffic) guard() rockguard.Guard { return rockguard.Guard{Log: t.Log, Count: t.Count} }
--- a/io/rocktraffic/traffic_test.go
+++ b/io/rocktraffic/traffic_test.go
@@ -1,8 +1,10 @@
 package rocktraffic
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
@@ -16,6 +18,7 @@
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockexchange"
+	"sassafrasrock/io/rockresponse"
 	"sassafrasrock/io/rockservice"
 )
 
@@ -280,6 +283,37 @@
 	}
 }
 
+// Guards against an answer that is not valid HTTP and of which no log line names the backend server and the fault.
+func TestMalformedAnswersAreLogged(t *testing.T) {
+	err := fmt.Errorf("%w: status \"000 None\"", rockresponse.ErrMalformed)
+	h := newHarness(noFailure)
+	var lines bytes.Buffer
+	h.traffic.Log = slog.New(slog.NewTextHandler(&lines, nil))
+	h.traffic.Service = &rockservice.Client{Do: func(context.Context, string, rockservice.Call) (rockservice.Reply, error) {
+		return rockservice.Reply{}, fmt.Errorf("%w: %w", rockservice.ErrLost, err)
+	}}
+	go h.traffic.Call(t.Context(), CallRequest{Method: "POST", Path: "/squares", IdempotencyKey: "k"})
+	<-h.events
+	h.traffic.Exchanges.Dispatch(rocktable.Outbox{CallStarts: []rocktable.CallStart{{Request: 1, Name: "app-1", Timeout: time.Minute}}})
+	<-h.events
+	h.traffic.Engine.Open = func(context.Context, string, rockengine.OpenRequest) (*rockengine.Session, error) {
+		return nil, fmt.Errorf("%w: %w", rockengine.ErrLost, err)
+	}
+	go h.traffic.Chat(t.Context(), ChatRequest{Prompt: "p", MaxTokens: 4}, func(Token) error { return nil })
+	<-h.events
+	h.traffic.Exchanges.Dispatch(rocktable.Outbox{Starts: []rocktable.Start{{
+		Request: 2, Attempt: 1, Epoch: 1, Path: []rocktable.Stage{{Name: "r1"}}, FirstTokenLimit: time.Minute,
+	}}})
+	if end := h.nextEnd(); end.Reason != rockreason.StageUnreachable || !end.Crashed {
+		t.Errorf("got end %+v, want that the backend server cannot be reached and may have crashed", end)
+	}
+	for _, want := range []string{"request=entry-1/1/1 server=app-1", "request=entry-1/1/2 server=r1"} {
+		if got := lines.String(); !strings.Contains(got, want) || strings.Count(got, "000 None") != 2 {
+			t.Errorf("the log has %q, want %q and the status", got, want)
+		}
+	}
+}
+
 // Guards against a panic in an attempt or a call that ends the process, and against one after which the control thread holds
 // the request for good.
 func TestPanicEndsItsRequest(t *testing.T) {
