Share the loop that accepts connections among the raw servers of the tests

Cause: nine tests of four packages had the same listener, loop and goroutine around the bytes that they send. Change: rockstandin.ServeConns has it once; the tests keep what they send. Nothing is asked less.

--- a/io/rockdaemon/cut_test.go
+++ b/io/rockdaemon/cut_test.go
@@ -20,33 +20,18 @@
 
 // cuttingProxy passes on what a server sends until a number of bytes, and then closes the connection.
 type cuttingProxy struct {
-	net.Listener
-	server string
-	limit  atomic.Int64
+	address, server string
+	limit           atomic.Int64
 }
 
 func newCuttingProxy(t *testing.T, server string) *cuttingProxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	p := &cuttingProxy{Listener: l, server: server}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.pass(conn)
-		}
-	}()
+	p := &cuttingProxy{server: server}
+	p.address = startServer(t, p.pass)
 	return p
 }
 
 func (p *cuttingProxy) pass(conn net.Conn) {
-	defer conn.Close()
 	server, err := net.Dial("tcp", p.server)
 	if err != nil {
 		return
@@ -76,7 +61,7 @@
 			call := rockservice.Call{Method: http.MethodPost, Path: "/x"}
 			for limit := int64(0); ; limit++ {
 				p.limit.Store(limit)
-				reply, err := client.Do(t.Context(), p.Addr().String(), call)
+				reply, err := client.Do(t.Context(), p.address, call)
 				if err == nil {
 					whole := string(reply.Body) == body || name == "no body" && reply.Status == http.StatusNoContent
 					if !whole || limit < 50 {
@@ -143,7 +128,7 @@
 	for limit := int64(0); limit < 2000; limit++ {
 		p.limit.Store(limit)
 		client := rockengine.New()
-		got, _, err := client.Status(t.Context(), p.Addr().String())
+		got, _, err := client.Status(t.Context(), p.address)
 		client.Close()
 		if err != nil {
 			failed++
--- a/io/rockdaemon/endless_test.go
+++ b/io/rockdaemon/endless_test.go
@@ -15,33 +15,20 @@
 // connection. It returns its address and the number of bytes that it could send.
 func startEndlessHead(t *testing.T) (string, *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	sent := new(atomic.Int64)
 	line := []byte("X-Fill: " + strings.Repeat("x", 1000) + "\r\n")
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
-				p := []byte("HTTP/1.1 200 OK\r\n")
-				for err == nil {
-					var n int
-					n, err = conn.Write(p)
-					sent.Add(int64(n))
-					p = line
-				}
-			}()
+	address := startServer(t, func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		p := []byte("HTTP/1.1 200 OK\r\n")
+		var err error
+		for err == nil {
+			var n int
+			n, err = conn.Write(p)
+			sent.Add(int64(n))
+			p = line
 		}
-	}()
-	return l.Addr().String(), sent
+	})
+	return address, sent
 }
 
 // Guards against an application or a platform in trouble whose head without end takes the memory of the host.
--- a/io/rockdaemon/malformed_test.go
+++ b/io/rockdaemon/malformed_test.go
@@ -64,26 +64,14 @@
 	})
 }
 
-// startServer starts a server that handles each connection with a function and then closes it.
+// startServer starts a server that handles each connection with a function, until the end of the test.
 func startServer(t *testing.T, handle func(net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := rockstandin.ServeConns(handle)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn)
-			}()
-		}
-	}()
 	return l.Addr().String()
 }
 
--- a/io/rockprocess/endless_test.go
+++ b/io/rockprocess/endless_test.go
@@ -71,32 +71,22 @@
 // send.
 func serveEndless(t *testing.T, text endlessText, sound string) (string, *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	sent := new(atomic.Int64)
+	l, err := rockstandin.ServeConns(func(conn net.Conn) {
+		request := make([]byte, 4096)
+		n, err := conn.Read(request)
+		switch {
+		case err != nil:
+		case sound != "" && bytes.HasPrefix(request[:n], []byte(sound)):
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+`{"state":"live","incarnation":1}`)
+		default:
+			text.send(conn, sent)
+		}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	sent := new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request := make([]byte, 4096)
-				n, err := conn.Read(request)
-				switch {
-				case err != nil:
-				case sound != "" && bytes.HasPrefix(request[:n], []byte(sound)):
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+`{"state":"live","incarnation":1}`)
-				default:
-					text.send(conn, sent)
-				}
-			}()
-		}
-	}()
 	return l.Addr().String(), sent
 }
 
--- a/io/rockservice/client_test.go
+++ b/io/rockservice/client_test.go
@@ -7,33 +7,26 @@
 	"testing"
 
 	"sassafrasrock/io/rockservice"
+	"sassafrasrock/io/rockstandin"
 	"sassafrasrock/io/rocktarget"
 )
 
 // Guards against a call whose path or query changes on the way to a backend server.
 func TestCallIsSentUnchanged(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	lines := make(chan string, 1)
+	l, err := rockstandin.ServeConns(func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		first, err := r.ReadString('\n')
+		for line := first; err == nil && line != "\r\n"; {
+			line, err = r.ReadString('\n')
+		}
+		lines <- first
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	lines := make(chan string, 1)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			r := bufio.NewReader(conn)
-			first, err := r.ReadString('\n')
-			for line := first; err == nil && line != "\r\n"; {
-				line, err = r.ReadString('\n')
-			}
-			lines <- first
-			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-			_ = conn.Close()
-		}
-	}()
 	client := rockservice.New()
 	for _, path := range []string{"/", "//", "//a/b?c", "/a?", "/a|b\"{}<>^`\\c", "/\xff", "//\xff?\xfe", "/a/./..//b%2F%2e", "/%zz"} {
 		if _, err := client.Do(t.Context(), l.Addr().String(), rockservice.Call{Method: "GET", Path: path}); err != nil {
