Reject answers of HTTP/1.0 with a transfer coding

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached them with another body than the backend server's: "3\r\nraw\r\n0\r\n" with status 200 and the proof, and on the product's own interface it was recorded as the outcome.

Cause: net/http ignores the coding and removes the field, so that the check of the head cannot see it. RFC 9112, section 6.1, calls the framing of such a message faulty.

Change: connections of HTTP/1 look at the lines of a head that begins with HTTP/1.0 while net/http reads it. The transport asks them before it returns the response. Nothing is parsed twice for other versions.

Sound answers of HTTP/1.0, with and without a length and with a continued line that looks like the field, pass unchanged.

--- a/io/rockresponse/check_test.go
+++ b/io/rockresponse/check_test.go
@@ -14,14 +14,19 @@
 	"sassafrasrock/io/rockstandin"
 )
 
-// newRawClient returns a client whose server answers each request with a text and closes the connection.
-func newRawClient(t *testing.T, text string) *http.Client {
+// newRawClient returns a client whose server answers the requests on each connection with the texts, in order, and then
+// closes the connection.
+func newRawClient(t *testing.T, texts ...string) *http.Client {
 	t.Helper()
 	dial := func(context.Context, string, string) (net.Conn, error) {
 		client, server := net.Pipe()
 		go func() {
 			defer server.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+			requests := bufio.NewReader(server)
+			for _, text := range texts {
+				if _, err := http.ReadRequest(requests); err != nil {
+					return
+				}
 				_, _ = io.WriteString(server, text)
 			}
 		}()
@@ -122,6 +127,8 @@
 		"unknown status":         {headAndBody("HTTP/1.1 299 Odd"), 299, nil},
 		"greatest status":        {headAndBody("HTTP/1.1 599 Odd"), 599, nil},
 		"HTTP/1.0":               {headAndBody("HTTP/1.0 200 OK"), 200, nil},
+		"HTTP/1.0, continued":    {headAndBody("HTTP/1.0 200 OK", "X-Y: 1", "  Transfer-Encoding: chunked"), 200, http.Header{"X-Y": {"1 Transfer-Encoding: chunked"}}},
+		"HTTP/1.0, body":         {"HTTP/1.0 200 OK\r\n\r\nok", 200, nil},
 		"higher minor version":   {headAndBody("HTTP/1.9 200 OK"), 200, nil},
 		"all bytes of names":     {headAndBody("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~09azAZ: 1"), 200, http.Header{"!#$%&'*+-.^_`|~09azaz": {"1"}}},
 		"long name":              {headAndBody("HTTP/1.1 200 OK", strings.Repeat("X", 4000)+": 1"), 200, http.Header{"X" + strings.Repeat("x", 3999): {"1"}}},
@@ -150,6 +157,25 @@
 	}
 }
 
+// Guards against a later response on a kept connection that is not checked, and against a connection that is used again after
+// a response that was rejected: what follows on it may belong to that one.
+func TestKeptConnections(t *testing.T) {
+	const kept = "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n"
+	c := newRawClient(t, kept+"\r\nok", kept+"Transfer-Encoding: chunked\r\n\r\nok")
+	if _, body, err := request(t, c, http.MethodGet); err != nil || body != "ok" {
+		t.Errorf("first request: got body %q and error %v, want \"ok\"", body, err)
+	}
+	if _, body, err := request(t, c, http.MethodGet); !errors.Is(err, rockresponse.ErrMalformed) {
+		t.Errorf("second request: got body %q and error %v, want ErrMalformed", body, err)
+	}
+	c = newRawClient(t, "HTTP/1.1 204 No Content\r\nX Y: 1\r\n\r\n", headAndBody("HTTP/1.1 200 OK"))
+	for range 3 {
+		if _, body, err := request(t, c, http.MethodGet); !errors.Is(err, rockresponse.ErrMalformed) {
+			t.Errorf("got body %q and error %v, want ErrMalformed on each connection", body, err)
+		}
+	}
+}
+
 // Guards against interim responses without end, for which net/http has no limit where they are checked, and against a limit
 // for few of them.
 func TestInterimResponsesAreLimited(t *testing.T) {
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -1,6 +1,7 @@
 package rockresponse
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptrace"
 
@@ -38,18 +39,20 @@
 	if t.maxBodyBytes > 0 {
 		base.DisableCompression = true // a short compressed body may be long
 	}
+	if !t.isHTTP2Only() {
+		base.DialContext = watchCodings(base.DialContext)
+	}
 	return t
 }
 
 // RoundTrip sends one request. Its errors are ErrMalformed and those of http.Transport.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	interim := &interimResponses{left: t.base.MaxResponseHeaderBytes}
-	trace := &httptrace.ClientTrace{Got1xxResponse: interim.check}
-	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	w := &watch{interim: interimResponses{left: t.base.MaxResponseHeaderBytes}}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), w.trace())))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp, t.majorVersion(resp)); err != nil {
+	if err := t.check(resp, w); err != nil {
 		resp.Body.Close()
 		// The connection of a response without a body may be idle already. What follows on it is not known.
 		t.base.CloseIdleConnections()
@@ -61,6 +64,33 @@
 	return resp, nil
 }
 
+// watch is what is seen of a request beside its response.
+type watch struct {
+	interim interimResponses
+	conn    *codingConn // that the response came on; nil if it is not watched
+}
+
+// trace returns the hooks that fill the watch.
+func (w *watch) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		Got1xxResponse: w.interim.check,
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*codingConn); ok {
+				conn.expectHead()
+				w.conn = conn
+			}
+		},
+	}
+}
+
+// check returns ErrMalformed for a response that is not valid HTTP.
+func (t *Transport) check(resp *http.Response, w *watch) error {
+	if w.conn != nil && w.conn.hasCoding() {
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
+	}
+	return checkHead(resp, t.majorVersion(resp))
+}
+
 // wrapBody makes the body of a response end with an error if its trailer is invalid or it is longer than allowed.
 func (t *Transport) wrapBody(resp *http.Response) {
 	if len(resp.TransferEncoding) > 0 {
@@ -74,15 +104,17 @@
 // majorVersion returns the major version of HTTP that the connection of a response speaks. The version in a response of
 // HTTP/1 is only a text of its server.
 func (t *Transport) majorVersion(resp *http.Response) int {
-	isPlain := resp.TLS == nil
-	if isPlain && t.base.Protocols != nil && t.base.Protocols.UnencryptedHTTP2() {
-		return 2
-	}
-	if !isPlain && resp.TLS.NegotiatedProtocol == "h2" {
+	if t.isHTTP2Only() || resp.TLS != nil && resp.TLS.NegotiatedProtocol == "h2" {
 		return 2
 	}
 	return 1
 }
 
+// isHTTP2Only reports whether connections without TLS speak HTTP/2.
+func (t *Transport) isHTTP2Only() bool {
+	protocols := t.base.Protocols
+	return protocols != nil && protocols.UnencryptedHTTP2() && !protocols.HTTP1()
+}
+
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
