--- a/io/rockresponse/coding.go
+++ b/io/rockresponse/coding.go
@@ -41,7 +41,7 @@
 type oldHead struct {
 	line      []byte // beginning of the current line
 	begun     bool   // the first line has been read
-	ended     bool   // of the final response, or it is not one of HTTP/1.0
+	ended     bool   // nothing more is to be seen: the head of the final response has ended, or has another version
 	isInterim bool
 	isOld     bool // HTTP/1.0
 	hasCoding bool
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -8,11 +8,11 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxHeadBytes limits the head of a response, and its interim responses together. The default of net/http, 10 MB, is too
+// MaxHeadBytes limits the head of a response, and those of all its interim responses together. The default of net/http, 10 MB, is too
 // much for hosts with 184 MB and hundreds of attempts.
 const MaxHeadBytes = 64 << 10
 
-// ErrTooLong reports a response whose body is longer than allowed.
+// ErrTooLong reports a response whose body, or whose interim responses, are longer than allowed.
 var ErrTooLong = eris.New("response is too long")
 
 // Transport is an http.RoundTripper whose responses are valid HTTP and have limited heads and bodies, whatever their status.
@@ -45,7 +45,8 @@
 	return t
 }
 
-// RoundTrip sends one request. Its errors are ErrMalformed and those of http.Transport.
+// RoundTrip sends one request. Its errors are ErrMalformed, ErrTooLong for interim responses without end, and those of
+// http.Transport.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	w := &watch{interim: interimResponses{left: t.base.MaxResponseHeaderBytes}}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), w.trace())))
@@ -64,7 +65,7 @@
 	return resp, nil
 }
 
-// watch is what is seen of a request beside its response.
+// watch collects what net/http shows of a request beside its response.
 type watch struct {
 	interim interimResponses
 	conn    *codingConn // that the response came on; nil if it is not watched
