Count the idle connection in TestHeadsAreCounted after it was accepted

The test read what an idle connection counts right after dialing, when the server may not have counted the connection yet. Change: the test waits until the server has accepted, and asks that the connection counts.

--- a/io/rockhttp/connections_test.go
+++ b/io/rockhttp/connections_test.go
@@ -187,7 +187,11 @@
 		field := "X-Fill: " + strings.Repeat("x", 4000) + "\r\n"
 		conn := s.dial()
 		for range 2 {
+			synctest.Wait() // the server counts the connection after it has accepted it
 			idle := s.memory.Used()
+			if idle == 0 {
+				t.Fatal("the idle connection does not count")
+			}
 			if _, err := fmt.Fprint(conn, headBegin+strings.Repeat(field, 10)); err != nil {
 				t.Fatal(err)
 			}
