Check the head of an answer that arrives before its request

What callers saw: seldom, the body of a transfer coding in HTTP/1.0 once more, from a server that answers before it has read the request.

Cause: the connection forgot what it had read when a request got it. A new connection may have received the beginning of the head by then; only a reused one has an earlier response to forget.

Change: only a reused connection begins with a new head.

Evidence: found while reading the change again.

--- a/io/rockresponse/check_test.go
+++ b/io/rockresponse/check_test.go
@@ -187,3 +187,26 @@
 		}
 	}
 }
+
+// Guards against an answer of HTTP/1.0 with a transfer coding that arrives before its request is sent, and whose head is
+// then not looked at.
+func TestEarlyAnswerIsChecked(t *testing.T) {
+	const text = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	l, err := rockstandin.ServeConns(func(conn net.Conn) {
+		_, _ = io.WriteString(conn, text)
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	dial := func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, l.Addr().String())
+	}
+	for range 2000 {
+		c := &http.Client{Transport: rockresponse.New(&http.Transport{DialContext: dial, DisableKeepAlives: true})}
+		if _, body, err := request(t, c, http.MethodGet); err == nil {
+			t.Fatalf("got body %q, want an error", body)
+		}
+	}
+}
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxHeadBytes limits the head of a response, and those of all its interim responses together. The default of net/http, 10 MB, is too
-// much for hosts with 184 MB and hundreds of attempts.
+// MaxHeadBytes limits the head of a response, and those of all its interim responses together. The default of net/http,
+// 10 MB, is too much for hosts with 184 MB and hundreds of attempts.
 const MaxHeadBytes = 64 << 10
 
 // ErrTooLong reports a response whose body, or whose interim responses, are longer than allowed.
@@ -76,9 +76,13 @@
 	return &httptrace.ClientTrace{
 		Got1xxResponse: w.interim.check,
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*codingConn); ok {
+			conn, ok := info.Conn.(*codingConn)
+			if !ok {
+				return
+			}
+			w.conn = conn
+			if info.Reused { // a new connection may have received the beginning of the head already
 				conn.expectHead()
-				w.conn = conn
 			}
 		},
 	}
