--- a/io/rockdaemon/fleet_test.go
+++ b/io/rockdaemon/fleet_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -372,3 +373,14 @@
 		}
 	}
 }
+
+// startServer starts a server that handles each connection with a function, until the end of the test.
+func startServer(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	l, err := rockstandin.ServeConns(handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
--- a/io/rockdaemon/malformed_test.go
+++ b/io/rockdaemon/malformed_test.go
@@ -64,17 +64,6 @@
 	})
 }
 
-// startServer starts a server that handles each connection with a function, until the end of the test.
-func startServer(t *testing.T, handle func(net.Conn)) string {
-	t.Helper()
-	l, err := rockstandin.ServeConns(handle)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	return l.Addr().String()
-}
-
 // Guards against an answer that is not valid HTTP and that a client of the product's own interface takes as one, or as the
 // word of its server that a request did not run.
 func TestClientsRejectMalformedAnswers(t *testing.T) {
