--- a/review/_stand3/review3/leaving.go
+++ b/review/_stand3/review3/leaving.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["13"] = leavingRunner }
+func init() { cases["14"] = leavingRunner }
 
 // leavingRunner lets a runner say in its answers that it leaves while the store is out, so that the store cannot tell.
 func leavingRunner(e *env) (bool, error) {
--- a/review/_stand3/review3/manifest.go
+++ b/review/_stand3/review3/manifest.go
@@ -9,6 +9,7 @@
 	Kind      string `json:"kind"`
 	TimeoutMs int    `json:"timeoutMs"`
 	TargetMs  int    `json:"latencyTargetMs"`
+	GapMs     int    `json:"gapTargetMs,omitempty"`
 	Priority  int    `json:"priority"`
 	Attempts  int    `json:"attempts"`
 	Public    bool   `json:"public"`
