Show the late streams of a stop with machines that are busy until it

Cause: quotas of random length hit the gap between the signal and its tick by chance, and some channels were used after they had been idle for longer than consumers may be.

Change: review/12 stops busy processes for 60 ms of each tenth of a second until 2 s after their SIGTERM, and the machines one by one, 5 s apart.

--- a/review/_stand3/review3/notice.go
+++ b/review/_stand3/review3/notice.go
@@ -11,20 +11,19 @@
 
 func init() { cases["12"] = afterNotice }
 
-// A machine's share of a core is a quota: in each period it runs until the quota is used up, after quotaRuns if it is busy
-// all the time, and then stands still until the period ends.
+// A machine's share of a core is a quota: in each period a busy process runs until the quota is used up, after quotaRuns, and
+// then stands still until the period ends.
 const (
 	quotaPeriod = 100 * time.Millisecond
 	quotaRuns   = 40 * time.Millisecond
 )
 
-// limitShare gives a host such a share of a core, with more and less to do in each period, until stop is closed.
+// limitShare gives a busy host its share of a core, until stop is closed.
 func limitShare(h *host, stop chan struct{}) {
 	for next := time.Now(); ; {
 		next = next.Add(quotaPeriod)
-		runs := quotaRuns + time.Duration(rand.Int63n(int64(quotaPeriod-quotaRuns)))
 		select {
-		case <-time.After(time.Until(next.Add(runs - quotaPeriod))):
+		case <-time.After(time.Until(next.Add(quotaRuns - quotaPeriod))):
 		case <-stop:
 			return
 		}
@@ -39,6 +38,7 @@
 	draftPath   = "/lohu930/"
 	excused     = 3 * time.Second
 	keptCount   = 50
+	busyAfter   = 2 * time.Second // from the SIGTERM; the platform asks twice, a second apart, and then sends no new channels
 	afterSpread = 50 * time.Millisecond
 )
 
@@ -63,15 +63,12 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	counts := make(map[string]int)
-	stop := make(chan struct{})
 	for n, h := range e.hosts {
 		open, err := keepChannels(h, n)
 		if err != nil {
 			return false, err
 		}
-		go limitShare(h, stop)
 		wg.Go(func() {
-			time.Sleep(time.Duration(n)*1300*time.Millisecond + time.Duration(rand.Int63n(int64(quotaPeriod))))
 			e.stopWhileBusy(s, h, n, open, func(end string) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -80,16 +77,13 @@
 		})
 	}
 	wg.Wait()
-	close(stop)
-	for _, h := range e.hosts {
-		h.signal(syscall.SIGCONT)
-	}
 	e.rec.line("requests that were sent later than %s after the SIGTERM of their machine: %v", excused, counts)
 	e.rec.line("%d were taken, passed on to the runner and cut off in the middle of their streams; one breaks LOST", counts["cut off"])
 	return counts["cut off"] > 0, nil
 }
 
-// keepChannels opens channels to a host and keeps them after a short stream on each.
+// keepChannels opens channels to a host and keeps them after a short stream on each, which takes 5 s. The channels are used
+// again within four fifths of idleTimeoutMs.
 func keepChannels(h *host, n int) ([]*channel, error) {
 	var open []*channel
 	for i := range keptCount {
@@ -123,13 +117,16 @@
 			e.rec.line("consumer: %s sent to %s before the SIGTERM: %s", id, h.name, c.send(draft(id, 400)))
 		}
 	})
-	time.Sleep(700 * time.Millisecond)
+	stop := make(chan struct{})
+	go limitShare(h, stop)
+	time.Sleep(700*time.Millisecond + time.Duration(rand.Int63n(int64(quotaPeriod))))
 	signal := time.Now()
 	if e.trouble {
 		h.signal(syscall.SIGTERM)
 		signal = time.Now()
 		e.rec.line("platform: SIGTERM to %s", h.name)
 	}
+	time.AfterFunc(busyAfter, func() { close(stop) })
 	for i, c := range open {
 		wg.Go(func() {
 			defer c.close()
