Move EndsWithConnection to rockresponse

Cause: the check of responses needs to know which of them end with their connection, as the clients of backend servers do, and rockresponse is the package that knows responses. Change: the function moves from rockliveness, and says no for HTTP/2, which marks the end of each body. No behaviour changes: its callers speak HTTP/1. Result: the tests of rockliveness, rockservice, rockrelay, and those of cut answers in platform and rockdaemon pass.

--- a/io/rockliveness/liveness.go
+++ b/io/rockliveness/liveness.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -23,11 +22,6 @@
 	keptConnection = 20 * time.Millisecond
 )
 
-// EndsWithConnection reports whether the body of an answer has neither a length nor chunks.
-func EndsWithConnection(resp *http.Response) bool {
-	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // Find asks for the process of a backend server until it is known, a few times at most. A refused connection shows that
 // the process is gone. The error is that of the context, or the last one of ask; then nothing is known.
 func Find(ctx context.Context, ask func(ctx context.Context) (rockstream.Process, error)) (rockstream.Process, error) {
--- a/io/rockresponse/body.go
+++ b/io/rockresponse/body.go
@@ -6,6 +6,12 @@
 	"net/http"
 )
 
+// EndsWithConnection reports whether the body of a response ends with its connection, as it has neither a length nor chunks.
+// HTTP/2 marks each end.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // limitedBody is the body of a response, of which at most left bytes may still be read.
 type limitedBody struct {
 	io.ReadCloser
--- a/io/rockservice/client.go
+++ b/io/rockservice/client.go
@@ -113,7 +113,7 @@
 	if len(body) > maxBodyBytes {
 		return Reply{}, fail(fmt.Errorf("%w: more than %d bytes", ErrTooLarge, maxBodyBytes))
 	}
-	if rockliveness.EndsWithConnection(resp) {
+	if rockresponse.EndsWithConnection(resp) {
 		if err := confirmEnd(ctx, address); err != nil {
 			return Reply{}, fail(err)
 		}
