Give the connections that rockresponse watches a file of their own

Cause: the check of responses will need more of a connection than the transfer codings of HTTP/1.0, which stood in one file with the reader of heads. Change: codingConn is watchedConn in conn.go; oldHead stays in coding.go. No behaviour changes. Result: the tests of rockresponse pass with the race detector.

--- a/io/rockresponse/coding.go
+++ b/io/rockresponse/coding.go
@@ -2,42 +2,14 @@
 
 import (
 	"bytes"
-	"context"
-	"net"
 	"strings"
-	"sync"
 )
 
 // maxLinePrefix is the number of bytes of a line that show its version and status, or that it is a transfer coding.
 const maxLinePrefix = 32
 
-// dialFunc opens a connection, as net.Dialer.DialContext does.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// watchCodings returns a function whose connections are codingConns. A nil dial stands for that of net/http.
-func watchCodings(dial dialFunc) dialFunc {
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
-	}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &codingConn{Conn: conn}, nil
-	}
-}
-
-// codingConn notices a transfer coding in a response of HTTP/1.0, which has none. net/http removes the field, and the body
-// that it returns is that of the coding.
-type codingConn struct {
-	net.Conn
-
-	mu   sync.Mutex
-	head oldHead
-}
-
-// oldHead is what is known of a head while it is read.
+// oldHead is what is known of a head while it is read. It notices a transfer coding in a response of HTTP/1.0, which has none:
+// net/http removes the field, and the body that it returns is that of the coding.
 type oldHead struct {
 	line      []byte // beginning of the current line
 	begun     bool   // the first line has been read
@@ -47,29 +19,6 @@
 	hasCoding bool
 }
 
-// Read reads from the connection and looks at the head in what it read.
-func (c *codingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head.read(p[:n])
-	return n, err
-}
-
-// expectHead begins with the response to a new request.
-func (c *codingConn) expectHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head = oldHead{}
-}
-
-// hasCoding reports whether the response is one of HTTP/1.0 with a transfer coding.
-func (c *codingConn) hasCoding() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head.hasCoding
-}
-
 // read continues with the next bytes.
 func (h *oldHead) read(p []byte) {
 	for len(p) > 0 && !h.ended {
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -40,7 +40,7 @@
 		base.DisableCompression = true // a short compressed body may be long
 	}
 	if !t.isHTTP2Only() {
-		base.DialContext = watchCodings(base.DialContext)
+		base.DialContext = watchConns(base.DialContext)
 	}
 	return t
 }
@@ -68,7 +68,7 @@
 // watch collects what net/http shows of a request beside its response.
 type watch struct {
 	interim interimResponses
-	conn    *codingConn // that the response came on; nil if it is not watched
+	conn    *watchedConn // that the response came on; nil if it is not watched
 }
 
 // trace returns the hooks that fill the watch.
@@ -76,7 +76,7 @@
 	return &httptrace.ClientTrace{
 		Got1xxResponse: w.interim.check,
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn, ok := info.Conn.(*codingConn)
+			conn, ok := info.Conn.(*watchedConn)
 			if !ok {
 				return
 			}
