Take no part of an answer that was reset during its upload as the whole

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete answer.

Cause: the kernel tells of the abort of a connection once, and net/http reads and writes at the same time. Where the write of the upload gets the error, the next read returns an ordinary end, and the body of an answer that ends with its connection counts as complete. The same held wherever such answers are read: calls, streams, writes to the store, the product's own interface, the platform's client and the operators'.

Change: rockresponse, through which all HTTP clients send, keeps the first error of a write on each connection. At the end of a body without a length or chunks it closes the connection, as net/http does then, waits for the write that is under way and looks at its error. After an abort, the body ends with io.ErrUnexpectedEOF. Closing ends a write that waits for a server that reads no more, so that a sound answer is not held up. EPIPE, which the kernel returns for a reset after an end in order, leaves the answer whole. Bodies are not expanded by net/http in any client now, as it hides how their end is marked; only rockplatform asked for that.

Ruled out: a read error taken for an end (answers with a length or chunks are never taken), and a front end that ends an answer in order that was broken off (nor is one whose upload had been written).

--- a/io/rockresponse/body.go
+++ b/io/rockresponse/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -12,6 +13,24 @@
 	return resp.ProtoMajor == 1 && resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// unframedBody is the body of a response that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	conn *watchedConn
+}
+
+// Read returns io.ErrUnexpectedEOF instead of io.EOF if the connection was aborted.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if aborted := b.conn.abortError(); aborted != nil {
+		return n, fmt.Errorf("%w: connection was aborted: %w", io.ErrUnexpectedEOF, aborted)
+	}
+	return n, err
+}
+
 // limitedBody is the body of a response, of which at most left bytes may still be read.
 type limitedBody struct {
 	io.ReadCloser
--- a/io/rockresponse/conn.go
+++ b/io/rockresponse/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // dialFunc opens a connection, as net.Dialer.DialContext does.
@@ -23,12 +26,24 @@
 	}
 }
 
-// watchedConn keeps what net/http does not tell of a connection: transfer codings of HTTP/1.0.
+// watchedConn keeps what net/http does not tell of a connection: transfer codings of HTTP/1.0, and the error of a write.
 type watchedConn struct {
 	net.Conn
 
 	headMu sync.Mutex
 	head   oldHead
+
+	writeMu  sync.Mutex // held during each write
+	writeErr error      // of the first write that failed
+}
+
+// connOf returns the watchedConn that carries a connection of net/http, or nil if there is none.
+func connOf(conn net.Conn) *watchedConn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	watched, _ := conn.(*watchedConn)
+	return watched
 }
 
 // Read reads from the connection and looks at the head in what it read.
@@ -40,6 +55,17 @@
 	return n, err
 }
 
+// Write writes to the connection and keeps the error.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
 // expectHead begins with the response to a new request.
 func (c *watchedConn) expectHead() {
 	c.headMu.Lock()
@@ -53,3 +79,25 @@
 	defer c.headMu.Unlock()
 	return c.head.hasCoding
 }
+
+// abortError closes the connection, from which io.EOF was read, and returns the error with which it had been aborted, or nil if
+// the other side ended it in order.
+//
+// The kernel reports that a connection was aborted only once. If a write gets the error, the next read returns io.EOF. The write
+// may not have returned yet; closing the connection ends one that is still waiting, so that an end in order is not held up.
+func (c *watchedConn) abortError() error {
+	_ = c.Conn.Close()
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if !isAbort(c.writeErr) {
+		return nil
+	}
+	return c.writeErr
+}
+
+// isAbort reports whether the error of a write shows that the connection was aborted before the other side had ended it. After
+// such an end, the kernel returns EPIPE.
+func isAbort(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -36,9 +36,8 @@
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes
 	}
-	if t.maxBodyBytes > 0 {
-		base.DisableCompression = true // a short compressed body may be long
-	}
+	// A short compressed body may be long, and net/http does not tell how the end of a body that it expands is marked.
+	base.DisableCompression = true
 	if !t.isHTTP2Only() {
 		base.DialContext = watchConns(base.DialContext)
 	}
@@ -60,7 +59,7 @@
 		return nil, err
 	}
 	if resp.Body != http.NoBody { // callers compare with it
-		t.wrapBody(resp)
+		t.wrapBody(resp, w)
 	}
 	return resp, nil
 }
@@ -68,7 +67,7 @@
 // watch collects what net/http shows of a request beside its response.
 type watch struct {
 	interim interimResponses
-	conn    *watchedConn // that the response came on; nil if it is not watched
+	conn    *watchedConn // that the response came on; nil with HTTP/2 only
 }
 
 // trace returns the hooks that fill the watch.
@@ -76,13 +75,9 @@
 	return &httptrace.ClientTrace{
 		Got1xxResponse: w.interim.check,
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn, ok := info.Conn.(*watchedConn)
-			if !ok {
-				return
-			}
-			w.conn = conn
-			if info.Reused { // a new connection may have received the beginning of the head already
-				conn.expectHead()
+			w.conn = connOf(info.Conn)
+			if w.conn != nil && info.Reused { // a new connection may have received the beginning of the head already
+				w.conn.expectHead()
 			}
 		},
 	}
@@ -90,16 +85,20 @@
 
 // check returns ErrMalformed for a response that is not valid HTTP.
 func (t *Transport) check(resp *http.Response, w *watch) error {
-	if w.conn != nil && w.conn.hasCoding() {
+	if w.conn != nil && resp.TLS == nil && w.conn.hasCoding() { // with TLS, the bytes of the connection are encrypted
 		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
 	}
 	return checkHead(resp, t.majorVersion(resp))
 }
 
-// wrapBody makes the body of a response end with an error if its trailer is invalid or it is longer than allowed.
-func (t *Transport) wrapBody(resp *http.Response) {
-	if len(resp.TransferEncoding) > 0 {
+// wrapBody makes the body of a response end with an error if its connection was aborted, its trailer is invalid or it is longer
+// than allowed.
+func (t *Transport) wrapBody(resp *http.Response, w *watch) {
+	switch {
+	case len(resp.TransferEncoding) > 0:
 		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, transport: t.base}
+	case w.conn != nil && EndsWithConnection(resp):
+		resp.Body = &unframedBody{ReadCloser: resp.Body, conn: w.conn}
 	}
 	if t.maxBodyBytes > 0 {
 		resp.Body = &limitedBody{ReadCloser: resp.Body, left: t.maxBodyBytes}
