--- a/io/rockload/load_test.go
+++ b/io/rockload/load_test.go
@@ -1,11 +1,13 @@
 package rockload_test
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +17,7 @@
 	"time"
 
 	"sassafrasrock/io/rockload"
+	"sassafrasrock/io/rockstandin"
 )
 
 // serveChat stands in for a callers' address. The prompt selects the outcome of the request.
@@ -80,6 +83,36 @@
 	}
 }
 
+// Guards against an answer that is not valid HTTP and that is counted as answered or refused.
+func TestMalformedAnswersCountAsFailed(t *testing.T) {
+	answers := rockstandin.MalformedAnswers("", "data: {\"choices\": [{\"delta\": {\"content\": \"word\"}}]}\n\ndata: [DONE]\n\n")
+	answers["refusal"] = "HTTP/1.1 503 Service Unavailable\r\nX Y: 1\r\n\r\n{\"error\": {\"code\": \"queueFull\", \"ran\": \"notRun\"}}"
+	for name, text := range answers {
+		if strings.HasPrefix(name, "trailer") {
+			continue // the answer is whole with its last event
+		}
+		l, err := rockstandin.ServeConns(func(conn net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, text)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		plan := rockload.Plan{RatePerSecond: 2000, Count: 1, Seed: 1, Targets: []string{l.Addr().String()}, Mix: []rockload.Share{
+			{Caller: "guild", Rank: "urgent", Token: "t", Prompts: []string{"word"}},
+		}}
+		report, err := (&rockload.Generator{Plan: plan}).Run(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if total := report.Total(); total.Sent != 1 || total.Failed != 1 {
+			t.Errorf("%s: got %+v, want one that failed", name, total)
+		}
+		_ = l.Close()
+	}
+}
+
 // Guards against a schedule that differs between runs of the same plan, or whose rate or mix differs
 // from the plan.
 func TestArrivals(t *testing.T) {
