Share the listeners of tests

Cause: three tests had an accept loop or a listener of pipes of their own, two of them the same one. Change: they use ServeConns, and ConnListener, of rockstandin. What they ask stays.

--- a/io/rockdaemon/cut_test.go
+++ b/io/rockdaemon/cut_test.go
@@ -16,6 +16,7 @@
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockengine"
 	"sassafrasrock/io/rockservice"
+	"sassafrasrock/io/rockstandin"
 )
 
 // cuttingProxy passes on what a server sends until a number of bytes, and then closes the connection.
@@ -82,29 +83,21 @@
 func TestCrashOfAServiceLosesTheAnswer(t *testing.T) {
 	for name, crash := range map[string]bool{"runs on": false, "crashes": true} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			listening := make(chan net.Listener, 1)
+			l, err := rockstandin.ServeConns(func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+				if crash {
+					_ = (<-listening).Close()
+				}
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer l.Close()
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer conn.Close()
-						if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-							return
-						}
-						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
-						if crash {
-							_ = l.Close()
-						}
-					}()
-				}
-			}()
+			listening <- l
 			reply, err := rockservice.New().Do(t.Context(), l.Addr().String(), rockservice.Call{Method: http.MethodPost, Path: "/x"})
 			if crash != errors.Is(err, rockservice.ErrLost) || !crash && string(reply.Body) != "a part" {
 				t.Errorf("got body %q and error %v", reply.Body, err)
--- a/io/rockhttp/connections_test.go
+++ b/io/rockhttp/connections_test.go
@@ -16,35 +16,22 @@
 	"sassafrasrock/core/rocktable"
 	"sassafrasrock/io/rockhttp"
 	"sassafrasrock/io/rockmemory"
+	"sassafrasrock/io/rockstandin"
 )
 
-// pipeListener accepts connections inside this process, which follow the virtual time of a test.
-type pipeListener struct{ conns chan net.Conn }
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	conn, ok := <-l.conns
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return conn, nil
-}
-
-func (l pipeListener) Close() error   { return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // limitedServer serves an empty answer to each request, with limits and a handler that a test may change.
 type limitedServer struct {
 	t        *testing.T
 	limits   atomic.Pointer[rocktable.RequestLimits]
 	memory   *rockmemory.Account
-	listener pipeListener
+	listener rockstandin.ConnListener
 	handle   http.HandlerFunc
 
 	connections *rockhttp.Connections
 }
 
 func startLimitedServer(t *testing.T) *limitedServer {
-	s := &limitedServer{t: t, memory: rockmemory.New(1 << 20), listener: pipeListener{make(chan net.Conn)}, handle: func(http.ResponseWriter, *http.Request) {}}
+	s := &limitedServer{t: t, memory: rockmemory.New(1 << 20), listener: rockstandin.ConnListener{Conns: make(chan net.Conn)}, handle: func(http.ResponseWriter, *http.Request) {}}
 	s.limits.Store(&rocktable.RequestLimits{HeadTimeoutMs: 3000, IdleTimeoutMs: 15000})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(w, r) })}
 	front := &rockhttp.Server{Count: func(rockreason.Code) {}}
@@ -52,7 +39,7 @@
 	s.connections = connections
 	go func() { _ = server.Serve(connections.Watch(server, s.listener)) }()
 	t.Cleanup(func() {
-		close(s.listener.conns)
+		close(s.listener.Conns)
 		_ = server.Close()
 	})
 	return s
@@ -61,7 +48,7 @@
 func (s *limitedServer) dial() net.Conn {
 	own, other := net.Pipe()
 	s.t.Cleanup(func() { _ = own.Close() })
-	s.listener.conns <- other
+	s.listener.Conns <- other
 	return own
 }
 
--- a/io/rockliveness/liveness_test.go
+++ b/io/rockliveness/liveness_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sassafrasrock/core/rockstream"
+	"sassafrasrock/io/rockstandin"
 )
 
 // Guards against a process that counts as gone because it is silent or ends connections, and against one that is gone and
@@ -63,22 +64,15 @@
 func TestEndedConnectionIsNoSignOfAProcess(t *testing.T) {
 	for name, keep := range map[string]bool{"keeps connections": true, "ends connections": false} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			l, err := rockstandin.ServeConns(func(net.Conn) {
+				if keep {
+					<-t.Context().Done()
+				}
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer l.Close()
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if !keep {
-						_ = conn.Close()
-					}
-				}
-			}()
 			if _, err := Connect(t.Context(), l.Addr().String()); keep {
 				if err != nil {
 					t.Errorf("got error %v for a server that keeps its connections", err)
--- a/io/rockstandin/conns.go
+++ b/io/rockstandin/conns.go
@@ -23,3 +23,22 @@
 	}()
 	return l, nil
 }
+
+// ConnListener accepts the connections of a channel, such as those of net.Pipe, which follow the virtual time of a test. Closing
+// the channel ends it.
+type ConnListener struct{ Conns chan net.Conn }
+
+// Accept returns the next connection, or net.ErrClosed.
+func (l ConnListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.Conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// Close has no effect.
+func (l ConnListener) Close() error { return nil }
+
+// Addr returns an empty address.
+func (l ConnListener) Addr() net.Addr { return &net.TCPAddr{} }
