--- a/io/rockresponse/conn.go
+++ b/io/rockresponse/conn.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// watchedConn keeps what net/http does not tell of a connection: transfer codings of HTTP/1.0, and the error of a write.
+// watchedConn keeps what net/http does not tell of a connection: transfer codings in HTTP/1.0, and the error of a write.
 type watchedConn struct {
 	net.Conn
 
@@ -55,7 +55,7 @@
 	return n, err
 }
 
-// Write writes to the connection and keeps the error.
+// Write writes to the connection and keeps the first error.
 func (c *watchedConn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
@@ -95,8 +95,8 @@
 	return c.writeErr
 }
 
-// isAbort reports whether the error of a write shows that the connection was aborted before the other side had ended it. After
-// such an end, the kernel returns EPIPE.
+// isAbort reports whether the error of a write shows that the connection was aborted before the other side had ended it in order.
+// Where a reset follows such an end, Linux returns EPIPE.
 func isAbort(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && errno != syscall.EPIPE
--- a/io/rockresponse/transport.go
+++ b/io/rockresponse/transport.go
@@ -15,7 +15,8 @@
 // ErrTooLong reports a response whose body, or whose interim responses, are longer than allowed.
 var ErrTooLong = eris.New("response is too long")
 
-// Transport is an http.RoundTripper whose responses are valid HTTP and have limited heads and bodies, whatever their status.
+// Transport is an http.RoundTripper whose responses are valid HTTP and have limited heads and bodies, whatever their status. A body
+// whose connection was aborted ends with io.ErrUnexpectedEOF.
 type Transport struct {
 	base         *http.Transport
 	maxBodyBytes int64 // 0 means no limit
@@ -67,7 +68,7 @@
 // watch collects what net/http shows of a request beside its response.
 type watch struct {
 	interim interimResponses
-	conn    *watchedConn // that the response came on; nil with HTTP/2 only
+	conn    *watchedConn // that the response came on; nil if the transport speaks HTTP/2 only
 }
 
 // trace returns the hooks that fill the watch.
