Name the ends of connections of the stand-in as TCP does

Cause: a connection that is closed for writing and read on was called half open, which means something else in TCP. Change: ConnHalfClosed and ConnHalfClosedUnread. Result: the tests that use them pass.

--- a/io/rockstandin/early.go
+++ b/io/rockstandin/early.go
@@ -18,10 +18,10 @@
 
 // The ends of connections.
 const (
-	ConnClosed     ConnEnd = "closed" // for reading too; with unread bytes of the request, the kernel resets the connection
-	ConnReset      ConnEnd = "reset"
-	ConnHalfClosed ConnEnd = "halfClosed" // for writing; the rest of the request is not read
-	ConnHalfOpen   ConnEnd = "halfOpen"   // closed for writing; the rest of the request is read
+	ConnClosed           ConnEnd = "closed" // for reading too; with unread bytes of the request, the kernel resets the connection
+	ConnReset            ConnEnd = "reset"
+	ConnHalfClosed       ConnEnd = "halfClosed"       // for writing; the rest of the request is read
+	ConnHalfClosedUnread ConnEnd = "halfClosedUnread" // for writing; the rest of the request is not read
 )
 
 // EarlyAnswer is an answer that a server sends as soon as it has the head of a request.
@@ -53,8 +53,8 @@
 		"no length, no body, reset":           {Text: unframed, Pause: pause, End: ConnReset, Attempts: attempts},
 		"length, reset":                       {Text: length + body, Pause: pause, End: ConnReset, Attempts: attempts},
 		"chunks, reset":                       {Text: chunks + fmt.Sprintf("%x\r\n%s", len(body)+1, body), Pause: pause, End: ConnReset, Attempts: attempts},
-		"no length, closed in order":          {Text: unframed + body, End: ConnHalfClosed, Whole: true, Attempts: 1},
-		"no length, closed in order, read on": {Text: unframed + body, End: ConnHalfOpen, Whole: true, Attempts: 1},
+		"no length, closed in order":          {Text: unframed + body, End: ConnHalfClosedUnread, Whole: true, Attempts: 1},
+		"no length, closed in order, read on": {Text: unframed + body, End: ConnHalfClosed, Whole: true, Attempts: 1},
 	}
 }
 
@@ -97,10 +97,10 @@
 	case ConnClosed:
 	case ConnReset:
 		_ = conn.SetLinger(0)
-	case ConnHalfClosed:
+	case ConnHalfClosedUnread:
 		_ = conn.CloseWrite()
 		<-stop
-	case ConnHalfOpen:
+	case ConnHalfClosed:
 		_ = conn.CloseWrite()
 		_, _ = io.Copy(io.Discard, upload)
 	}
