Limit the heads that the stand-in reads

Request lines without an end, on 40 connections for each of its ports, are kept up to the limit of net/http for heads, 1 MB, and leave as much again to the collector.

--- a/io/rockstandin/handlers.go
+++ b/io/rockstandin/handlers.go
@@ -12,9 +12,10 @@
 	"sassafrasrock/io/rockmemory"
 )
 
-// maxLineBytes limits each line of a session's stream, maxBodyBytes any other request body, and maxHeldBytes all bodies that
-// are held at a time.
+// maxHeadBytes limits the head of a request, maxLineBytes each line of a session's stream, maxBodyBytes any other request body,
+// and maxHeldBytes all bodies that are held at a time.
 const (
+	maxHeadBytes = 64 << 10
 	maxLineBytes = 4 << 20
 	maxBodyBytes = 16 << 20
 	maxHeldBytes = 32 << 20
--- a/io/rockstandin/standin.go
+++ b/io/rockstandin/standin.go
@@ -108,9 +108,10 @@
 	s.sockets[name], s.addresses[name] = sockets, l.Addr().String()
 	s.servers[name] = &http.Server{
 		// No read timeout: it would end connections that a fault keeps silent.
-		Handler:   s.handlerFor(name, role, sockets),
-		Protocols: protocols,
-		HTTP2:     &http.HTTP2Config{MaxConcurrentStreams: 10000},
+		Handler:        s.handlerFor(name, role, sockets),
+		Protocols:      protocols,
+		HTTP2:          &http.HTTP2Config{MaxConcurrentStreams: 10000},
+		MaxHeaderBytes: maxHeadBytes,
 	}
 	s.serve(name, l)
 	return nil
